standins: give the stand-in platform switches for its faults

Cause: proofs under outage, lost answers, lagging reads and a lagging list of instances need a platform that shows them on demand. Change: PUT /faults (outage refuse or hang, delay, lost answers, stale reads, object delay, rate limit) and PUT /instances with a lag. Result: unit tests of standins pass; over HTTP a refused read, and a write that took effect with its answer lost, were seen.

--- a/source/standins/fake_platform.cc
+++ b/source/standins/fake_platform.cc
@@ -1,45 +1,113 @@
 #include "standins/fake_platform.h"
 
+#include <utility>
+
 namespace wisteriayoke {
 namespace {
 
 constexpr std::string_view kRecords = "/records/";
 constexpr std::string_view kObjects = "/objects/";
+constexpr std::string_view kInstances = "/instances";
+constexpr Duration kRateWindow = std::chrono::seconds(1);
+
+HttpResponse BuildRecordAnswer(int status, const RecordValue& record) {
+  return {{status, {{"Record-Version", std::to_string(record.version)}}},
+          record.value};
+}
 
 }  // namespace
 
-FakePlatform::FakePlatform(EventLoop& /*loop*/,
-                           const StandinOptions& /*options*/) {}
+FakePlatform::FakePlatform(EventLoop& loop, const StandinOptions& /*options*/)
+    : loop_(loop) {}
+
+void FakePlatform::Handle(const HttpRequest& request, const Caller& caller) {
+  if (HandleControl(request, caller)) return;
+  if (faults_.outage == OutageKind::kRefuse) return caller->Abort();
+  if (faults_.outage == OutageKind::kHang) return;
+  if (OverRateLimit()) return caller->Respond({{429, {}}, ""});
+  Duration delay = faults_.delay;
+  if (request.target.starts_with(kObjects)) delay += faults_.object_delay;
+  if (delay <= Duration::zero()) return Serve(request, caller);
+  Delay(delay, [this, request, caller] { Serve(request, caller); });
+}
+
+bool FakePlatform::HandleControl(const HttpRequest& request,
+                                 const Caller& caller) {
+  if (request.target == "/faults" && request.method == "PUT") {
+    caller->Respond(SetFaults(request.body));
+    return true;
+  }
+  if (request.target == kInstances && request.method == "PUT") {
+    instances_.Write(request.body, loop_.Now());
+    caller->Respond({{200, {}}, ""});
+    return true;
+  }
+  return false;
+}
+
+HttpResponse FakePlatform::SetFaults(const std::string& body) {
+  LastReason reason;
+  const auto faults = ParsePlatformFaults(body, reason);
+  if (!faults) return {{400, {}}, reason.message()};
+  faults_ = *faults;
+  return {{200, {}}, ""};
+}
+
+bool FakePlatform::OverRateLimit() {
+  if (faults_.rate_limit == 0) return false;
+  const TimePoint now = loop_.Now();
+  if (now - second_start_ >= kRateWindow) {
+    second_start_ = now;
+    requests_in_second_ = 0;
+  }
+  return ++requests_in_second_ > faults_.rate_limit;
+}
+
+void FakePlatform::Delay(Duration delay, std::function<void()> call) {
+  const std::uint64_t id = next_timer_++;
+  timers_[id] = loop_.Schedule(delay, [this, id, call = std::move(call)] {
+    const LoopTimerPtr running = std::move(timers_[id]);
+    timers_.erase(id);
+    call();
+  });
+}
 
-void FakePlatform::Handle(const HttpRequest& request,
-                          const std::shared_ptr<HttpServerSession>& caller) {
+void FakePlatform::Serve(const HttpRequest& request, const Caller& caller) {
+  const HttpResponse answer = BuildAnswer(request);
+  const bool written = request.method == "PUT" && answer.head.status == 200;
+  if (written && faults_.lose_answers > 0) {
+    --faults_.lose_answers;
+    return caller->Abort();
+  }
+  caller->Respond(answer);
+}
+
+HttpResponse FakePlatform::BuildAnswer(const HttpRequest& request) {
   const std::string& target = request.target;
   if (target.starts_with(kRecords)) {
-    return caller->Respond(
-        HandleRecord(request, target.substr(kRecords.size())));
+    return HandleRecord(request, target.substr(kRecords.size()));
   }
   if (target.starts_with(kObjects)) {
-    return caller->Respond(
-        HandleObject(request, target.substr(kObjects.size())));
+    return HandleObject(request, target.substr(kObjects.size()));
   }
-  caller->Respond({{404, {}}, ""});
+  if (target == kInstances) return ReadInstances();
+  return {{404, {}}, ""};
 }
 
 HttpResponse FakePlatform::HandleRecord(const HttpRequest& request,
                                         const std::string& key) {
-  const Record current = records_.contains(key) ? records_[key] : Record{};
-  const auto answer = [](int status, const Record& record) {
-    return HttpResponse{
-        {status, {{"Record-Version", std::to_string(record.version)}}},
-        record.value};
-  };
+  LaggingRecord& record = records_[key];
   if (request.method != "PUT") {
-    return answer(current.version == 0 ? 404 : 200, current);
+    const RecordValue seen = record.At(loop_.Now() - faults_.stale);
+    return BuildRecordAnswer(seen.version == 0 ? 404 : 200, seen);
   }
+  const RecordValue current = record.Latest();
   const std::string expected(FindField(request.fields, "Expected-Version"));
-  if (expected != std::to_string(current.version)) return answer(409, current);
-  records_[key] = {request.body, current.version + 1};
-  return answer(200, records_[key]);
+  if (expected != std::to_string(current.version)) {
+    return BuildRecordAnswer(409, current);
+  }
+  record.Write(request.body, loop_.Now());
+  return BuildRecordAnswer(200, record.Latest());
 }
 
 HttpResponse FakePlatform::HandleObject(const HttpRequest& request,
@@ -53,4 +121,9 @@
   return {{200, {}}, found->second};
 }
 
+HttpResponse FakePlatform::ReadInstances() const {
+  const RecordValue seen = instances_.At(loop_.Now() - faults_.instances_lag);
+  return BuildRecordAnswer(seen.version == 0 ? 404 : 200, seen);
+}
+
 }  // namespace wisteriayoke
