--- a/source/decisions/chain.cc
+++ b/source/decisions/chain.cc
@@ -2,18 +2,26 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
 
 namespace wisteriayoke {
 namespace {
 
 constexpr double kUnreachable = std::numeric_limits<double>::infinity();
-/// Cost of leaving a data centre, in units of one fully loaded engine.
-constexpr double kLinkCost = 0.5;
+/// Factor on the time of an engine that has to queue the request.
+constexpr double kQueueFactor = 8.0;
+/// Factor on the time of an engine that holds the request's KV cache: a resumed
+/// answer avoids running its prefix again.
+constexpr double kWarmFactor = 0.25;
 
-double LoadOf(const UpstreamSpec& upstream, const UpstreamBook& book) {
-  const double in_flight = book.StateOf(upstream.name).in_flight;
-  return (in_flight + 1.0) / std::max(1U, upstream.slots);
+/// Returns the expected time of `upstream` for a token, in microseconds.
+double StageCost(const UpstreamSpec& upstream, const ChainInputs& inputs) {
+  const double in_flight = inputs.book.StateOf(upstream.name).in_flight;
+  const double load = (in_flight + 1.0) / std::max(1U, upstream.slots);
+  const auto time =
+      static_cast<double>(inputs.speeds.ComputeTimeOf(upstream).count());
+  const double warm = inputs.warm.contains(upstream.name) ? kWarmFactor : 1.0;
+  const double queue = load > 1.0 ? kQueueFactor * load : 0.0;
+  return time * warm * (1.0 + load + queue);
 }
 
 /// Best way to cover [0, layers.end) that ends with `upstream`.
@@ -24,25 +32,27 @@
   bool has_previous = false;
 };
 
-double LinkCost(const UpstreamSpec& from, const UpstreamSpec& to) {
-  return from.data_centre == to.data_centre ? 0.0 : kLinkCost;
+double LinkCost(const UpstreamSpec& from, const UpstreamSpec& to,
+                const ChainInputs& inputs) {
+  return static_cast<double>(
+      inputs.speeds.LinkTimeOf(from.data_centre, to.data_centre).count());
 }
 
 /// Extends `candidate` by the cheapest earlier one that ends where it begins.
 void ConnectCandidate(std::vector<Candidate>& candidates, std::size_t index,
-                      const UpstreamBook& book) {
+                      const ChainInputs& inputs) {
   Candidate& candidate = candidates[index];
   const UpstreamSpec& upstream = *candidate.upstream;
-  const double load = LoadOf(upstream, book);
+  const double work = StageCost(upstream, inputs);
   if (upstream.layers.first == 0) {
-    candidate.cost = load;
+    candidate.cost = work;
     return;
   }
   for (std::size_t i = 0; i < index; ++i) {
     const Candidate& before = candidates[i];
     if (before.upstream->layers.end != upstream.layers.first) continue;
     const double cost =
-        before.cost + load + LinkCost(*before.upstream, upstream);
+        before.cost + work + LinkCost(*before.upstream, upstream, inputs);
     if (cost >= candidate.cost) continue;
     candidate.cost = cost;
     candidate.previous = i;
@@ -65,7 +75,7 @@
 
 std::optional<Chain> ChooseChain(const Pool& pool,
                                  const std::vector<const UpstreamSpec*>& usable,
-                                 const UpstreamBook& book) {
+                                 const ChainInputs& inputs) {
   std::vector<Candidate> candidates;
   candidates.reserve(usable.size());
   for (const auto* upstream : usable) {
@@ -77,7 +87,7 @@
             });
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    ConnectCandidate(candidates, i, book);
+    ConnectCandidate(candidates, i, inputs);
     if (candidates[i].cost == kUnreachable) continue;
     if (candidates[i].upstream->layers.end != pool.layer_count) continue;
     if (!best || candidates[i].cost < candidates[*best].cost) best = i;
--- a/source/decisions/chain.h
+++ b/source/decisions/chain.h
@@ -2,9 +2,11 @@
 #define WISTERIAYOKE_DECISIONS_CHAIN_H_
 
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/ids.h"
+#include "decisions/chain_speeds.h"
 #include "decisions/layer_range.h"
 #include "decisions/table_spec.h"
 #include "decisions/upstream_book.h"
@@ -21,12 +23,21 @@
 /// Engines that together run every layer of a model once, in order.
 using Chain = std::vector<Stage>;
 
-/// Chooses the chain with the lowest cost over `usable` engines, where the cost
-/// counts load on each engine and the links between data centres. Returns
-/// nothing if the engines can't cover the pool's layers.
+/// What the choice of a chain takes into account besides the pool.
+struct ChainInputs {
+  const UpstreamBook& book;
+  const ChainSpeeds& speeds;
+  /// Engines that hold the request's KV cache already.
+  std::set<UpstreamName> warm;
+};
+
+/// Chooses the chain with the least expected time for a token over `usable`
+/// engines: the measured time of each engine, scaled by its load, and of the
+/// links between their data centres. Returns nothing if the engines can't cover
+/// the pool's layers.
 std::optional<Chain> ChooseChain(const Pool& pool,
                                  const std::vector<const UpstreamSpec*>& usable,
-                                 const UpstreamBook& book);
+                                 const ChainInputs& inputs);
 
 }  // namespace wisteriayoke
 
--- a/source/decisions/model_request.cc
+++ b/source/decisions/model_request.cc
@@ -1,13 +1,29 @@
 #include "decisions/model_request.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/invariant.h"
 #include "base/overloaded.h"
 
 namespace wisteriayoke {
 namespace {
 
-constexpr AttemptNumber kMaxAttempts = 4;
+/// Most attempts of one request.
+constexpr AttemptNumber kMaxAttempts = 16;
+/// Most attempts in a row that deliver no token.
+constexpr AttemptNumber kMaxFruitlessAttempts = 4;
+/// Delay before another look for a chain.
+constexpr Duration kChainWait = std::chrono::milliseconds(50);
+/// Most looks for a chain while none can be had.
+constexpr std::uint32_t kMaxChainWaits = 40;
+
+/// Tells whether an attempt that broke with `code` may have run at an engine.
+bool MayHaveRun(ResultCode code) {
+  return code != ResultCode::kConnectFailed &&
+         code != ResultCode::kUpstreamRefused &&
+         code != ResultCode::kFieldInvalid;
+}
 
 }  // namespace
 
@@ -16,11 +32,17 @@
   if (finished_) return {};
   return std::visit(
       Overloaded{
-          [](const ModelAdmitted&) { return Actions{RequestChain{}}; },
+          [this](const ModelAdmitted&) { return Actions{AskForChain()}; },
           [this](const ChainChosen& chosen) { return HandleChain(chosen); },
-          [this](const ChainUnavailable&) {
-            return Fail(ResultCode::kNoUpstream,
-                        "no usable engines cover the model's layers");
+          [this](const ChainUnavailable&) { return HandleUnavailable(); },
+          [](const ChainReserved&) {
+            return Actions{WaitForChain{kChainWait}};
+          },
+          [this](const ChainWaitOver&) {
+            return running_ ? Actions{} : Actions{AskForChain()};
+          },
+          [this](const RequestRefused& refused) {
+            return Fail(refused.code, refused.message);
           },
           [this](const TokenArrived& token) { return HandleToken(token); },
           [this](const StreamEnded& end) { return HandleEnd(end); },
@@ -30,33 +52,102 @@
           },
           [this](const DeadlinePassed&) {
             return Fail(ResultCode::kDeadlineExceeded,
-                        "the route's deadline passed");
+                        "the request's deadline passed");
           },
       },
       event);
 }
 
+RequestChain ModelRequest::AskForChain() const {
+  RequestChain request{.excluded = excluded_, .warm = {}};
+  for (const auto& [name, stage] : holders_) request.warm.insert(name);
+  return request;
+}
+
 ModelRequest::Actions ModelRequest::HandleChain(const ChainChosen& event) {
   if (running_) return {};
   running_ = true;
+  waits_ = 0;
   ++attempt_;
-  return {StartAttempt{attempt_, event.chain, delivered_tokens(), delivered_}};
+  chain_ = event.chain;
+  first_token_ = delivered_tokens();
+  return {StartAttempt{attempt_, chain_, first_token_, delivered_,
+                       PlanKv(chain_, holders_)}};
+}
+
+ModelRequest::Actions ModelRequest::HandleUnavailable() {
+  if (running_) return {};
+  if (waits_ >= kMaxChainWaits) {
+    return Fail(CodeOfFailure(), "no usable engines cover the model's layers");
+  }
+  ++waits_;
+  // An engine that failed may be up again; better to try it than none.
+  excluded_.clear();
+  return {WaitForChain{kChainWait}};
+}
+
+/// Returns the code for a request that no attempt could finish.
+ResultCode ModelRequest::CodeOfFailure() const {
+  if (!delivered_.empty()) return ResultCode::kStreamBroken;
+  return may_have_run_ ? ResultCode::kUpstreamFailed : ResultCode::kNoUpstream;
 }
 
 ModelRequest::Actions ModelRequest::HandleToken(const TokenArrived& event) {
   if (!IsCurrent(event.attempt)) return {};
+  may_have_run_ = true;
+  if (event.index != delivered_tokens() || event.index >= spec_.max_tokens) {
+    return RetryWithout(chain_.front().upstream, ResultCode::kTokenOutOfOrder);
+  }
+  const UpstreamName culprit = FindLayerCulprit(event.passed);
+  if (!culprit.empty()) {
+    return RetryWithout(culprit, ResultCode::kLayerChainBroken);
+  }
+  return Deliver(event);
+}
+
+/// Returns the first engine of the chain whose layers the token did not pass in
+/// its turn, or an empty name.
+UpstreamName ModelRequest::FindLayerCulprit(
+    const std::vector<LayerRange>& passed) const {
+  for (std::size_t i = 0; i < chain_.size(); ++i) {
+    if (i >= passed.size() || passed[i] != chain_[i].layers) {
+      return chain_[i].upstream;
+    }
+  }
+  if (passed.size() > chain_.size()) return chain_.back().upstream;
+  return {};
+}
+
+ModelRequest::Actions ModelRequest::Deliver(const TokenArrived& event) {
   if (event.index != delivered_tokens()) {
-    return RetryWithout({}, ResultCode::kTokenOutOfOrder);
+    ReportBrokenInvariant(ResultCode::kTokenOutOfOrder,
+                          "index " + std::to_string(event.index) + " after " +
+                              std::to_string(delivered_.size()) + " tokens");
+    return {};
   }
-  if (!CoversAllLayers(event.passed, layer_count_)) {
-    return RetryWithout({}, ResultCode::kLayerChainBroken);
+  if (!CoversAllLayers(event.passed, spec_.layer_count)) {
+    ReportBrokenInvariant(ResultCode::kLayerChainBroken,
+                          "token " + std::to_string(event.index) +
+                              " did not pass each layer once");
+    return Fail(ResultCode::kLayerChainBroken,
+                "the chosen chain does not cover the model's layers");
   }
+  fruitless_attempts_ = 0;
   delivered_.push_back(event.text);
   return {DeliverToken{event.index, event.text}};
 }
 
+bool ModelRequest::EndsWhole(const StreamEnded& event) const {
+  if (event.tokens != delivered_tokens()) return false;
+  return event.finish_reason != "length" ||
+         delivered_tokens() == spec_.max_tokens;
+}
+
 ModelRequest::Actions ModelRequest::HandleEnd(const StreamEnded& event) {
   if (!IsCurrent(event.attempt)) return {};
+  if (!EndsWhole(event)) {
+    return RetryWithout(chain_.front().upstream, ResultCode::kStreamBroken);
+  }
   finished_ = true;
   running_ = false;
   return {CompleteAnswer{event.finish_reason}};
@@ -64,22 +155,41 @@
 
 ModelRequest::Actions ModelRequest::HandleBreak(const AttemptBroke& event) {
   if (!IsCurrent(event.attempt)) return {};
+  if (event.code == ResultCode::kFieldInvalid && !may_have_run_) {
+    return Fail(event.code, "the engine refused the request as invalid");
+  }
   return RetryWithout(event.culprit, event.code);
 }
 
+/// Keeps the engines that hold the KV cache of every delivered token. An
+/// attempt without a token changes nothing at the earlier holders.
+void ModelRequest::KeepHolders(const UpstreamName& culprit) {
+  if (delivered_tokens() > first_token_) {
+    holders_.clear();
+    for (const auto& stage : chain_) holders_[stage.upstream] = stage;
+  }
+  holders_.erase(culprit);
+}
+
 ModelRequest::Actions ModelRequest::RetryWithout(const UpstreamName& culprit,
                                                  ResultCode code) {
-  if (attempt_ >= kMaxAttempts) {
-    return Fail(code, "all attempts of the request broke");
+  ++fruitless_attempts_;
+  may_have_run_ = may_have_run_ || MayHaveRun(code);
+  if (fruitless_attempts_ >= kMaxFruitlessAttempts ||
+      attempt_ >= kMaxAttempts) {
+    return Fail(CodeOfFailure(), "all attempts of the request broke");
   }
   running_ = false;
+  KeepHolders(culprit);
   if (!culprit.empty()) excluded_.insert(culprit);
-  return {CancelAttempt{attempt_}, RequestChain{excluded_}};
+  return {CancelAttempt{attempt_, culprit, code, false}, AskForChain()};
 }
 
 ModelRequest::Actions ModelRequest::Fail(ResultCode code, std::string message) {
   Actions actions;
-  if (running_) actions.emplace_back(CancelAttempt{attempt_});
+  if (running_) {
+    actions.emplace_back(CancelAttempt{attempt_, {}, code, true});
+  }
   finished_ = true;
   running_ = false;
   actions.emplace_back(
--- a/source/decisions/model_request.h
+++ b/source/decisions/model_request.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/result_code.h"
 #include "decisions/chain.h"
+#include "decisions/kv_plan.h"
 
 namespace wisteriayoke {
 
@@ -24,21 +25,38 @@
 /// No chain can serve the request now.
 struct ChainUnavailable {};
 
+/// A chain can be had, but not yet: the request must run on engines of its own,
+/// which are still busy.
+struct ChainReserved {};
+
+/// The delay of `WaitForChain` is over.
+struct ChainWaitOver {};
+
+/// The request must not run (again), for the reason in `code`.
+struct RequestRefused {
+  ResultCode code = ResultCode::kOk;
+  std::string message;
+};
+
 /// An engine sent a token.
 struct TokenArrived {
   AttemptNumber attempt = 0;
   TokenIndex index = 0;
   std::string text;
-  std::vector<LayerRange> passed;  ///< Layers that the token went through.
+  std::vector<LayerRange> passed;    ///< Layers that the token went through.
+  std::vector<StageTiming> timings;  ///< One for each stage, or empty.
 };
 
 /// An engine said that the answer is complete.
 struct StreamEnded {
   AttemptNumber attempt = 0;
   std::string finish_reason;
+  TokenIndex tokens = 0;  ///< Tokens of the whole answer.
 };
 
-/// An attempt broke; `culprit` is the engine that failed, if known.
+/// An attempt broke; `culprit` is the engine that failed, if known. The code
+/// says whose fault it was: kFieldInvalid is the caller's, kUpstreamRefused
+/// means that the engine takes no work now, all others are the engine's.
 struct AttemptBroke {
   AttemptNumber attempt = 0;
   UpstreamName culprit;
@@ -52,12 +70,20 @@
 struct DeadlinePassed {};
 
 using ModelRequestEvent =
-    std::variant<ModelAdmitted, ChainChosen, ChainUnavailable, TokenArrived,
-                 StreamEnded, AttemptBroke, CallerLeft, DeadlinePassed>;
+    std::variant<ModelAdmitted, ChainChosen, ChainUnavailable, ChainReserved,
+                 ChainWaitOver, RequestRefused, TokenArrived, StreamEnded,
+                 AttemptBroke, CallerLeft, DeadlinePassed>;
 
-/// Choose a chain that avoids `excluded`.
+/// Choose a chain that avoids `excluded` and prefers `warm` engines, which hold
+/// the request's KV cache.
 struct RequestChain {
   std::set<UpstreamName> excluded;
+  std::set<UpstreamName> warm;
+};
+
+/// Answer with `ChainWaitOver` after `delay`.
+struct WaitForChain {
+  Duration delay{};
 };
 
 /// Send the request to the chain, to go on at token `first_token`.
@@ -66,11 +92,15 @@
   Chain chain;
   TokenIndex first_token = 0;
   std::vector<std::string> prefix;  ///< Tokens already delivered.
+  std::vector<KvSource> kv;         ///< One for each stage of the chain.
 };
 
 /// Stop the attempt's work at its engines.
 struct CancelAttempt {
   AttemptNumber attempt = 0;
+  UpstreamName culprit;  ///< The engine that broke the attempt, if any.
+  ResultCode code = ResultCode::kOk;
+  bool final = false;  ///< Whether engines may drop the KV cache.
 };
 
 /// Send the token to the caller.
@@ -93,18 +123,24 @@
 };
 
 using ModelRequestAction =
-    std::variant<RequestChain, StartAttempt, CancelAttempt, DeliverToken,
-                 CompleteAnswer, FailAnswer>;
+    std::variant<RequestChain, WaitForChain, StartAttempt, CancelAttempt,
+                 DeliverToken, CompleteAnswer, FailAnswer>;
+
+/// What a request asks of a model.
+struct ModelRequestSpec {
+  std::uint32_t layer_count = 0;
+  std::uint32_t max_tokens = 0;
+};
 
 /// Decides the course of one request to a model.
 ///
 /// Delivers each token index once and in order, only if the token passed every
-/// layer once and in order; resumes on another chain after a failure.
+/// layer once and in order; resumes at the next token after a failure, on
+/// another chain. The answer is complete only when an engine ends it
+/// explicitly, with as many tokens as were delivered.
 class ModelRequest {
  public:
-  /// Serves a model of `layer_count` layers.
-  explicit ModelRequest(std::uint32_t layer_count)
-      : layer_count_(layer_count) {}
+  explicit ModelRequest(ModelRequestSpec spec) : spec_(spec) {}
 
   /// Handles one event and returns what to do, in order. Events after the end
   /// and events of earlier attempts have no effect.
@@ -119,21 +155,34 @@
   using Actions = std::vector<ModelRequestAction>;
 
   Actions HandleChain(const ChainChosen& event);
+  Actions HandleUnavailable();
   Actions HandleToken(const TokenArrived& event);
   Actions HandleEnd(const StreamEnded& event);
   Actions HandleBreak(const AttemptBroke& event);
   Actions RetryWithout(const UpstreamName& culprit, ResultCode code);
+  Actions Deliver(const TokenArrived& event);
   Actions Fail(ResultCode code, std::string message);
+  RequestChain AskForChain() const;
+  void KeepHolders(const UpstreamName& culprit);
+  ResultCode CodeOfFailure() const;
+  bool EndsWhole(const StreamEnded& event) const;
+  UpstreamName FindLayerCulprit(const std::vector<LayerRange>& passed) const;
   bool IsCurrent(AttemptNumber attempt) const {
     return running_ && attempt == attempt_;
   }
 
-  std::uint32_t layer_count_;
+  ModelRequestSpec spec_;
   AttemptNumber attempt_ = 0;
+  AttemptNumber fruitless_attempts_ = 0;
+  std::uint32_t waits_ = 0;
   bool running_ = false;
   bool finished_ = false;
+  bool may_have_run_ = false;
+  Chain chain_;
+  TokenIndex first_token_ = 0;
   std::vector<std::string> delivered_;
   std::set<UpstreamName> excluded_;
+  KvHolders holders_;
 };
 
 }  // namespace wisteriayoke
--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -62,10 +62,25 @@
   Read();
 }
 
+void HttpClientCall::Pause() {
+  paused_ = true;
+  if (sent_) timer_.reset();
+}
+
+void HttpClientCall::Resume() {
+  if (!paused_) return;
+  paused_ = false;
+  if (closed_ || !sent_) return;
+  ArmTimer(limits_.idle_timeout);
+  if (!reading_) Read();
+}
+
 void HttpClientCall::Read() {
+  reading_ = true;
   socket_.async_read_some(asio::buffer(read_buffer_),
                           [self = shared_from_this()](
                               const asio::error_code& error, std::size_t size) {
+                            self->reading_ = false;
                             if (self->closed_) return;
                             if (error) return self->HandleReadEnd();
                             self->HandleRead({self->read_buffer_.data(), size});
@@ -81,7 +96,8 @@
   Deliver();
   if (closed_) return;
   if (parser_.done()) return Finish(CallEnd{});
-  Read();
+  if (paused_) return timer_.reset();
+  if (!reading_) Read();
 }
 
 void HttpClientCall::HandleReadEnd() {
--- a/source/runtime/http_client_call.h
+++ b/source/runtime/http_client_call.h
@@ -62,6 +62,14 @@
   /// Closes the connection; no event follows.
   void Cancel();
 
+  /// Stops reading, so that the sender is held up, until `Resume`. A piece
+  /// already read may still be delivered; the idle timeout does not run.
+  void Pause();
+  void Resume();
+
+  /// Replaces the longest wait for the next byte of the response.
+  void set_idle_timeout(Duration timeout) { limits_.idle_timeout = timeout; }
+
   HttpClientCall(EventLoop& loop, HttpCallLimits limits, Handler handler);
   ~HttpClientCall();
   HttpClientCall(const HttpClientCall&) = delete;
@@ -91,6 +99,8 @@
   LoopTimerPtr timer_;
   bool sent_ = false;
   bool head_delivered_ = false;
+  bool reading_ = false;
+  bool paused_ = false;
   bool closed_ = false;
 };
 
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -1,6 +1,6 @@
 #include "runtime/http_server_session.h"
 
-#include <asio/write.hpp>
+#include <asio/buffer.hpp>
 #include <utility>
 
 #include "wire/http_encode.h"
@@ -40,9 +40,20 @@
 
 void HttpServerSession::HandleRead(std::string_view data) {
   parser_.Push(data);
-  if (!answering_) NextRequest();
-  if (closed_ || close_when_idle_) return;
-  Read();
+  if (answering_) {
+    early_bytes_ += data.size();
+    if (early_bytes_ > MaxEarlyBytes()) return Close();
+  } else {
+    NextRequest();
+  }
+  if (closed_) return;
+  if (!IsDone()) return Read();
+  if (writing_.empty()) Close();
+}
+
+/// Tells whether a connection that is to close has nothing left to do.
+bool HttpServerSession::IsDone() const {
+  return close_when_idle_ && !answering_ && !parser_.InMessage();
 }
 
 void HttpServerSession::HandleReadEnd() {
@@ -57,6 +68,7 @@
   if (!request) return ArmReadTimer();
   read_timer_.reset();
   answering_ = true;
+  early_bytes_ = 0;
   keep_alive_ = request->keep_alive;
   handler_(std::move(*request), shared_from_this());
 }
@@ -95,6 +107,7 @@
 void HttpServerSession::FinishAnswer() {
   answering_ = false;
   on_closed_ = nullptr;
+  on_writable_ = nullptr;
   if (!keep_alive_) close_when_idle_ = true;
   if (close_when_idle_) return;
   loop_.Post([self = shared_from_this()] {
@@ -103,7 +116,7 @@
 }
 
 void HttpServerSession::Write(const std::string& data) {
-  if (pending_output_.size() + writing_.size() + data.size() >
+  if (CountBufferedBytes() + data.size() >
       limits_.buffered_bytes + limits_.message.body_bytes) {
     return Close();
   }
@@ -113,27 +126,45 @@
 
 void HttpServerSession::Flush() {
   writing_ = std::exchange(pending_output_, {});
+  written_ = 0;
+  WriteSome();
+}
+
+void HttpServerSession::WriteSome() {
   write_timer_ = loop_.Schedule(limits_.write_timeout, [this] { Close(); });
-  asio::async_write(socket_, asio::buffer(writing_),
-                    [self = shared_from_this()](const asio::error_code& error,
-                                                std::size_t /*size*/) {
-                      self->HandleWritten(error);
-                    });
+  socket_.async_write_some(
+      asio::buffer(writing_) + written_,
+      [self = shared_from_this()](const asio::error_code& error,
+                                  std::size_t size) {
+        self->HandleWritten(error, size);
+      });
 }
 
-void HttpServerSession::HandleWritten(const asio::error_code& error) {
+void HttpServerSession::HandleWritten(const asio::error_code& error,
+                                      std::size_t size) {
   write_timer_.reset();
-  writing_.clear();
   if (closed_) return;
   if (error) return Close();
-  if (!pending_output_.empty()) return Flush();
-  if (close_when_idle_ && !answering_) Close();
+  written_ += size;
+  if (written_ < writing_.size()) {
+    WriteSome();
+  } else {
+    writing_.clear();
+    written_ = 0;
+    if (!pending_output_.empty()) Flush();
+  }
+  if (writing_.empty() && close_when_idle_ && !answering_) return Close();
+  if (CountBufferedBytes() < limits_.resume_bytes && on_writable_) {
+    const auto handler = on_writable_;
+    handler();
+  }
 }
 
 void HttpServerSession::BreakStream() {
   if (closed_) return;
   answering_ = false;
   on_closed_ = nullptr;
+  on_writable_ = nullptr;
   close_when_idle_ = true;
   if (writing_.empty()) Close();
 }
@@ -142,7 +173,9 @@
 
 void HttpServerSession::CloseWhenIdle() {
   close_when_idle_ = true;
-  if (!answering_ && writing_.empty() && !parser_.InMessage()) Close();
+  asio::error_code ignored;
+  const bool unread = socket_.available(ignored) > 0;
+  if (writing_.empty() && IsDone() && !unread) Close();
 }
 
 void HttpServerSession::ArmReadTimer() {
@@ -167,6 +200,7 @@
   asio::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
+  on_writable_ = nullptr;
   const auto handler = std::exchange(on_closed_, nullptr);
   if (answering_ && handler) handler();
 }
--- a/source/runtime/http_server_session.h
+++ b/source/runtime/http_server_session.h
@@ -24,6 +24,10 @@
   Duration write_timeout = std::chrono::seconds(10);
   /// Most answer bytes that wait for a slow caller; more closes it.
   std::size_t buffered_bytes = 1024 * 1024;
+  /// Waiting answer bytes over which the source of a stream should pause.
+  std::size_t pause_bytes = 64 * 1024;
+  /// Waiting answer bytes below which a paused source may go on.
+  std::size_t resume_bytes = 16 * 1024;
 };
 
 /// One connection of a caller: reads requests one at a time and writes the
@@ -72,19 +76,42 @@
     on_closed_ = std::move(handler);
   }
 
+  /// Sets what to call when a source that paused may go on.
+  void set_on_writable(std::function<void()> handler) {
+    on_writable_ = std::move(handler);
+  }
+
+  /// Tells whether the caller is so slow that the source should pause.
+  bool ShouldPause() const {
+    return CountBufferedBytes() > limits_.pause_bytes;
+  }
+
   bool closed() const { return closed_; }
 
+  /// Tells whether a request waits for the rest of its answer.
+  bool answering() const { return answering_; }
+
  private:
   static constexpr std::size_t kReadBytes = 16 * 1024;
 
+  /// Most bytes of further requests that may wait behind an answer.
+  std::size_t MaxEarlyBytes() const {
+    return limits_.message.header_bytes + limits_.message.body_bytes;
+  }
+
   void Read();
   void HandleRead(std::string_view data);
   void HandleReadEnd();
+  bool IsDone() const;
   void NextRequest();
   void RefuseInput(const LastReason& reason);
   void Write(const std::string& data);
   void Flush();
-  void HandleWritten(const asio::error_code& error);
+  void WriteSome();
+  void HandleWritten(const asio::error_code& error, std::size_t size);
+  std::size_t CountBufferedBytes() const {
+    return pending_output_.size() + writing_.size() - written_;
+  }
   void FinishAnswer();
   void ArmReadTimer();
   void Close();
@@ -98,9 +125,12 @@
   std::array<char, kReadBytes> read_buffer_;
   std::string pending_output_;
   std::string writing_;
+  std::size_t written_ = 0;  ///< Bytes of `writing_` that were written.
   std::function<void()> on_closed_;
+  std::function<void()> on_writable_;
   LoopTimerPtr read_timer_;
   LoopTimerPtr write_timer_;
+  std::size_t early_bytes_ = 0;
   bool answering_ = false;
   bool keep_alive_ = true;
   bool close_when_idle_ = false;
--- a/source/standins/fake_engine.h
+++ b/source/standins/fake_engine.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "runtime/http_server_session.h"
+#include "standins/fake_engine_state.h"
 #include "standins/standin_options.h"
 
 namespace wisteriayoke {
@@ -13,7 +14,9 @@
 ///
 /// POST /generate makes it the first stage of a chain; POST /forward asks it to
 /// run its layers for one token as a later stage; GET /health says whether it
-/// takes work.
+/// takes work. GET /kv/REQUEST exports the KV cache of a request, POST
+/// /cancel/REQUEST drops it. POST /faults makes it misbehave; GET /stats tells
+/// its counts.
 class FakeEngine {
  public:
   FakeEngine(EventLoop& loop, const StandinOptions& options);
@@ -22,13 +25,20 @@
               const std::shared_ptr<HttpServerSession>& caller);
 
  private:
-  void Generate(const HttpRequest& request,
-                const std::shared_ptr<HttpServerSession>& caller);
-  void Forward(const HttpRequest& request,
-               const std::shared_ptr<HttpServerSession>& caller);
-
-  EventLoop& loop_;
-  StandinOptions options_;
+  using CallerPtr = std::shared_ptr<HttpServerSession>;
+
+  void Generate(const HttpRequest& request, const CallerPtr& caller);
+  void Forward(const HttpRequest& request, const CallerPtr& caller);
+  void RunLayers(ForwardRequest forward, const CallerPtr& caller);
+  void PassOn(ForwardRequest forward, Duration compute_time,
+              const CallerPtr& caller);
+  void RefuseForward(const ForwardRequest& forward, const EngineFailure& why,
+                     const CallerPtr& caller);
+  HttpResponse SetFaults(const std::string& body);
+  HttpResponse ExportKv(const RequestId& request) const;
+  HttpResponse DescribeCounts() const;
+
+  FakeEngineState state_;
 };
 
 }  // namespace wisteriayoke
--- a/source/standins/fake_generation.cc
+++ b/source/standins/fake_generation.cc
@@ -5,7 +5,7 @@
 namespace wisteriayoke {
 namespace {
 
-constexpr Duration kStageTimeout = std::chrono::milliseconds(500);
+constexpr int kStatusOk = 200;
 
 /// Text of a token; it depends only on the prompt and the index, so that a
 /// resumed answer can be compared with an undisturbed one.
@@ -15,77 +15,172 @@
 
 }  // namespace
 
-void SendForward(EventLoop& loop, ForwardRequest forward,
-                 std::function<void(FetchResult)> done) {
-  const Endpoint next = forward.next_stages.front();
-  forward.next_stages.erase(forward.next_stages.begin());
-  FetchWhole(
-      loop, next,
-      {.method = "POST", .target = "/forward", .body = EncodeForward(forward)},
-      {.idle_timeout = kStageTimeout}, std::move(done));
-}
-
-FakeGeneration::FakeGeneration(EventLoop& loop, const StandinOptions& options,
-                               GenerateRequest request,
+FakeGeneration::FakeGeneration(FakeEngineState& state, GenerateRequest request,
                                std::shared_ptr<HttpServerSession> caller)
-    : loop_(loop),
-      options_(options),
+    : state_(state),
       request_(std::move(request)),
       caller_(std::move(caller)),
+      crash_token_(FindCrashToken(request_.prompt)),
       next_(request_.first_token) {}
 
 void FakeGeneration::Start() {
+  caller_->set_on_closed([self = shared_from_this()] { self->End(); });
+  caller_->set_on_writable([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || !std::exchange(self->paused_, false)) return;
+    self->NextToken();
+  });
   caller_->StartStream({200, {{"Content-Type", "application/x-ndjson"}}});
-  NextToken();
+  if (state_.counts.running < state_.options.slots) return Begin();
+  state_.waiting.push_back([self = shared_from_this()] { self->Begin(); });
+}
+
+void FakeGeneration::Begin() {
+  if (ended_) return;
+  running_ = true;
+  ++state_.counts.running;
+  deadline_timer_ = state_.loop.Schedule(request_.time_left, [this] {
+    const auto self = shared_from_this();
+    caller_->Abort();
+    End();
+  });
+  LoadKv(state_, request_.request, request_.attempt, next_, SourceOfStage(0),
+         [self = shared_from_this()] { self->NextToken(); });
+}
+
+void FakeGeneration::End() {
+  if (std::exchange(ended_, true)) return;
+  timer_.reset();
+  deadline_timer_.reset();
+  if (running_) --state_.counts.running;
+  while (!state_.waiting.empty() &&
+         state_.counts.running < state_.options.slots) {
+    const auto begin = std::move(state_.waiting.front());
+    state_.waiting.pop_front();
+    begin();
+  }
+}
+
+KvSource FakeGeneration::SourceOfStage(std::size_t stage) const {
+  return stage < request_.kv.size() ? request_.kv[stage] : KvSource{};
 }
 
 void FakeGeneration::NextToken() {
-  if (caller_->closed()) return;
-  if (next_ == request_.max_tokens) {
-    caller_->WritePiece(EncodeEngineLine(
-        {request_.request, StreamEnded{request_.attempt, "length"}}));
-    return caller_->EndStream();
+  if (ended_ || caller_->closed()) return End();
+  if (caller_->ShouldPause()) {
+    paused_ = true;
+    return;
   }
-  timer_ = loop_.Schedule(options_.token_time,
-                          [self = shared_from_this()] { self->RunLayers(); });
+  if (next_ == request_.max_tokens) return EmitEnd("length");
+  if (ShowFault()) return;
+  token_start_ = state_.loop.Now();
+  timer_ = state_.loop.Schedule(
+      state_.options.token_time + state_.faults.TimeOf(FakeFault::kSlowToken),
+      [self = shared_from_this()] { self->RunLayers(); });
+}
+
+/// Shows the faults that keep the next token from being run.
+bool FakeGeneration::ShowFault() {
+  const FakeFaults& faults = state_.faults;
+  if (crash_token_ == next_ || faults.Hits(FakeFault::kKill, next_)) {
+    CrashProcess();
+  }
+  if (faults.Hits(FakeFault::kHang, next_)) return true;
+  if (faults.Hits(FakeFault::kEarlyEnd, next_)) {
+    EmitEnd("length");
+    return true;
+  }
+  if (faults.Hits(FakeFault::kCutStream, next_)) {
+    caller_->EndStream();
+    End();
+    return true;
+  }
+  return false;
 }
 
 void FakeGeneration::RunLayers() {
-  if (request_.next_stages.empty()) return EmitToken({options_.layers});
-  SendForward(loop_,
-              {.request = request_.request,
-               .attempt = request_.attempt,
-               .index = next_,
-               .passed = {options_.layers},
-               .next_stages = request_.next_stages},
-              [self = shared_from_this()](const FetchResult& result) {
-                self->HandleForwarded(result);
+  compute_time_ = state_.loop.Now() - token_start_;
+  if (!state_.kv.Append(request_.request, request_.attempt, next_)) {
+    return EmitFailure({request_.attempt, state_.options.listen.ToString(),
+                        "the KV cache does not end before this token"});
+  }
+  ++state_.counts.tokens;
+  if (request_.next_stages.empty()) {
+    return EmitToken({state_.options.layers}, {{compute_time_, {}}});
+  }
+  ForwardToken();
+}
+
+void FakeGeneration::ForwardToken() {
+  ForwardRequest forward{.request = request_.request,
+                         .attempt = request_.attempt,
+                         .index = next_,
+                         .passed = {state_.options.layers},
+                         .timings = {},
+                         .next_stages = request_.next_stages,
+                         .kv = {}};
+  for (std::size_t i = 1; i <= request_.next_stages.size(); ++i) {
+    forward.kv.push_back(SourceOfStage(i));
+  }
+  SendForward(state_, std::move(forward),
+              [self = shared_from_this()](const FetchResult& result,
+                                          Duration call_time) {
+                self->HandleForwarded(result, call_time);
               });
 }
 
-void FakeGeneration::HandleForwarded(const FetchResult& result) {
-  if (result.code != ResultCode::kOk) return EmitFailure(result.message);
+void FakeGeneration::HandleForwarded(const FetchResult& result,
+                                     Duration call_time) {
+  if (ended_) return;
+  const std::string next = request_.next_stages.front().ToString();
+  if (result.code != ResultCode::kOk) {
+    return EmitFailure({request_.attempt, next, result.message, result.code});
+  }
   LastReason reason;
-  const auto forward = ParseForward(result.response.body, reason);
-  if (!forward) return EmitFailure(reason.message());
-  EmitToken(forward->passed);
+  if (result.response.head.status != kStatusOk) {
+    const auto line = ParseEngineLine(result.response.body, reason);
+    const auto* failure =
+        line ? std::get_if<EngineFailure>(&line->content) : nullptr;
+    return EmitFailure(failure == nullptr
+                           ? EngineFailure{request_.attempt, next, "refused"}
+                           : *failure);
+  }
+  auto forward = ParseForward(result.response.body, reason);
+  if (!forward) {
+    return EmitFailure({request_.attempt, next, reason.message()});
+  }
+  const Duration link = LinkTimeOf(call_time, forward->timings);
+  forward->timings.insert(forward->timings.begin(), {compute_time_, link});
+  EmitToken(std::move(forward->passed), std::move(forward->timings));
 }
 
-void FakeGeneration::EmitToken(const std::vector<LayerRange>& passed) {
-  caller_->WritePiece(EncodeEngineLine(
-      {request_.request,
-       TokenArrived{request_.attempt, next_, TokenText(request_.prompt, next_),
-                    passed}}));
+void FakeGeneration::EmitToken(std::vector<LayerRange> passed,
+                               std::vector<StageTiming> timings) {
+  const FakeFaults& faults = state_.faults;
+  if (faults.Hits(FakeFault::kSkipLayer, next_)) --passed.back().end;
+  const AttemptNumber wrong =
+      faults.Hits(FakeFault::kWrongAttempt, next_) ? 1 : 0;
+  const std::string line = EncodeEngineLine(
+      {request_.request, TokenArrived{request_.attempt + wrong, next_,
+                                      TokenText(request_.prompt, next_),
+                                      std::move(passed), std::move(timings)}});
+  caller_->WritePiece(line);
+  if (faults.Hits(FakeFault::kRepeatToken, next_)) caller_->WritePiece(line);
   ++next_;
   NextToken();
 }
 
-void FakeGeneration::EmitFailure(const std::string& message) {
+void FakeGeneration::EmitEnd(const std::string& finish_reason) {
   caller_->WritePiece(EncodeEngineLine(
-      {request_.request,
-       EngineFailure{request_.attempt, request_.next_stages.front().ToString(),
-                     message}}));
+      {request_.request, StreamEnded{request_.attempt, finish_reason, next_}}));
+  caller_->EndStream();
+  End();
+}
+
+void FakeGeneration::EmitFailure(const EngineFailure& failure) {
+  caller_->WritePiece(EncodeEngineLine({request_.request, failure}));
   caller_->EndStream();
+  End();
 }
 
 }  // namespace wisteriayoke
--- a/source/standins/fake_generation.h
+++ b/source/standins/fake_generation.h
@@ -3,41 +3,50 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
-#include "runtime/http_client_call.h"
 #include "runtime/http_server_session.h"
-#include "standins/standin_options.h"
-#include "wire/engine_codec.h"
+#include "standins/fake_engine_state.h"
 
 namespace wisteriayoke {
 
-/// Asks the next stage of `forward` to run its layers for one token.
-void SendForward(EventLoop& loop, ForwardRequest forward,
-                 std::function<void(FetchResult)> done);
-
 /// One answer that a stand-in engine generates as the first stage of a chain.
+/// It waits for a slot, and while its caller reads too slowly.
 class FakeGeneration : public std::enable_shared_from_this<FakeGeneration> {
  public:
-  FakeGeneration(EventLoop& loop, const StandinOptions& options,
-                 GenerateRequest request,
+  FakeGeneration(FakeEngineState& state, GenerateRequest request,
                  std::shared_ptr<HttpServerSession> caller);
 
   void Start();
 
  private:
+  void Begin();
+  void End();
   void NextToken();
   void RunLayers();
-  void HandleForwarded(const FetchResult& result);
-  void EmitToken(const std::vector<LayerRange>& passed);
-  void EmitFailure(const std::string& message);
-
-  EventLoop& loop_;
-  StandinOptions options_;
+  void ForwardToken();
+  void HandleForwarded(const FetchResult& result, Duration call_time);
+  void EmitToken(std::vector<LayerRange> passed,
+                 std::vector<StageTiming> timings);
+  void EmitEnd(const std::string& finish_reason);
+  void EmitFailure(const EngineFailure& failure);
+  bool ShowFault();
+  KvSource SourceOfStage(std::size_t stage) const;
+
+  FakeEngineState& state_;
   GenerateRequest request_;
   std::shared_ptr<HttpServerSession> caller_;
+  std::optional<TokenIndex> crash_token_;
   TokenIndex next_;
   LoopTimerPtr timer_;
+  LoopTimerPtr deadline_timer_;
+  TimePoint token_start_;
+  Duration compute_time_{};
+  bool running_ = false;
+  bool ended_ = false;
+  bool paused_ = false;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "decisions/chain_speeds.h"
 #include "decisions/peer_loads.h"
 #include "decisions/table_set.h"
 #include "decisions/upstream_book.h"
@@ -22,6 +23,7 @@
   UpstreamBook upstreams;
   PeerLoads peer_loads;    ///< In-flight counts told by other daemons.
   RumourExchange rumours;  ///< What daemons tell one another.
+  ChainSpeeds speeds;
   Timeline timeline;
   bool draining = false;
   std::uint64_t requests_started = 0;
--- a/source/supervisor/front/model_session.cc
+++ b/source/supervisor/front/model_session.cc
@@ -10,10 +10,30 @@
 namespace wisteriayoke {
 namespace {
 
-/// Longest silence of an engine in the middle of an answer.
-constexpr Duration kTokenTimeout = std::chrono::seconds(2);
+/// Longest silence of an engine before the first token of an attempt.
+constexpr Duration kFirstTokenTimeout = std::chrono::seconds(2);
+/// Longest silence of an engine between tokens.
+constexpr Duration kTokenTimeout = std::chrono::milliseconds(800);
+constexpr Duration kCancelTimeout = std::chrono::milliseconds(500);
+/// Longest line that an engine may send.
+constexpr std::size_t kMaxLineBytes = 64 * 1024;
 constexpr int kStatusOk = 200;
 
+/// Tells whose fault an engine's refusal is.
+ResultCode CodeOfStatus(int status) {
+  switch (status) {
+    case 400:
+    case 413:
+    case 422:
+      return ResultCode::kFieldInvalid;
+    case 429:
+    case 503:
+      return ResultCode::kUpstreamRefused;
+    default:
+      return ResultCode::kUpstreamFailed;
+  }
+}
+
 }  // namespace
 
 ModelSession::ModelSession(DaemonContext context, TableSetPtr tables,
@@ -27,11 +47,16 @@
       id_(std::move(id)),
       request_(std::move(request)),
       caller_(std::move(caller)),
-      decider_(pool_.layer_count) {}
+      decider_({pool_.layer_count, request_.max_tokens}) {}
 
 void ModelSession::Start() {
   caller_->set_on_closed(
       [self = shared_from_this()] { self->Feed(CallerLeft{}); });
+  caller_->set_on_writable([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->call_) self->call_->Resume();
+  });
+  deadline_ = context_.loop.Now() + route_.deadline;
   deadline_timer_ = context_.loop.Schedule(route_.deadline,
                                            [this] { Feed(DeadlinePassed{}); });
   Feed(ModelAdmitted{});
@@ -40,30 +65,39 @@
 void ModelSession::Feed(const ModelRequestEvent& event) {
   const auto self = shared_from_this();
   for (const auto& action : decider_.Handle(event)) {
-    std::visit(Overloaded{
-                   [this](const RequestChain& next) {
-                     ChooseAndFeedChain(next.excluded);
-                   },
-                   [this](const StartAttempt& start) { StartCall(start); },
-                   [this](const CancelAttempt&) { CancelCall(); },
-                   [this](const DeliverToken& token) { SendToken(token); },
-                   [this](const CompleteAnswer& answer) { Complete(answer); },
-                   [this](const FailAnswer& failure) { Fail(failure); },
-               },
-               action);
+    std::visit(
+        Overloaded{
+            [this](const RequestChain& next) { ChooseAndFeedChain(next); },
+            [this](const WaitForChain& wait) { WaitForChainAgain(wait); },
+            [this](const StartAttempt& start) { StartCall(start); },
+            [this](const CancelAttempt& cancel) { CancelCall(cancel); },
+            [this](const DeliverToken& token) { SendToken(token); },
+            [this](const CompleteAnswer& answer) { Complete(answer); },
+            [this](const FailAnswer& failure) { Fail(failure); },
+        },
+        action);
   }
 }
 
-void ModelSession::ChooseAndFeedChain(const std::set<UpstreamName>& excluded) {
+void ModelSession::ChooseAndFeedChain(const RequestChain& request) {
   const UpstreamBook& book = context_.state.upstreams;
-  const auto usable = book.ListUsable(pool_, excluded, context_.loop.Now());
-  auto chain = ChooseChain(pool_, usable, book);
+  const auto usable =
+      book.ListUsable(pool_, request.excluded, context_.loop.Now());
+  auto chain =
+      ChooseChain(pool_, usable, {book, context_.state.speeds, request.warm});
   if (!chain) return Feed(ChainUnavailable{});
   Feed(ChainChosen{std::move(*chain)});
 }
 
+void ModelSession::WaitForChainAgain(const WaitForChain& action) {
+  wait_timer_ = context_.loop.Schedule(
+      action.delay,
+      [self = shared_from_this()] { self->Feed(ChainWaitOver{}); });
+}
+
 void ModelSession::StartCall(const StartAttempt& action) {
   chain_ = action.chain;
+  attempt_ = action.attempt;
   line_buffer_.clear();
   GenerateRequest generate{.request = id_,
                            .attempt = action.attempt,
@@ -72,7 +106,9 @@
                            .max_tokens = request_.max_tokens,
                            .first_token = action.first_token,
                            .prefix = action.prefix,
-                           .next_stages = {}};
+                           .next_stages = {},
+                           .kv = action.kv,
+                           .time_left = deadline_ - context_.loop.Now()};
   for (const auto& stage : chain_) {
     context_.state.upstreams.RecordStart(stage.upstream);
     if (&stage != &chain_.front()) {
@@ -85,20 +121,22 @@
        .target = "/generate",
        .fields = {{"Content-Type", "application/json"}},
        .body = EncodeGenerate(generate)},
-      {.idle_timeout = kTokenTimeout},
+      {.idle_timeout = kFirstTokenTimeout},
       [self = shared_from_this(), attempt = action.attempt](CallEvent event) {
         self->HandleCall(attempt, std::move(event));
       });
+  PauseIfCallerIsSlow();
 }
 
 void ModelSession::HandleCall(AttemptNumber attempt, CallEvent event) {
   const auto self = shared_from_this();
+  if (attempt != attempt_ || !call_) return;
   std::visit(
       Overloaded{
           [&](const CallHead& head) { HandleHead(attempt, head); },
           [&](const CallPiece& piece) { HandlePiece(attempt, piece.data); },
           [&](const CallEnd&) {
-            Break(attempt, {}, ResultCode::kStreamBroken);
+            Break(attempt, chain_.front().upstream, ResultCode::kStreamBroken);
           },
           [&](const CallFailure& failure) {
             Break(attempt, chain_.front().upstream, failure.code);
@@ -109,7 +147,7 @@
 
 void ModelSession::HandleHead(AttemptNumber attempt, const CallHead& head) {
   if (head.head.status == kStatusOk) return;
-  Break(attempt, chain_.front().upstream, ResultCode::kUpstreamFailed);
+  Break(attempt, chain_.front().upstream, CodeOfStatus(head.head.status));
 }
 
 void ModelSession::HandlePiece(AttemptNumber attempt, const std::string& data) {
@@ -120,9 +158,12 @@
     const std::string line = line_buffer_.substr(start, end - start);
     start = end + 1;
     HandleLine(attempt, line);
-    if (!call_) return;
+    if (!call_ || attempt != attempt_) return;
   }
   line_buffer_.erase(0, start);
+  if (line_buffer_.size() > kMaxLineBytes) {
+    Break(attempt, chain_.front().upstream, ResultCode::kMalformedJson);
+  }
 }
 
 void ModelSession::HandleLine(AttemptNumber attempt, std::string_view text) {
@@ -134,7 +175,7 @@
     return Break(attempt, chain_.front().upstream, code);
   }
   std::visit(Overloaded{
-                 [this](const TokenArrived& token) { Feed(token); },
+                 [this](const TokenArrived& token) { HandleToken(token); },
                  [this](const StreamEnded& end) { Feed(end); },
                  [this](const EngineFailure& failure) {
                    HandleEngineFailure(failure);
@@ -143,44 +184,82 @@
              line->content);
 }
 
+void ModelSession::HandleToken(const TokenArrived& token) {
+  call_->set_idle_timeout(kTokenTimeout);
+  if (token.attempt == attempt_) RecordTimings(token.timings);
+  Feed(token);
+}
+
+void ModelSession::RecordTimings(const std::vector<StageTiming>& timings) {
+  if (timings.size() != chain_.size()) return;
+  ChainSpeeds& speeds = context_.state.speeds;
+  for (std::size_t i = 0; i < chain_.size(); ++i) {
+    const UpstreamSpec* stage = FindUpstream(chain_[i].upstream);
+    speeds.RecordCompute(*stage, timings[i].compute);
+    if (i + 1 == chain_.size()) break;
+    const UpstreamSpec* next = FindUpstream(chain_[i + 1].upstream);
+    speeds.RecordLink(stage->data_centre, next->data_centre, timings[i].link);
+  }
+}
+
+const UpstreamSpec* ModelSession::FindUpstream(const UpstreamName& name) const {
+  for (const auto& upstream : pool_.upstreams) {
+    if (upstream.name == name) return &upstream;
+  }
+  return nullptr;
+}
+
 void ModelSession::HandleEngineFailure(const EngineFailure& failure) {
   UpstreamName culprit;
   for (const auto& stage : chain_) {
     if (stage.endpoint.ToString() == failure.culprit) culprit = stage.upstream;
   }
-  Break(failure.attempt, culprit, ResultCode::kUpstreamFailed);
+  // The first stage ran, whatever it saw of the one that failed.
+  const bool crashed = failure.code == ResultCode::kConnectionBroken;
+  Break(failure.attempt, culprit,
+        crashed ? failure.code : ResultCode::kUpstreamFailed);
 }
 
 void ModelSession::Break(AttemptNumber attempt, const UpstreamName& culprit,
                          ResultCode code) {
-  if (!call_) return;
   context_.state.timeline.Record(LogLevel::kWarning, EventKind::kAttemptBroke,
                                  code,
                                  {{"request", id_.text()},
                                   {"attempt", std::to_string(attempt)},
                                   {"culprit", culprit.text()}});
-  ReleaseChain(culprit);
   Feed(AttemptBroke{attempt, culprit, code});
 }
 
-void ModelSession::ReleaseChain(const UpstreamName& culprit) {
+/// Ends this request's share of each engine; only the culprit of a failure is
+/// to blame, and none is for a refusal.
+void ModelSession::ReleaseChain(const UpstreamName& culprit, ResultCode code) {
   UpstreamBook& book = context_.state.upstreams;
   for (const auto& stage : chain_) {
-    if (stage.upstream == culprit) {
+    if (stage.upstream == culprit && code != ResultCode::kUpstreamRefused) {
       book.RecordFailure(stage.upstream, context_.loop.Now());
     } else {
       book.RecordEnd(stage.upstream);
     }
   }
-  chain_.clear();
 }
 
-void ModelSession::CancelCall() {
-  ReleaseChain({});
+void ModelSession::CancelCall(const CancelAttempt& action) {
+  ReleaseChain(action.culprit, action.code);
+  if (action.final) DropKv();
+  chain_.clear();
   if (call_) call_->Cancel();
   call_.reset();
 }
 
+/// Tells the engines that the request is over; lost calls do no harm.
+void ModelSession::DropKv() {
+  for (const auto& stage : chain_) {
+    FetchWhole(context_.loop, stage.endpoint,
+               {.method = "POST", .target = "/cancel/" + id_.text()},
+               {.idle_timeout = kCancelTimeout}, [](const FetchResult&) {});
+  }
+}
+
 void ModelSession::StartStreamOnce() {
   if (stream_started_) return;
   stream_started_ = true;
@@ -197,10 +276,18 @@
   StartStreamOnce();
   caller_->WritePiece(
       EncodeTokenEvent(id_.text(), request_.model, action.text, request_.chat));
+  PauseIfCallerIsSlow();
+}
+
+/// Holds the engine up while the caller reads too slowly, so that what waits
+/// for the caller stays bounded.
+void ModelSession::PauseIfCallerIsSlow() {
+  if (call_ && caller_->ShouldPause()) call_->Pause();
 }
 
 void ModelSession::Complete(const CompleteAnswer& action) {
   deadline_timer_.reset();
+  wait_timer_.reset();
   for (const auto& stage : chain_) {
     context_.state.upstreams.RecordSuccess(stage.upstream);
   }
@@ -228,6 +315,7 @@
 
 void ModelSession::Fail(const FailAnswer& action) {
   deadline_timer_.reset();
+  wait_timer_.reset();
   context_.state.timeline.Record(
       LogLevel::kWarning, EventKind::kRequestFailed, action.code,
       {{"request", id_.text()}, {"reason", action.message}});
--- a/source/supervisor/front/model_session.h
+++ b/source/supervisor/front/model_session.h
@@ -2,8 +2,9 @@
 #define WISTERIAYOKE_SUPERVISOR_FRONT_MODEL_SESSION_H_
 
 #include <memory>
-#include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "decisions/model_request.h"
 #include "runtime/http_client_call.h"
@@ -28,9 +29,11 @@
 
  private:
   void Feed(const ModelRequestEvent& event);
-  void ChooseAndFeedChain(const std::set<UpstreamName>& excluded);
+  void ChooseAndFeedChain(const RequestChain& request);
   void StartCall(const StartAttempt& action);
-  void CancelCall();
+  void WaitForChainAgain(const WaitForChain& action);
+  void CancelCall(const CancelAttempt& action);
+  void DropKv();
   void SendToken(const DeliverToken& action);
   void Complete(const CompleteAnswer& action);
   void Fail(const FailAnswer& action);
@@ -42,8 +45,12 @@
   void HandleEngineFailure(const EngineFailure& failure);
   void Break(AttemptNumber attempt, const UpstreamName& culprit,
              ResultCode code);
-  void ReleaseChain(const UpstreamName& culprit);
+  void HandleToken(const TokenArrived& token);
+  void RecordTimings(const std::vector<StageTiming>& timings);
+  void ReleaseChain(const UpstreamName& culprit, ResultCode code);
   void StartStreamOnce();
+  void PauseIfCallerIsSlow();
+  const UpstreamSpec* FindUpstream(const UpstreamName& name) const;
 
   DaemonContext context_;
   TableSetPtr tables_;
@@ -55,7 +62,10 @@
   ModelRequest decider_;
   Chain chain_;
   std::shared_ptr<HttpClientCall> call_;
+  TimePoint deadline_;
   LoopTimerPtr deadline_timer_;
+  LoopTimerPtr wait_timer_;
+  AttemptNumber attempt_ = 0;
   std::string line_buffer_;
   std::string text_;
   bool stream_started_ = false;
--- a/source/wire/engine_codec.cc
+++ b/source/wire/engine_codec.cc
@@ -41,6 +41,60 @@
   return endpoints;
 }
 
+Json TimingsToJson(const std::vector<StageTiming>& timings) {
+  Json list = Json::array();
+  for (const auto& timing : timings) {
+    list.push_back({timing.compute.count(), timing.link.count()});
+  }
+  return list;
+}
+
+std::vector<StageTiming> TimingsFromJson(const Json& list) {
+  std::vector<StageTiming> timings;
+  for (const auto& timing : list) {
+    timings.push_back({Duration(timing.at(0).get<Duration::rep>()),
+                       Duration(timing.at(1).get<Duration::rep>())});
+  }
+  return timings;
+}
+
+Json KvToJson(const std::vector<KvSource>& sources) {
+  Json list = Json::array();
+  for (const auto& source : sources) {
+    Json entry = {{"origin", kKvOriginNames.NameOf(source.origin)}};
+    if (source.origin == KvOrigin::kImport) {
+      entry["from"] = source.from.ToString();
+    }
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<KvSource> KvFromJson(const Json& list) {
+  std::vector<KvSource> sources;
+  LastReason ignored;
+  for (const auto& entry : list) {
+    const auto origin =
+        kKvOriginNames.Find(entry.at("origin").get<std::string>());
+    const auto from = ParseEndpoint(entry.value("from", ""), ignored);
+    sources.push_back(
+        {origin.value_or(KvOrigin::kRecompute), from.value_or(Endpoint{})});
+  }
+  return sources;
+}
+
+/// Returns the code of the table with `number`, or kUpstreamFailed.
+ResultCode CodeFromNumber(int number) {
+  for (const auto& row : ResultCodeTable()) {
+    if (static_cast<int>(row.code) == number) return row.code;
+  }
+  return ResultCode::kUpstreamFailed;
+}
+
+Json ListOr(const Json& body, const char* key) {
+  return body.value(key, Json::array());
+}
+
 /// Runs `read` on the parsed text and turns JSON errors into a reason.
 template <typename Message, typename Reader>
 std::optional<Message> ParseWith(std::string_view json, LastReason& reason,
@@ -63,7 +117,9 @@
               {"max_tokens", request.max_tokens},
               {"first_token", request.first_token},
               {"prefix", request.prefix},
-              {"next_stages", EndpointsToJson(request.next_stages)}}
+              {"next_stages", EndpointsToJson(request.next_stages)},
+              {"kv", KvToJson(request.kv)},
+              {"time_left_us", request.time_left.count()}}
       .dump();
 }
 
@@ -79,6 +135,9 @@
     request.first_token = body.value("first_token", TokenIndex{0});
     request.prefix = body.value("prefix", std::vector<std::string>{});
     request.next_stages = EndpointsFromJson(body.at("next_stages"));
+    request.kv = KvFromJson(ListOr(body, "kv"));
+    request.time_left =
+        Duration(body.value("time_left_us", request.time_left.count()));
     return request;
   });
 }
@@ -88,7 +147,9 @@
               {"attempt", request.attempt},
               {"index", request.index},
               {"passed", RangesToJson(request.passed)},
-              {"next_stages", EndpointsToJson(request.next_stages)}}
+              {"timings", TimingsToJson(request.timings)},
+              {"next_stages", EndpointsToJson(request.next_stages)},
+              {"kv", KvToJson(request.kv)}}
       .dump();
 }
 
@@ -100,7 +161,9 @@
     request.attempt = body.at("attempt").get<AttemptNumber>();
     request.index = body.at("index").get<TokenIndex>();
     request.passed = RangesFromJson(body.at("passed"));
+    request.timings = TimingsFromJson(ListOr(body, "timings"));
     request.next_stages = EndpointsFromJson(body.at("next_stages"));
+    request.kv = KvFromJson(ListOr(body, "kv"));
     return request;
   });
 }
@@ -113,15 +176,18 @@
                    json["index"] = token.index;
                    json["text"] = token.text;
                    json["passed"] = RangesToJson(token.passed);
+                   json["timings"] = TimingsToJson(token.timings);
                  },
                  [&json](const StreamEnded& end) {
                    json["attempt"] = end.attempt;
                    json["finish_reason"] = end.finish_reason;
+                   json["tokens"] = end.tokens;
                  },
                  [&json](const EngineFailure& failure) {
                    json["attempt"] = failure.attempt;
                    json["culprit"] = failure.culprit;
                    json["failure"] = failure.message;
+                   json["code"] = static_cast<int>(failure.code);
                  },
              },
              line.content);
@@ -136,14 +202,17 @@
     const auto attempt = body.at("attempt").get<AttemptNumber>();
     if (body.contains("failure")) {
       line.content = EngineFailure{attempt, body.value("culprit", ""),
-                                   body.at("failure").get<std::string>()};
+                                   body.at("failure").get<std::string>(),
+                                   CodeFromNumber(body.value("code", 0))};
     } else if (body.contains("finish_reason")) {
       line.content =
-          StreamEnded{attempt, body.at("finish_reason").get<std::string>()};
+          StreamEnded{attempt, body.at("finish_reason").get<std::string>(),
+                      body.at("tokens").get<TokenIndex>()};
     } else {
       line.content = TokenArrived{attempt, body.at("index").get<TokenIndex>(),
                                   body.at("text").get<std::string>(),
-                                  RangesFromJson(body.at("passed"))};
+                                  RangesFromJson(body.at("passed")),
+                                  TimingsFromJson(ListOr(body, "timings"))};
     }
     return line;
   });
--- a/source/wire/engine_codec.h
+++ b/source/wire/engine_codec.h
@@ -9,7 +9,9 @@
 
 #include "base/ids.h"
 #include "base/last_reason.h"
+#include "base/time_types.h"
 #include "decisions/chain.h"
+#include "decisions/kv_plan.h"
 #include "decisions/model_request.h"
 
 namespace wisteriayoke {
@@ -25,6 +27,10 @@
   TokenIndex first_token = 0;
   std::vector<std::string> prefix;  ///< Tokens before `first_token`.
   std::vector<Endpoint> next_stages;
+  /// Sources of the KV cache before `first_token`, one for each stage.
+  std::vector<KvSource> kv;
+  /// Time left for the whole answer.
+  Duration time_left = std::chrono::seconds(60);
 };
 
 /// Asks the next engine of a chain to run its layers for one token.
@@ -33,14 +39,19 @@
   AttemptNumber attempt = 0;
   TokenIndex index = 0;
   std::vector<LayerRange> passed;
+  std::vector<StageTiming> timings;
   std::vector<Endpoint> next_stages;
+  /// Sources of the KV cache before `index`, for the receiver and those after.
+  std::vector<KvSource> kv;
 };
 
-/// An engine could not go on; `culprit` is the address of the failed stage.
+/// An engine could not go on; `culprit` is the address of the failed stage and
+/// `code` what was seen of its failure.
 struct EngineFailure {
   AttemptNumber attempt = 0;
   std::string culprit;
   std::string message;
+  ResultCode code = ResultCode::kUpstreamFailed;
 };
 
 /// One line of an engine's answer, and the request that it names.
--- a/tests/decisions/model_request_test.cc
+++ b/tests/decisions/model_request_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::uint32_t kLayers = 4;
+constexpr std::uint32_t kMaxTokens = 8;
 
 Chain MakeChain() {
   return {{UpstreamName("a"), {"127.0.0.1", 1}, {0, 2}},
@@ -19,7 +20,7 @@
 }
 
 ModelRequest MakeRunning() {
-  ModelRequest request(kLayers);
+  ModelRequest request({kLayers, kMaxTokens});
   request.Handle(ModelAdmitted{});
   request.Handle(ChainChosen{MakeChain()});
   return request;
