--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -1,6 +1,7 @@
 #include "runtime/http_server.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace wisteriayoke {
@@ -52,13 +53,16 @@
 }
 
 void HttpServer::AddSession(asio::ip::tcp::socket socket) {
-  if (CountSessions() >= limits_.connections) {
-    asio::error_code ignored;
-    socket.close(ignored);
-    return;
-  }
   auto session = std::make_shared<HttpServerSession>(
       loop_, std::move(socket), limits_, handler_, error_handler_);
+  if (CountSessions() >= limits_.connections) {
+    LastReason reason;
+    reason.Set(ResultCode::kTooManyConnections,
+               "all " + std::to_string(limits_.connections) +
+                   " connections are in use");
+    session->Start();
+    return session->Refuse(reason);
+  }
   sessions_.push_back(session);
   session->Start();
 }
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -39,9 +39,11 @@
 }
 
 void HttpServerSession::HandleRead(std::string_view data) {
+  // What follows a refused request is discarded, so that it never runs.
+  if (refused_) return Read();
   parser_.Push(data);
   if (!answering_) NextRequest();
-  if (closed_ || close_when_idle_) return;
+  if (closed_ || (close_when_idle_ && !refused_)) return;
   Read();
 }
 
@@ -53,7 +55,7 @@
 void HttpServerSession::NextRequest() {
   LastReason reason;
   std::optional<HttpRequest> request = parser_.Next(reason);
-  if (reason.code() != ResultCode::kOk) return RefuseInput(reason);
+  if (reason.code() != ResultCode::kOk) return Refuse(reason);
   if (!request) return ArmReadTimer();
   read_timer_.reset();
   answering_ = true;
@@ -61,9 +63,10 @@
   handler_(std::move(*request), shared_from_this());
 }
 
-void HttpServerSession::RefuseInput(const LastReason& reason) {
+void HttpServerSession::Refuse(const LastReason& reason) {
   read_timer_.reset();
   answering_ = true;
+  refused_ = true;
   keep_alive_ = false;
   Respond(error_handler_(reason));
 }
@@ -127,7 +130,14 @@
   if (closed_) return;
   if (error) return Close();
   if (!pending_output_.empty()) return Flush();
-  if (close_when_idle_ && !answering_) Close();
+  if (close_when_idle_ && !answering_) CloseWritten();
+}
+
+void HttpServerSession::CloseWritten() {
+  if (!refused_) return Close();
+  asio::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  read_timer_ = loop_.Schedule(kLingerTime, [this] { Close(); });
 }
 
 void HttpServerSession::BreakStream() {
@@ -147,14 +157,16 @@
 
 void HttpServerSession::ArmReadTimer() {
   const bool in_message = parser_.InMessage();
-  if (in_message && read_timer_) return;
+  // More bytes of one request don't prolong its time.
+  if (in_message && read_timer_ && timing_request_) return;
+  timing_request_ = in_message;
   const Duration limit =
       in_message ? limits_.request_timeout : limits_.idle_timeout;
   read_timer_ = loop_.Schedule(limit, [this, in_message] {
     if (!in_message) return Close();
     LastReason reason;
     reason.Set(ResultCode::kCallerTimedOut, "the request came too slowly");
-    RefuseInput(reason);
+    Refuse(reason);
   });
 }
 
--- a/source/runtime/http_server_session.h
+++ b/source/runtime/http_server_session.h
@@ -47,6 +47,9 @@
   /// Begins to read.
   void Start();
 
+  /// Answers with the error answer for `reason` and closes the connection.
+  void Refuse(const LastReason& reason);
+
   /// Answers the current request with a whole response.
   void Respond(const HttpResponse& response);
 
@@ -76,12 +79,15 @@
 
  private:
   static constexpr std::size_t kReadBytes = 16 * 1024;
+  /// How long a refused caller may go on sending before it is cut; closing
+  /// sooner would discard the answer on its way.
+  static constexpr Duration kLingerTime = std::chrono::seconds(1);
 
   void Read();
   void HandleRead(std::string_view data);
   void HandleReadEnd();
   void NextRequest();
-  void RefuseInput(const LastReason& reason);
+  void CloseWritten();
   void Write(const std::string& data);
   void Flush();
   void HandleWritten(const asio::error_code& error);
@@ -104,6 +110,8 @@
   bool answering_ = false;
   bool keep_alive_ = true;
   bool close_when_idle_ = false;
+  bool refused_ = false;
+  bool timing_request_ = false;  ///< What the read timer bounds.
   bool closed_ = false;
 };
 
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -23,6 +23,9 @@
   kMaxConnections,
   kMaxHeaderBytes,
   kMaxBodyBytes,
+  kRequestTimeout,
+  kIdleTimeout,
+  kWriteTimeout,
   kLogLevel,
 };
 
--- a/source/wire/completion_codec.cc
+++ b/source/wire/completion_codec.cc
@@ -9,6 +9,12 @@
 
 constexpr std::uint32_t kMaxTokensLimit = 100'000;
 
+/// Returns `json` as text; bytes that are not UTF-8 are replaced, since error
+/// messages may quote whatever came from outside.
+std::string ToText(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 std::string JoinMessages(const Json& messages) {
   std::string prompt;
   for (const auto& message : messages) {
@@ -50,7 +56,7 @@
 }
 
 std::string FormatEvent(const Json& event) {
-  return "data: " + event.dump() + "\n\n";
+  return "data: " + ToText(event) + "\n\n";
 }
 
 Json ErrorToJson(ResultCode code, std::string_view message) {
@@ -86,12 +92,11 @@
 std::string EncodeCompletion(const CompletionAnswer& answer, bool chat) {
   Json choice = ChoiceToJson(answer.text, chat, false);
   choice["finish_reason"] = answer.finish_reason;
-  return Json{{"id", answer.id},
-              {"object", chat ? "chat.completion" : "text_completion"},
-              {"model", answer.model},
-              {"choices", Json::array({choice})},
-              {"usage", {{"completion_tokens", answer.completion_tokens}}}}
-      .dump();
+  return ToText({{"id", answer.id},
+                 {"object", chat ? "chat.completion" : "text_completion"},
+                 {"model", answer.model},
+                 {"choices", Json::array({choice})},
+                 {"usage", {{"completion_tokens", answer.completion_tokens}}}});
 }
 
 std::string EncodeTokenEvent(std::string_view id, std::string_view model,
@@ -113,7 +118,7 @@
 }
 
 std::string EncodeErrorBody(ResultCode code, std::string_view message) {
-  return ErrorToJson(code, message).dump();
+  return ToText(ErrorToJson(code, message));
 }
 
 }  // namespace wisteriayoke
--- a/source/wire/http_request_parser.h
+++ b/source/wire/http_request_parser.h
@@ -21,7 +21,8 @@
 /// Parses the requests of one connection from pieces of any size.
 ///
 /// Wraps Boost.Beast's parser, which needs no socket, so that the loop's
-/// sessions own all input and output.
+/// sessions own all input and output. What is accepted doesn't depend on how
+/// the bytes are cut into pieces.
 class HttpRequestParser {
  public:
   explicit HttpRequestParser(HttpLimits limits);
@@ -43,6 +44,9 @@
  private:
   struct State;
 
+  bool PassHeader(LastReason& reason);
+  bool PassBody(LastReason& reason);
+
   HttpLimits limits_;
   std::string input_;
   std::unique_ptr<State> state_;
--- a/source/wire/table_codec.cc
+++ b/source/wire/table_codec.cc
@@ -210,7 +210,7 @@
                                         LastReason& reason) {
   try {
     return ReadTables(Json::parse(json));
-  } catch (const Json::parse_error& error) {
+  } catch (const Json::exception& error) {
     reason.Set(ResultCode::kMalformedJson, error.what());
   } catch (const TableError& error) {
     reason.Set(ResultCode::kTableInvalid, error.what());
