--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -39,6 +39,8 @@
 }
 
 void HttpServerSession::HandleRead(std::string_view data) {
+  // What follows a refused request is discarded, so that it never runs.
+  if (refused_) return Read();
   parser_.Push(data);
   if (answering_) {
     early_bytes_ += data.size();
@@ -47,7 +49,7 @@
     NextRequest();
   }
   if (closed_) return;
-  if (!IsDone()) return Read();
+  if (!IsDone() || refused_) return Read();
   if (writing_.empty()) Close();
 }
 
@@ -64,7 +66,7 @@
 void HttpServerSession::NextRequest() {
   LastReason reason;
   std::optional<HttpRequest> request = parser_.Next(reason);
-  if (reason.code() != ResultCode::kOk) return RefuseInput(reason);
+  if (reason.code() != ResultCode::kOk) return Refuse(reason);
   if (!request) return ArmReadTimer();
   read_timer_.reset();
   answering_ = true;
@@ -73,9 +75,10 @@
   handler_(std::move(*request), shared_from_this());
 }
 
-void HttpServerSession::RefuseInput(const LastReason& reason) {
+void HttpServerSession::Refuse(const LastReason& reason) {
   read_timer_.reset();
   answering_ = true;
+  refused_ = true;
   keep_alive_ = false;
   Respond(error_handler_(reason));
 }
@@ -153,13 +156,22 @@
     written_ = 0;
     if (!pending_output_.empty()) Flush();
   }
-  if (writing_.empty() && close_when_idle_ && !answering_) return Close();
+  if (writing_.empty() && close_when_idle_ && !answering_) {
+    return CloseWritten();
+  }
   if (CountBufferedBytes() < limits_.resume_bytes && on_writable_) {
     const auto handler = on_writable_;
     handler();
   }
 }
 
+void HttpServerSession::CloseWritten() {
+  if (!refused_) return Close();
+  asio::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  read_timer_ = loop_.Schedule(kLingerTime, [this] { Close(); });
+}
+
 void HttpServerSession::BreakStream() {
   if (closed_) return;
   answering_ = false;
@@ -180,14 +192,16 @@
 
 void HttpServerSession::ArmReadTimer() {
   const bool in_message = parser_.InMessage();
-  if (in_message && read_timer_) return;
+  // More bytes of one request don't prolong its time.
+  if (in_message && read_timer_ && timing_request_) return;
+  timing_request_ = in_message;
   const Duration limit =
       in_message ? limits_.request_timeout : limits_.idle_timeout;
   read_timer_ = loop_.Schedule(limit, [this, in_message] {
     if (!in_message) return Close();
     LastReason reason;
     reason.Set(ResultCode::kCallerTimedOut, "the request came too slowly");
-    RefuseInput(reason);
+    Refuse(reason);
   });
 }
 
