pipeline: answers stay whole under engines' faults and slow callers

Cause: a culprit that was named wrongly (a record of layers is assembled by the first stage) made a request retry the same faulty engine until its attempts were used up.

A call that pauses holds a 48 MiB answer up (tests/runtime/backpressure_test.cc).

--- a/source/standins/fake_generation.cc
+++ b/source/standins/fake_generation.cc
@@ -157,7 +157,7 @@
 void FakeGeneration::EmitToken(std::vector<LayerRange> passed,
                                std::vector<StageTiming> timings) {
   const FakeFaults& faults = state_.faults;
-  if (faults.Hits(FakeFault::kSkipLayer, next_)) --passed.back().end;
+  if (faults.Hits(FakeFault::kSkipLayer, next_)) --passed.front().end;
   const AttemptNumber wrong =
       faults.Hits(FakeFault::kWrongAttempt, next_) ? 1 : 0;
   const std::string line = EncodeEngineLine(
--- /dev/null
+++ b/tests/runtime/backpressure_test.cc
@@ -0,0 +1,85 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include "runtime/http_client_call.h"
+#include "runtime/http_server.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kAnswerBytes = 48 * 1024 * 1024;
+/// More than the kernel holds for one connection, less than the answer.
+constexpr std::size_t kHeldUpBytes = 24 * 1024 * 1024;
+const Endpoint kServer{"127.0.0.1", 29900};
+
+/// Writes a long answer as fast as its caller takes it.
+class Source : public std::enable_shared_from_this<Source> {
+ public:
+  explicit Source(std::shared_ptr<HttpServerSession> caller)
+      : caller_(std::move(caller)) {}
+
+  void Start() {
+    caller_->StartStream({200, {}});
+    caller_->set_on_writable([self = shared_from_this()] { self->Write(); });
+    Write();
+  }
+
+  std::size_t written() const { return written_; }
+
+ private:
+  void Write() {
+    while (written_ < kAnswerBytes && !caller_->ShouldPause()) {
+      caller_->WritePiece(std::string(kPieceBytes, 'x'));
+      written_ += kPieceBytes;
+    }
+    if (written_ == kAnswerBytes) caller_->EndStream();
+  }
+
+  std::shared_ptr<HttpServerSession> caller_;
+  std::size_t written_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a paused call holds its sender up, and goes on to a whole answer") {
+  EventLoop loop;
+  LastReason reason;
+  std::shared_ptr<Source> source;
+  const auto server = HttpServer::Create(
+      loop, kServer, {},
+      [&source](const HttpRequest&, std::shared_ptr<HttpServerSession> caller) {
+        source = std::make_shared<Source>(std::move(caller));
+        source->Start();
+      },
+      [](const LastReason&) { return HttpResponse{}; }, reason);
+  REQUIRE(server != nullptr);
+
+  std::size_t received = 0;
+  std::size_t written_while_paused = 0;
+  bool whole = false;
+  LoopTimerPtr timer;
+  std::shared_ptr<HttpClientCall> call;
+  call =
+      HttpClientCall::Start(loop, kServer, {}, {}, [&](const CallEvent& event) {
+        if (const auto* piece = std::get_if<CallPiece>(&event)) {
+          if (received == 0) call->Pause();
+          received += piece->data.size();
+        } else if (!std::holds_alternative<CallHead>(event)) {
+          whole = std::holds_alternative<CallEnd>(event);
+          loop.Stop();
+        }
+      });
+  timer = loop.Schedule(std::chrono::milliseconds(300), [&] {
+    written_while_paused = source->written();
+    call->Resume();
+  });
+  loop.Run();
+  CHECK(written_while_paused < kHeldUpBytes);
+  CHECK(whole);
+  CHECK(received == kAnswerBytes);
+}
+
+}  // namespace wisteriayoke
