rumours: tell where a suspect is run

Cause: two daemons that run suspects on one upstream can't tell which of them crashed it, and two that run the same suspect lose an upstream each.

Changed: TrialRumour names the daemon, the upstream and the suspect; the daemon renews it and says when it is over.

--- a/source/decisions/rumour.cc
+++ b/source/decisions/rumour.cc
@@ -7,6 +7,8 @@
 
 /// A sign that is fresher by less than this is taken for a repeat.
 constexpr Duration kRepeatWindow = std::chrono::milliseconds(500);
+/// The same for the signs of a trial, which are renewed more often.
+constexpr Duration kTrialRepeatWindow = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -28,6 +30,12 @@
                           return rumour.daemon == other.daemon &&
                                  rumour.upstream == other.upstream;
                         },
+                        [&b](const TrialRumour& rumour) {
+                          const auto& other = std::get<TrialRumour>(b);
+                          return rumour.daemon == other.daemon &&
+                                 rumour.upstream == other.upstream &&
+                                 rumour.fingerprint == other.fingerprint;
+                        },
                     },
                     a);
 }
@@ -50,6 +58,12 @@
           [&known](const LoadRumour& rumour) {
             return rumour.in_flight != std::get<LoadRumour>(known).in_flight;
           },
+          [&known](const TrialRumour& rumour) {
+            const auto& other = std::get<TrialRumour>(known);
+            if (rumour.age >= other.age) return false;
+            return rumour.ended != other.ended ||
+                   rumour.age + kTrialRepeatWindow < other.age;
+          },
       },
       candidate);
 }
@@ -61,6 +75,7 @@
   if (auto* suspect = std::get_if<SuspectRumour>(&rumour)) {
     suspect->age += elapsed;
   }
+  if (auto* trial = std::get_if<TrialRumour>(&rumour)) trial->age += elapsed;
   return rumour;
 }
 
--- a/source/decisions/rumour.h
+++ b/source/decisions/rumour.h
@@ -37,6 +37,18 @@
   friend bool operator==(const SuspectRumour&, const SuspectRumour&) = default;
 };
 
+/// A daemon runs a suspect on an upstream, or is about to, so that no other
+/// suspect is run there and no other daemon runs the same suspect.
+struct TrialRumour {
+  std::string fingerprint;
+  UpstreamName upstream;
+  DaemonName daemon;
+  bool ended = false;  ///< Whether the trial is over.
+  Duration age{};      ///< Time since the daemon said so.
+
+  friend bool operator==(const TrialRumour&, const TrialRumour&) = default;
+};
+
 /// A daemon has this many requests in flight on an upstream. It isn't passed
 /// on; each daemon tells its own counts.
 struct LoadRumour {
@@ -49,8 +61,8 @@
 
 /// What daemons tell one another besides their membership. Ages replace
 /// points in time, since daemons share no clock; they grow with each hop.
-using Rumour =
-    std::variant<TableHeadRumour, LeavingRumour, SuspectRumour, LoadRumour>;
+using Rumour = std::variant<TableHeadRumour, LeavingRumour, SuspectRumour,
+                            LoadRumour, TrialRumour>;
 
 /// Tells whether both rumours speak of the same thing, so that one of them
 /// replaces the other.
