quarantine: find the request that crashes its upstreams

Cause: a request that crashes each upstream that runs it was retried on the next, and its caller sends it again to another daemon.

Changed: Quarantine makes suspects of all requests in flight on an upstream that crashes. A suspect runs next in a trial, away from other suspects and on one daemon at a time; after a second crash it is refused, past the point of the crash or answered it is cleared. Crashes and trials are told to peers.

Ruled out: running a suspect on engines without any request. It needs idle engines or waits for the longest answer there, so one machine that fails would stop a small pool. Idle engines are preferred, not required.

--- /dev/null
+++ b/source/decisions/quarantine.cc
@@ -0,0 +1,253 @@
+#include "decisions/quarantine.h"
+
+#include <algorithm>
+
+namespace wisteriayoke {
+namespace {
+
+/// Crashes after which a request is refused.
+constexpr std::size_t kCrashLimit = 2;
+/// Reports of one upstream's crash that are closer than this are one crash.
+constexpr Duration kSameCrashWindow = std::chrono::seconds(2);
+constexpr Duration kRenewInterval = std::chrono::milliseconds(500);
+
+Duration Distance(TimePoint a, TimePoint b) { return a < b ? b - a : a - b; }
+
+}  // namespace
+
+RunPermit Quarantine::Judge(const std::string& fingerprint,
+                            TimePoint now) const {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end()) return RunPermit::kShared;
+  const Suspect& suspect = found->second;
+  if (suspect.crashes.back().time + limits_.lifetime <= now) {
+    return RunPermit::kShared;
+  }
+  if (suspect.crashes.size() >= kCrashLimit) return RunPermit::kRefused;
+  return suspect.cleared ? RunPermit::kShared : RunPermit::kTrial;
+}
+
+bool Quarantine::MustStop(const std::string& fingerprint,
+                          const RequestId& request, TimePoint now) const {
+  switch (Judge(fingerprint, now)) {
+    case RunPermit::kShared:
+      return false;
+    case RunPermit::kRefused:
+      return true;
+    case RunPermit::kTrial:
+      break;
+  }
+  const auto trial = trials_.find(fingerprint);
+  return trial == trials_.end() || trial->second.request != request;
+}
+
+TrialDecision Quarantine::Advance(const std::string& fingerprint,
+                                  const RequestId& request,
+                                  const TrialChainChooser& choose,
+                                  TimePoint now) {
+  Forget(now);
+  switch (Judge(fingerprint, now)) {
+    case RunPermit::kRefused:
+      return {.step = TrialStep::kRefuse,
+              .rumours = EndTrial(fingerprint, request, now)};
+    case RunPermit::kShared: {
+      auto chain = choose(ListTrialUpstreams(now), false);
+      if (!chain) chain = choose({}, false);
+      if (!chain) return {};
+      return {.step = TrialStep::kRun, .chain = std::move(*chain)};
+    }
+    case RunPermit::kTrial:
+      break;
+  }
+  Trial* trial = FindTrial(fingerprint, request);
+  if (trial != nullptr) return ContinueTrial(fingerprint, *trial, now);
+  if (RunsElsewhere(fingerprint, now)) return {.step = TrialStep::kWait};
+  return BeginTrial(fingerprint, request, choose, now);
+}
+
+TrialDecision Quarantine::BeginTrial(const std::string& fingerprint,
+                                     const RequestId& request,
+                                     const TrialChainChooser& choose,
+                                     TimePoint now) {
+  const std::set<UpstreamName> taken = ListTrialUpstreams(now);
+  auto chain = choose(taken, true);
+  if (!chain) chain = choose(taken, false);
+  if (!chain) {
+    return {.step = taken.empty() ? TrialStep::kUnavailable : TrialStep::kWait};
+  }
+  Trial& trial = trials_[fingerprint];
+  trial = {request, std::move(*chain), now, now};
+  return {.step = TrialStep::kWait, .rumours = Tell(fingerprint, trial, false)};
+}
+
+TrialDecision Quarantine::ContinueTrial(const std::string& fingerprint,
+                                        Trial& trial, TimePoint now) {
+  if (!trial.running && LosesToPeer(fingerprint, trial, now)) {
+    const RequestId request = trial.request;
+    return {.step = TrialStep::kWait,
+            .rumours = EndTrial(fingerprint, request, now)};
+  }
+  if (now < trial.begun + kSettleTime) return {.step = TrialStep::kWait};
+  trial.running = true;
+  trial.told = now;
+  return {.step = TrialStep::kRun,
+          .chain = trial.chain,
+          .trial = true,
+          .rumours = Tell(fingerprint, trial, false)};
+}
+
+std::vector<Rumour> Quarantine::RecordCrash(const std::string& fingerprint,
+                                            const RequestId& request,
+                                            const UpstreamName& upstream,
+                                            TokenIndex delivered,
+                                            TimePoint now) {
+  const Trial* trial = FindTrial(fingerprint, request);
+  const bool on_trial = trial != nullptr && trial->running;
+  AddCrash(fingerprint, {upstream, now}, on_trial);
+  auto& crash_token = suspects_[fingerprint].crash_token;
+  crash_token = std::max(crash_token.value_or(0), delivered);
+  Rumours rumours = EndTrial(fingerprint, request, now);
+  rumours.emplace_back(SuspectRumour{fingerprint, upstream, {}});
+  return rumours;
+}
+
+void Quarantine::AddCrash(const std::string& fingerprint, const Crash& crash,
+                          bool certainly_new) {
+  if (!suspects_.contains(fingerprint)) ForgetOldest();
+  Suspect& suspect = suspects_[fingerprint];
+  for (auto& known : suspect.crashes) {
+    if (known.upstream != crash.upstream || certainly_new) continue;
+    if (Distance(known.time, crash.time) < kSameCrashWindow) return;
+  }
+  const auto later = std::find_if(
+      suspect.crashes.begin(), suspect.crashes.end(),
+      [&crash](const Crash& known) { return known.time > crash.time; });
+  suspect.crashes.insert(later, crash);
+  suspect.cleared = false;
+}
+
+std::vector<Rumour> Quarantine::RecordToken(const std::string& fingerprint,
+                                            const RequestId& request,
+                                            TokenIndex delivered,
+                                            TimePoint now) {
+  Trial* trial = FindTrial(fingerprint, request);
+  if (trial == nullptr) return {};
+  const auto found = suspects_.find(fingerprint);
+  if (found != suspects_.end() && found->second.crash_token &&
+      delivered >= *found->second.crash_token + kTrialTokens) {
+    found->second.cleared = true;
+    return EndTrial(fingerprint, request, now);
+  }
+  if (now < trial->told + kRenewInterval) return {};
+  trial->told = now;
+  return Tell(fingerprint, *trial, false);
+}
+
+std::vector<Rumour> Quarantine::RecordAnswered(const std::string& fingerprint,
+                                               const RequestId& request,
+                                               TimePoint now) {
+  suspects_.erase(fingerprint);
+  return EndTrial(fingerprint, request, now);
+}
+
+std::vector<Rumour> Quarantine::EndTrial(const std::string& fingerprint,
+                                         const RequestId& request,
+                                         TimePoint /*now*/) {
+  const Trial* trial = FindTrial(fingerprint, request);
+  if (trial == nullptr) return {};
+  Rumours rumours = Tell(fingerprint, *trial, true);
+  trials_.erase(fingerprint);
+  return rumours;
+}
+
+void Quarantine::Learn(const SuspectRumour& rumour, TimePoint now) {
+  if (rumour.age >= limits_.lifetime) return;
+  AddCrash(rumour.fingerprint, {rumour.upstream, now - rumour.age}, false);
+}
+
+void Quarantine::Learn(const TrialRumour& rumour, TimePoint now) {
+  if (rumour.daemon == self_) return;
+  const std::pair key(rumour.upstream, rumour.daemon);
+  const auto known = peer_trials_.find(key);
+  if (rumour.ended) {
+    if (known != peer_trials_.end() &&
+        known->second.fingerprint == rumour.fingerprint) {
+      peer_trials_.erase(known);
+    }
+    return;
+  }
+  peer_trials_[key] = {rumour.fingerprint, now - rumour.age};
+}
+
+std::set<UpstreamName> Quarantine::ListTrialUpstreams(TimePoint now) const {
+  std::set<UpstreamName> upstreams;
+  for (const auto& [fingerprint, trial] : trials_) {
+    for (const auto& stage : trial.chain) upstreams.insert(stage.upstream);
+  }
+  for (const auto& [key, trial] : peer_trials_) {
+    if (now < trial.seen + kTrialLifetime) upstreams.insert(key.first);
+  }
+  return upstreams;
+}
+
+bool Quarantine::RunsElsewhere(const std::string& fingerprint,
+                               TimePoint now) const {
+  if (trials_.contains(fingerprint)) return true;
+  return std::any_of(peer_trials_.begin(), peer_trials_.end(),
+                     [&](const auto& entry) {
+                       return entry.second.fingerprint == fingerprint &&
+                              now < entry.second.seen + kTrialLifetime;
+                     });
+}
+
+/// Tells whether a peer with a lesser name begins a trial of the same content
+/// or on one of the same upstreams.
+bool Quarantine::LosesToPeer(const std::string& fingerprint, const Trial& trial,
+                             TimePoint now) const {
+  for (const auto& [key, peer] : peer_trials_) {
+    if (now >= peer.seen + kTrialLifetime || self_ < key.second) continue;
+    if (peer.fingerprint == fingerprint) return true;
+    for (const auto& stage : trial.chain) {
+      if (stage.upstream == key.first) return true;
+    }
+  }
+  return false;
+}
+
+Quarantine::Trial* Quarantine::FindTrial(const std::string& fingerprint,
+                                         const RequestId& request) {
+  const auto found = trials_.find(fingerprint);
+  if (found == trials_.end() || found->second.request != request) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+std::vector<Rumour> Quarantine::Tell(const std::string& fingerprint,
+                                     const Trial& trial, bool ended) const {
+  Rumours rumours;
+  for (const auto& stage : trial.chain) {
+    rumours.emplace_back(
+        TrialRumour{fingerprint, stage.upstream, self_, ended, {}});
+  }
+  return rumours;
+}
+
+void Quarantine::Forget(TimePoint now) {
+  std::erase_if(suspects_, [&](const auto& entry) {
+    return entry.second.crashes.back().time + limits_.lifetime <= now;
+  });
+  std::erase_if(peer_trials_, [&](const auto& entry) {
+    return entry.second.seen + kTrialLifetime <= now;
+  });
+}
+
+void Quarantine::ForgetOldest() {
+  if (suspects_.size() < limits_.suspects) return;
+  suspects_.erase(std::min_element(
+      suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
+        return a.second.crashes.back().time < b.second.crashes.back().time;
+      }));
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/decisions/quarantine.h
@@ -0,0 +1,176 @@
+#ifndef WISTERIAYOKE_DECISIONS_QUARANTINE_H_
+#define WISTERIAYOKE_DECISIONS_QUARANTINE_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/names_table.h"
+#include "base/time_types.h"
+#include "decisions/chain.h"
+#include "decisions/rumour.h"
+
+namespace wisteriayoke {
+
+/// How a request may run, by what is known of its content.
+enum class RunPermit {
+  kShared,   ///< With any others.
+  kTrial,    ///< Away from other suspects, on one daemon at a time.
+  kRefused,  ///< Not at all: it crashed two upstreams.
+};
+
+inline constexpr auto kRunPermitNames = MakeNamesTable<RunPermit>({
+    {RunPermit::kShared, "shared"},
+    {RunPermit::kTrial, "trial"},
+    {RunPermit::kRefused, "refused"},
+});
+
+/// What to do with a request that asks for a chain.
+enum class TrialStep {
+  kRun,          ///< Run it on the chain.
+  kWait,         ///< Ask again later; the chain is not yet its own.
+  kUnavailable,  ///< There is no chain.
+  kRefuse,       ///< Never run it.
+};
+
+/// The answer to a request that asks for a chain.
+struct TrialDecision {
+  TrialStep step = TrialStep::kUnavailable;
+  Chain chain;                  ///< Only with kRun.
+  bool trial = false;           ///< Whether the run is a trial.
+  std::vector<Rumour> rumours;  ///< To be told to the peers.
+};
+
+/// Bounds on what a daemon remembers of suspects.
+struct QuarantineLimits {
+  /// Time after its last crash until a request's content is forgotten.
+  Duration lifetime = std::chrono::hours(1);
+  std::size_t suspects = 4096;
+};
+
+/// Chooses a chain that avoids `avoided`; only from engines without any request
+/// if `idle_only`.
+using TrialChainChooser = std::function<std::optional<Chain>(
+    const std::set<UpstreamName>& avoided, bool idle_only)>;
+
+/// Finds out which request crashes the upstreams that run it.
+///
+/// All requests in flight on an upstream that crashes are suspects. A suspect
+/// runs next in a trial: away from other suspects, and on one daemon at a time,
+/// so that a second crash tells which request caused it. A request that was in
+/// two crashes is refused; one that gets past the point of the crash, or to its
+/// end, is cleared. Daemons share crashes and trials by rumours; two that begin
+/// a trial at once settle it by name before they run it.
+class Quarantine {
+ public:
+  /// Time between the begin of a trial and its run: twice the time that a
+  /// rumour takes to reach all daemons.
+  static constexpr Duration kSettleTime = std::chrono::milliseconds(300);
+  /// Time after which a peer's trial that is not renewed is taken for over.
+  static constexpr Duration kTrialLifetime = std::chrono::seconds(3);
+  /// Tokens past the point of the crash after which a suspect is cleared.
+  static constexpr TokenIndex kTrialTokens = 8;
+
+  Quarantine(DaemonName self, QuarantineLimits limits)
+      : self_(std::move(self)), limits_(limits) {}
+
+  RunPermit Judge(const std::string& fingerprint, TimePoint now) const;
+
+  /// Tells whether `request` must stop its run, since its content became a
+  /// suspect elsewhere.
+  bool MustStop(const std::string& fingerprint, const RequestId& request,
+                TimePoint now) const;
+
+  /// Decides whether `request` runs now and, if so, on which chain.
+  TrialDecision Advance(const std::string& fingerprint,
+                        const RequestId& request,
+                        const TrialChainChooser& choose, TimePoint now);
+
+  /// Notes that `request` was in flight on `upstream` when that crashed, after
+  /// `delivered` tokens, and ends its trial.
+  std::vector<Rumour> RecordCrash(const std::string& fingerprint,
+                                  const RequestId& request,
+                                  const UpstreamName& upstream,
+                                  TokenIndex delivered, TimePoint now);
+
+  /// Notes that `request` has `delivered` tokens; clears a suspect that is past
+  /// the point of its crash and renews a trial that goes on.
+  std::vector<Rumour> RecordToken(const std::string& fingerprint,
+                                  const RequestId& request,
+                                  TokenIndex delivered, TimePoint now);
+
+  /// Notes that `request` was answered whole; its content is forgotten.
+  std::vector<Rumour> RecordAnswered(const std::string& fingerprint,
+                                     const RequestId& request, TimePoint now);
+
+  /// Ends the trial of `request`, if it has one, without a verdict.
+  std::vector<Rumour> EndTrial(const std::string& fingerprint,
+                               const RequestId& request, TimePoint now);
+
+  void Learn(const SuspectRumour& rumour, TimePoint now);
+  void Learn(const TrialRumour& rumour, TimePoint now);
+
+  /// Returns the upstreams that run a trial here or at a peer.
+  std::set<UpstreamName> ListTrialUpstreams(TimePoint now) const;
+
+  std::size_t CountSuspects() const { return suspects_.size(); }
+
+ private:
+  struct Crash {
+    UpstreamName upstream;
+    TimePoint time;
+  };
+
+  struct Suspect {
+    std::vector<Crash> crashes;
+    std::optional<TokenIndex> crash_token;  ///< Unknown for peers' crashes.
+    bool cleared = false;
+  };
+
+  struct Trial {
+    RequestId request;
+    Chain chain;
+    TimePoint begun;
+    TimePoint told;
+    bool running = false;
+  };
+
+  struct PeerTrial {
+    std::string fingerprint;
+    TimePoint seen;
+  };
+
+  using Rumours = std::vector<Rumour>;
+
+  void AddCrash(const std::string& fingerprint, const Crash& crash,
+                bool certainly_new);
+  void Forget(TimePoint now);
+  void ForgetOldest();
+  Trial* FindTrial(const std::string& fingerprint, const RequestId& request);
+  TrialDecision BeginTrial(const std::string& fingerprint,
+                           const RequestId& request,
+                           const TrialChainChooser& choose, TimePoint now);
+  TrialDecision ContinueTrial(const std::string& fingerprint, Trial& trial,
+                              TimePoint now);
+  bool RunsElsewhere(const std::string& fingerprint, TimePoint now) const;
+  bool LosesToPeer(const std::string& fingerprint, const Trial& trial,
+                   TimePoint now) const;
+  Rumours Tell(const std::string& fingerprint, const Trial& trial,
+               bool ended) const;
+
+  DaemonName self_;
+  QuarantineLimits limits_;
+  std::map<std::string, Suspect> suspects_;
+  std::map<std::string, Trial> trials_;  ///< Own ones, by fingerprint.
+  std::map<std::pair<UpstreamName, DaemonName>, PeerTrial> peer_trials_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_DECISIONS_QUARANTINE_H_
--- /dev/null
+++ b/tests/decisions/quarantine_test.cc
@@ -0,0 +1,292 @@
+#include "decisions/quarantine.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/overloaded.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr std::size_t kDaemons = 4;
+constexpr std::size_t kEngines = 6;
+constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr Duration kRestartTime = std::chrono::seconds(1);
+constexpr int kLastTick = 20'000;
+/// A rumour reaches all daemons in less than half the settle time.
+constexpr int kMaxRumourTicks = 14;
+
+/// One request at one daemon, as its session would run it.
+struct Request {
+  RequestId id;
+  std::string fingerprint;
+  std::size_t daemon = 0;
+  int start_tick = 0;
+  TokenIndex length = 0;
+  std::optional<TokenIndex> crash_token;
+  TokenIndex delivered = 0;
+  int engine = -1;
+  bool answered = false;
+  bool refused = false;
+
+  bool open() const { return !answered && !refused; }
+};
+
+/// Daemons with a quarantine each, engines that crash, and rumours that take
+/// their time, in virtual time.
+class Model {
+ public:
+  explicit Model(std::vector<int> rumour_ticks)
+      : rumour_ticks_(std::move(rumour_ticks)) {
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      daemons_.push_back(std::make_unique<Quarantine>(
+          DaemonName("d" + std::to_string(i)), QuarantineLimits{}));
+    }
+  }
+
+  void Add(Request request) {
+    request.id = RequestId(std::to_string(requests_.size()));
+    requests_.push_back(std::move(request));
+  }
+
+  /// Runs until all requests have ended.
+  void Run() {
+    for (; tick_ < kLastTick && AnyOpen(); ++tick_) {
+      DeliverRumours();
+      for (auto& request : requests_) {
+        if (request.open() && request.start_tick <= tick_) Step(request);
+      }
+      CheckTrials();
+    }
+  }
+
+  const std::vector<Request>& requests() const { return requests_; }
+  int LostTo(const std::string& fingerprint) { return lost_[fingerprint]; }
+
+ private:
+  struct Message {
+    int tick = 0;
+    std::size_t to = 0;
+    Rumour rumour;
+  };
+
+  TimePoint Now() const { return TimePoint(kTick * tick_); }
+
+  bool AnyOpen() const {
+    return std::any_of(requests_.begin(), requests_.end(),
+                       [](const Request& request) { return request.open(); });
+  }
+
+  void Post(std::size_t from, const std::vector<Rumour>& rumours) {
+    for (const auto& rumour : rumours) {
+      for (std::size_t to = 0; to < kDaemons; ++to) {
+        if (to == from) continue;
+        const int delay = rumour_ticks_.empty()
+                              ? 1
+                              : rumour_ticks_[posted_++ % rumour_ticks_.size()];
+        messages_.push_back({tick_ + delay, to, Aged(rumour, kTick * delay)});
+      }
+    }
+  }
+
+  void DeliverRumours() {
+    for (const auto& message : messages_) {
+      if (message.tick != tick_) continue;
+      Quarantine& daemon = *daemons_[message.to];
+      std::visit(Overloaded{
+                     [&](const SuspectRumour& r) { daemon.Learn(r, Now()); },
+                     [&](const TrialRumour& r) { daemon.Learn(r, Now()); },
+                     [](const auto&) {},
+                 },
+                 message.rumour);
+    }
+    std::erase_if(messages_,
+                  [this](const Message& m) { return m.tick <= tick_; });
+  }
+
+  int LoadOf(int engine) const {
+    return static_cast<int>(std::count_if(
+        requests_.begin(), requests_.end(),
+        [engine](const Request& r) { return r.engine == engine; }));
+  }
+
+  static UpstreamName NameOf(int engine) {
+    return UpstreamName("e" + std::to_string(engine));
+  }
+
+  std::optional<Chain> Choose(const std::set<UpstreamName>& avoided,
+                              bool idle_only) const {
+    int best = -1;
+    for (int i = 0; i < static_cast<int>(kEngines); ++i) {
+      const auto down = down_until_.find(i);
+      if (down != down_until_.end() && Now() < down->second) continue;
+      if (avoided.contains(NameOf(i)) || (idle_only && LoadOf(i) > 0)) continue;
+      if (best < 0 || LoadOf(i) < LoadOf(best)) best = i;
+    }
+    if (best < 0) return std::nullopt;
+    return Chain{{NameOf(best), {"", static_cast<std::uint16_t>(best)}, {}}};
+  }
+
+  void Step(Request& request) {
+    Quarantine& daemon = *daemons_[request.daemon];
+    if (request.engine < 0) return Ask(request, daemon);
+    if (daemon.MustStop(request.fingerprint, request.id, Now())) {
+      request.engine = -1;
+      return;
+    }
+    if (request.crash_token == request.delivered) return Crash(request);
+    ++request.delivered;
+    if (request.delivered < request.length) {
+      return Post(request.daemon,
+                  daemon.RecordToken(request.fingerprint, request.id,
+                                     request.delivered, Now()));
+    }
+    request.answered = true;
+    request.engine = -1;
+    Post(request.daemon,
+         daemon.RecordAnswered(request.fingerprint, request.id, Now()));
+  }
+
+  void Ask(Request& request, Quarantine& daemon) {
+    const TrialDecision decision = daemon.Advance(
+        request.fingerprint, request.id,
+        [this](const auto& avoided, bool idle) {
+          return Choose(avoided, idle);
+        },
+        Now());
+    Post(request.daemon, decision.rumours);
+    request.refused = decision.step == TrialStep::kRefuse;
+    if (decision.step == TrialStep::kRun) {
+      request.engine = decision.chain[0].endpoint.port;
+    }
+  }
+
+  void Crash(const Request& culprit) {
+    const int engine = culprit.engine;
+    ++lost_[culprit.fingerprint];
+    down_until_[engine] = Now() + kRestartTime;
+    for (auto& request : requests_) {
+      if (request.engine != engine) continue;
+      request.engine = -1;
+      Post(request.daemon, daemons_[request.daemon]->RecordCrash(
+                               request.fingerprint, request.id, NameOf(engine),
+                               request.delivered, Now()));
+    }
+  }
+
+  /// No engine runs two requests that their daemons run on trial.
+  void CheckTrials() const {
+    std::map<int, int> trials;
+    for (const auto& request : requests_) {
+      if (request.engine < 0) continue;
+      const Quarantine& daemon = *daemons_[request.daemon];
+      const bool trial =
+          daemon.Judge(request.fingerprint, Now()) == RunPermit::kTrial &&
+          !daemon.MustStop(request.fingerprint, request.id, Now());
+      if (trial) RC_ASSERT(++trials[request.engine] == 1);
+    }
+  }
+
+  std::vector<int> rumour_ticks_;
+  std::size_t posted_ = 0;
+  std::vector<std::unique_ptr<Quarantine>> daemons_;
+  std::vector<Request> requests_;
+  std::vector<Message> messages_;
+  std::map<int, TimePoint> down_until_;
+  std::map<std::string, int> lost_;
+  int tick_ = 0;
+};
+
+Model AnyModel() {
+  return Model(*rc::gen::container<std::vector<int>>(
+                    rc::gen::inRange(1, kMaxRumourTicks + 1))
+                    .as("delays of rumours"));
+}
+
+void AddInnocents(Model& model) {
+  const auto count = *rc::gen::inRange(0, 14).as("innocents");
+  for (int i = 0; i < count; ++i) {
+    model.Add({.fingerprint = "innocent" + std::to_string(i),
+               .daemon = *rc::gen::inRange<std::size_t>(0, kDaemons),
+               .start_tick = *rc::gen::inRange(0, 120),
+               .length = *rc::gen::inRange<TokenIndex>(1, 120)});
+  }
+}
+
+/// Sends one crashing request several times, to any daemons.
+void AddCulprit(Model& model, const std::string& name) {
+  const auto crash_token = *rc::gen::inRange<TokenIndex>(0, 60);
+  const auto count = *rc::gen::inRange(1, 5).as("sends of " + name);
+  for (int i = 0; i < count; ++i) {
+    model.Add({.fingerprint = name,
+               .daemon = *rc::gen::inRange<std::size_t>(0, kDaemons),
+               .start_tick = *rc::gen::inRange(0, 400),
+               .length = 100,
+               .crash_token = crash_token});
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a crashing request costs two upstreams, innocents are answered") {
+  const bool held = rc::check([] {
+    Model model = AnyModel();
+    AddInnocents(model);
+    AddCulprit(model, "culprit");
+    model.Run();
+    RC_ASSERT(model.LostTo("culprit") <= 2);
+    for (const auto& request : model.requests()) {
+      RC_ASSERT(request.answered == !request.crash_token.has_value());
+      RC_ASSERT(request.refused == request.crash_token.has_value());
+    }
+  });
+  CHECK(held);
+}
+
+TEST_CASE("several crashing requests cost two upstreams each") {
+  const bool held = rc::check([] {
+    Model model = AnyModel();
+    AddInnocents(model);
+    for (const char* name : {"culprit1", "culprit2", "culprit3"}) {
+      AddCulprit(model, name);
+    }
+    model.Run();
+    for (const char* name : {"culprit1", "culprit2", "culprit3"}) {
+      RC_ASSERT(model.LostTo(name) <= 2);
+    }
+    for (const auto& request : model.requests()) RC_ASSERT(!request.open());
+  });
+  CHECK(held);
+}
+
+TEST_CASE("a suspect is forgotten after its lifetime") {
+  Quarantine quarantine(DaemonName("d"), {.lifetime = std::chrono::minutes(1)});
+  const TimePoint start;
+  const RequestId request("r");
+  quarantine.RecordCrash("f", request, UpstreamName("a"), 3, start);
+  quarantine.RecordCrash("f", request, UpstreamName("b"), 3, start);
+  CHECK(quarantine.Judge("f", start) == RunPermit::kRefused);
+  CHECK(quarantine.Judge("f", start + std::chrono::seconds(59)) ==
+        RunPermit::kRefused);
+  CHECK(quarantine.Judge("f", start + std::chrono::minutes(1)) ==
+        RunPermit::kShared);
+}
+
+TEST_CASE("memory for suspects is bounded") {
+  Quarantine quarantine(DaemonName("d"), {.suspects = 3});
+  for (int i = 0; i < 10; ++i) {
+    quarantine.Learn(SuspectRumour{"f" + std::to_string(i), UpstreamName("a")},
+                     TimePoint(std::chrono::seconds(i)));
+  }
+  CHECK(quarantine.CountSuspects() == 3);
+  CHECK(quarantine.Judge("f9", TimePoint(std::chrono::seconds(9))) ==
+        RunPermit::kTrial);
+}
+
+}  // namespace wisteriayoke
