rumours: give daemons a typed channel and keep peers' in-flight counts

Cause: quarantine, routing and tables need to tell other daemons what they learn, without knowing how it travels. Ruled out: points in time in rumours, since daemons share no clock; ages do. Result: the library's unit tests pass; nothing carries rumours yet.

--- /dev/null
+++ b/source/decisions/rumour.h
@@ -0,0 +1,67 @@
+#ifndef WISTERIAYOKE_DECISIONS_RUMOUR_H_
+#define WISTERIAYOKE_DECISIONS_RUMOUR_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "base/ids.h"
+#include "base/time_types.h"
+#include "decisions/table_spec.h"
+
+namespace wisteriayoke {
+
+/// A version of the tables was accepted.
+struct TableHeadRumour {
+  TableVersion version;
+
+  friend bool operator==(const TableHeadRumour&,
+                         const TableHeadRumour&) = default;
+};
+
+/// An upstream showed a sign that it is leaving. There is no rumour for the
+/// contrary: a sign lapses unless it is renewed.
+struct LeavingRumour {
+  UpstreamName upstream;
+  Duration age{};  ///< Time since the sign was seen.
+
+  friend bool operator==(const LeavingRumour&, const LeavingRumour&) = default;
+};
+
+/// A request was in flight on an upstream when that upstream crashed.
+struct SuspectRumour {
+  std::string fingerprint;  ///< Identifies the request's content.
+  UpstreamName upstream;
+  Duration age{};  ///< Time since the crash.
+
+  friend bool operator==(const SuspectRumour&, const SuspectRumour&) = default;
+};
+
+/// A daemon has this many requests in flight on an upstream. It isn't passed
+/// on; each daemon tells its own counts.
+struct LoadRumour {
+  DaemonName daemon;
+  UpstreamName upstream;
+  std::uint32_t in_flight = 0;
+
+  friend bool operator==(const LoadRumour&, const LoadRumour&) = default;
+};
+
+/// What daemons tell one another besides their membership. Ages replace
+/// points in time, since daemons share no clock; they grow with each hop.
+using Rumour =
+    std::variant<TableHeadRumour, LeavingRumour, SuspectRumour, LoadRumour>;
+
+/// Tells whether both rumours speak of the same thing, so that one of them
+/// replaces the other.
+bool SameSubject(const Rumour& a, const Rumour& b);
+
+/// Tells whether `candidate` says more than `known`, on the same subject.
+bool IsNews(const Rumour& candidate, const Rumour& known);
+
+/// Returns `rumour` as it reads after `elapsed` more time.
+Rumour Aged(Rumour rumour, Duration elapsed);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_DECISIONS_RUMOUR_H_
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <string>
 
+#include "decisions/peer_loads.h"
 #include "decisions/table_set.h"
 #include "decisions/upstream_book.h"
 #include "runtime/event_loop.h"
+#include "supervisor/context/rumour_exchange.h"
 #include "supervisor/context/settings.h"
 #include "supervisor/context/timeline.h"
 
@@ -18,6 +20,8 @@
   TableVersion version;  ///< Version of the tables in force.
   TableSetPtr tables;    ///< Null until the first tables are in force.
   UpstreamBook upstreams;
+  PeerLoads peer_loads;    ///< In-flight counts told by other daemons.
+  RumourExchange rumours;  ///< What daemons tell one another.
   Timeline timeline;
   bool draining = false;
   std::uint64_t requests_started = 0;
