admission, routing: add the deciders for load and faults

Cause: the front sent every request on at once, chose by own in-flight counts alone, and knew no bound on waiting, retries or ejections.

UpstreamBook ejects for longer each time, probes half open, starts slowly and never ejects more than half of a pool.

--- /dev/null
+++ b/source/decisions/admission.cc
@@ -0,0 +1,229 @@
+#include "decisions/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/overloaded.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// Bounds on the cost of one request, so that a wrong estimate can't distort
+/// the shares or stall the queue.
+constexpr double kLeastCost = 0.1;
+constexpr double kGreatestCost = 16.0;
+constexpr double kSampleShare = 0.05;
+constexpr Duration kShortestRetryAfter = std::chrono::seconds(1);
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(30);
+/// Part of the allowed wait that a prediction may use up.
+constexpr double kPredictionShare = 0.9;
+
+Duration Microseconds(double us) {
+  return Duration(static_cast<Duration::rep>(us));
+}
+
+std::size_t ShareOf(std::uint32_t slots, double share) {
+  return static_cast<std::size_t>(std::ceil(slots * share));
+}
+
+}  // namespace
+
+std::vector<AdmissionAction> Admission::Handle(const AdmissionEvent& event,
+                                               TimePoint now) {
+  Actions actions;
+  std::visit(Overloaded{
+                 [&](const RequestOffered& e) { Offer(e, now, actions); },
+                 [&](const AnswerBegun& e) {
+                   const auto count =
+                       static_cast<std::uint32_t>(running_.size());
+                   if (running_.contains(e.ticket)) {
+                     limit_.RecordLatency(e.latency, count, now);
+                   }
+                 },
+                 [&](const RequestEnded& e) { End(e, now); },
+                 [&](const RequestSuspended& e) { Suspend(e, now); },
+                 [&](const SlotsChanged& e) { limit_.SetCeiling(e.slots); },
+                 [&](const TimePassed&) { Expire(now, actions); },
+             },
+             event);
+  Dispatch(now, actions);
+  return actions;
+}
+
+std::size_t Admission::LongShare() const {
+  return std::max<std::size_t>(1, ShareOf(slots(), limits_.long_share));
+}
+
+std::size_t Admission::FreeShare() const {
+  return slots() < 2 ? 0 : ShareOf(slots(), limits_.free_share);
+}
+
+double Admission::WorkRateOf(const QueuedRequest& request, WorkSize size) {
+  const Lane& lane = LaneOf(size);
+  const std::size_t kept = std::min(LongShare(), long_.running);
+  const double lane_slots =
+      size == WorkSize::kLong
+          ? static_cast<double>(std::max(LongShare(), long_.running))
+          : std::max(1.0,
+                     static_cast<double>(slots()) - static_cast<double>(kept));
+  const double weight = std::max(1U, request.weight);
+  const double share =
+      weight / (weight + lane.queue.SumOtherWeights(request.workspace));
+  return lane_slots * share / lane.us_per_cost;
+}
+
+Duration Admission::PredictWait(const QueuedRequest& request, WorkSize size) {
+  const Lane& lane = LaneOf(size);
+  if (lane.us_per_cost <= 0.0) return Duration::zero();
+  const double ahead =
+      lane.queue.SumCostAhead(request.workspace, request.priority);
+  return Microseconds(ahead / WorkRateOf(request, size));
+}
+
+RefuseRequest Admission::Refuse(const QueuedRequest& request, WorkSize size,
+                                ResultCode code, Duration wait, TimePoint now) {
+  const double us_per_cost = LaneOf(size).us_per_cost;
+  const Duration spacing =
+      us_per_cost > 0.0 && slots() > 0
+          ? Microseconds(request.cost / WorkRateOf(request, size))
+          : Duration::zero();
+  TimePoint& next = next_return_[request.workspace];
+  const TimePoint latest = now + kLongestRetryAfter;
+  next = std::max({next + spacing, now + wait, now + kShortestRetryAfter});
+  next = std::min(next, latest);
+  return {request.ticket, code, next - now};
+}
+
+void Admission::Offer(const RequestOffered& event, TimePoint now,
+                      Actions& actions) {
+  QueuedRequest request = event.request;
+  request.cost = std::clamp(request.cost, kLeastCost, kGreatestCost);
+  const auto refuse = [&](ResultCode code, Duration wait) {
+    actions.emplace_back(Refuse(request, event.size, code, wait, now));
+  };
+  if (slots() == 0) return refuse(ResultCode::kNoUpstream, {});
+  const Duration wait = PredictWait(request, event.size);
+  const Duration allowed = request.latest_start - now;
+  if (waiting() >= limits_.max_waiting) {
+    return refuse(ResultCode::kOverloaded, wait);
+  }
+  if (allowed < Duration::zero() ||
+      wait > Microseconds(static_cast<double>(allowed.count()) *
+                          kPredictionShare)) {
+    return refuse(ResultCode::kDeadlineTooShort, wait - allowed);
+  }
+  if (event.size == WorkSize::kShort && wait > limits_.max_wait) {
+    const bool alone = short_.queue.SumOtherWeights(request.workspace) <= 0.0;
+    return refuse(alone ? ResultCode::kOverloaded : ResultCode::kWorkspaceLimit,
+                  wait - limits_.max_wait);
+  }
+  LaneOf(event.size).queue.Push(std::move(request));
+}
+
+void Admission::End(const RequestEnded& event, TimePoint now) {
+  const auto found = running_.find(event.ticket);
+  if (found == running_.end()) {
+    suspended_.erase(event.ticket);
+    if (!short_.queue.Remove(event.ticket)) long_.queue.Remove(event.ticket);
+    return;
+  }
+  const RunningRequest& ended = found->second;
+  Lane& lane = LaneOf(ended.size);
+  const Duration held = ended.earlier_turns + (now - ended.turn_start);
+  const double sample = static_cast<double>(held.count()) / ended.request.cost;
+  lane.us_per_cost += lane.us_per_cost <= 0.0
+                          ? sample
+                          : (sample - lane.us_per_cost) * kSampleShare;
+  --lane.running;
+  if (ended.suspending) --suspending_;
+  running_.erase(found);
+}
+
+void Admission::Suspend(const RequestSuspended& event, TimePoint now) {
+  const auto found = running_.find(event.ticket);
+  if (found == running_.end() || !found->second.suspending) return;
+  RunningRequest& running = found->second;
+  SuspendedRequest suspended{
+      running.request, running.earlier_turns + (now - running.turn_start)};
+  QueuedRequest waiting = running.request;
+  waiting.cost = 0.0;  // Its workspace was charged when it started.
+  waiting.latest_start = TimePoint::max();
+  long_.queue.PushFront(std::move(waiting));
+  suspended_.emplace(event.ticket, std::move(suspended));
+  --suspending_;
+  --long_.running;
+  running_.erase(found);
+}
+
+void Admission::Expire(TimePoint now, Actions& actions) {
+  for (const WorkSize size : {WorkSize::kShort, WorkSize::kLong}) {
+    for (const auto& request : LaneOf(size).queue.TakeExpired(now)) {
+      actions.emplace_back(Refuse(request, size, ResultCode::kDeadlineTooShort,
+                                  PredictWait(request, size), now));
+    }
+  }
+  std::erase_if(next_return_,
+                [now](const auto& entry) { return entry.second < now; });
+}
+
+std::optional<WorkSize> Admission::ChooseLane() const {
+  if (running_.size() >= slots()) return std::nullopt;
+  const bool long_waits = !long_.queue.empty();
+  if (long_waits && long_.running < LongShare()) return WorkSize::kLong;
+  if (!short_.queue.empty()) return WorkSize::kShort;
+  if (long_waits && running_.size() + FreeShare() < slots()) {
+    return WorkSize::kLong;
+  }
+  return std::nullopt;
+}
+
+void Admission::Dispatch(TimePoint now, Actions& actions) {
+  while (const auto size = ChooseLane()) Start(*size, now, actions);
+  RequestSuspensions(actions);
+}
+
+void Admission::Start(WorkSize size, TimePoint now, Actions& actions) {
+  Lane& lane = LaneOf(size);
+  QueuedRequest request = *lane.queue.Pop();
+  const TicketNumber ticket = request.ticket;
+  RunningRequest running{
+      .request = std::move(request), .size = size, .turn_start = now};
+  const auto suspended = suspended_.find(ticket);
+  if (suspended != suspended_.end()) {
+    running.request = std::move(suspended->second.request);
+    running.earlier_turns = suspended->second.earlier_turns;
+    suspended_.erase(suspended);
+    actions.emplace_back(ResumeRequest{ticket});
+  } else {
+    actions.emplace_back(AdmitRequest{ticket});
+  }
+  ++lane.running;
+  running_.emplace(ticket, std::move(running));
+}
+
+Admission::RunningRequest* Admission::FindLongestTurn() {
+  RunningRequest* longest = nullptr;
+  for (auto& [ticket, running] : running_) {
+    if (running.size != WorkSize::kLong || running.suspending) continue;
+    if (longest == nullptr || running.turn_start < longest->turn_start ||
+        (running.turn_start == longest->turn_start &&
+         ticket < longest->request.ticket)) {
+      longest = &running;
+    }
+  }
+  return longest;
+}
+
+void Admission::RequestSuspensions(Actions& actions) {
+  while (suspending_ < short_.queue.size() &&
+         long_.running > LongShare() + suspending_) {
+    RunningRequest* running = FindLongestTurn();
+    if (running == nullptr) return;
+    running->suspending = true;
+    ++suspending_;
+    actions.emplace_back(SuspendRequest{running->request.ticket});
+  }
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/decisions/fair_queue.cc
@@ -0,0 +1,130 @@
+#include "decisions/fair_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriayoke {
+namespace {
+
+std::size_t IndexOf(Priority priority) {
+  return static_cast<std::size_t>(priority);
+}
+
+}  // namespace
+
+bool FairQueue::Flow::empty() const {
+  return std::all_of(queues.begin(), queues.end(),
+                     [](const auto& queue) { return queue.empty(); });
+}
+
+std::deque<QueuedRequest>& FairQueue::Flow::FirstQueue() {
+  return *std::find_if(queues.begin(), queues.end(),
+                       [](const auto& queue) { return !queue.empty(); });
+}
+
+FairQueue::Flow& FairQueue::Activate(const QueuedRequest& request) {
+  const auto [found, is_new] = flows_.try_emplace(request.workspace);
+  if (is_new) turns_.push_back(request.workspace);
+  Flow& flow = found->second;
+  if (!is_new) total_weight_ -= flow.weight;
+  flow.weight = std::max(1U, request.weight);
+  total_weight_ += flow.weight;
+  flow.cost[IndexOf(request.priority)] += request.cost;
+  ++size_;
+  return flow;
+}
+
+void FairQueue::Push(QueuedRequest request) {
+  Flow& flow = Activate(request);
+  flow.queues[IndexOf(request.priority)].push_back(std::move(request));
+}
+
+void FairQueue::PushFront(QueuedRequest request) {
+  Flow& flow = Activate(request);
+  flow.queues[IndexOf(request.priority)].push_front(std::move(request));
+}
+
+void FairQueue::DeactivateIfEmpty(const WorkspaceName& workspace) {
+  const auto found = flows_.find(workspace);
+  if (found == flows_.end() || !found->second.empty()) return;
+  total_weight_ -= found->second.weight;
+  flows_.erase(found);
+  turns_.erase(std::find(turns_.begin(), turns_.end(), workspace));
+}
+
+QueuedRequest FairQueue::TakeHead(Flow& flow) {
+  auto& queue = flow.FirstQueue();
+  QueuedRequest request = std::move(queue.front());
+  queue.pop_front();
+  flow.cost[IndexOf(request.priority)] -= request.cost;
+  --size_;
+  return request;
+}
+
+std::optional<QueuedRequest> FairQueue::Pop() {
+  while (!turns_.empty()) {
+    Flow& flow = flows_.at(turns_.front());
+    if (!flow.visited) flow.deficit += kQuantum * flow.weight;
+    flow.visited = true;
+    const double cost = flow.FirstQueue().front().cost;
+    if (cost <= flow.deficit) {
+      flow.deficit -= cost;
+      QueuedRequest request = TakeHead(flow);
+      DeactivateIfEmpty(request.workspace);
+      return request;
+    }
+    flow.visited = false;
+    turns_.push_back(std::move(turns_.front()));
+    turns_.pop_front();
+  }
+  return std::nullopt;
+}
+
+bool FairQueue::Remove(TicketNumber ticket) {
+  for (auto& [workspace, flow] : flows_) {
+    for (std::size_t i = 0; i < kPriorities; ++i) {
+      auto& queue = flow.queues[i];
+      const auto found = std::find_if(
+          queue.begin(), queue.end(),
+          [ticket](const auto& request) { return request.ticket == ticket; });
+      if (found == queue.end()) continue;
+      flow.cost[i] -= found->cost;
+      queue.erase(found);
+      --size_;
+      DeactivateIfEmpty(WorkspaceName(workspace));
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<QueuedRequest> FairQueue::TakeExpired(TimePoint now) {
+  std::vector<QueuedRequest> expired;
+  for (const auto& [workspace, flow] : flows_) {
+    for (const auto& queue : flow.queues) {
+      for (const auto& request : queue) {
+        if (request.latest_start < now) expired.push_back(request);
+      }
+    }
+  }
+  for (const auto& request : expired) Remove(request.ticket);
+  return expired;
+}
+
+double FairQueue::SumCostAhead(const WorkspaceName& workspace,
+                               Priority priority) const {
+  const auto found = flows_.find(workspace);
+  if (found == flows_.end()) return 0.0;
+  double cost = 0.0;
+  for (std::size_t i = 0; i <= IndexOf(priority); ++i) {
+    cost += std::max(0.0, found->second.cost[i]);
+  }
+  return cost;
+}
+
+double FairQueue::SumOtherWeights(const WorkspaceName& workspace) const {
+  const auto found = flows_.find(workspace);
+  return total_weight_ - (found == flows_.end() ? 0 : found->second.weight);
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/decisions/retry_budget.h
@@ -0,0 +1,55 @@
+#ifndef WISTERIAYOKE_DECISIONS_RETRY_BUDGET_H_
+#define WISTERIAYOKE_DECISIONS_RETRY_BUDGET_H_
+
+#include "base/names_table.h"
+
+namespace wisteriayoke {
+
+/// Whether a request may be sent once more.
+enum class RetryVerdict {
+  kAllowed,
+  kMayHaveRun,   ///< Not idempotent, and a byte of it may have been sent.
+  kBudgetSpent,  ///< Retries have reached their share of the traffic.
+};
+
+inline constexpr auto kRetryVerdictNames = MakeNamesTable<RetryVerdict>({
+    {RetryVerdict::kAllowed, "allowed"},
+    {RetryVerdict::kMayHaveRun, "may-have-run"},
+    {RetryVerdict::kBudgetSpent, "budget-spent"},
+});
+
+/// What is known about a request that is to be sent again.
+struct RetryQuestion {
+  bool idempotent = false;
+  bool may_have_run = true;
+};
+
+/// Bounds retries and hedges of a pool to a share of its first attempts, so
+/// that a failing pool isn't loaded further by its own failures.
+class RetryBudget {
+ public:
+  /// Retries that each first attempt allows.
+  static constexpr double kShare = 0.2;
+  /// Most retries that can be saved up; also what a new budget holds, so that
+  /// the loss of one instance's requests is covered.
+  static constexpr double kMaxBalance = 64.0;
+
+  /// Counts a first attempt.
+  void RecordRequest();
+
+  /// Decides about a retry and, if it is allowed, charges it.
+  RetryVerdict TakeRetry(const RetryQuestion& question);
+
+  /// Decides about a second copy of a request that still runs and, if it is
+  /// allowed, charges it. Only idempotent work is ever hedged.
+  RetryVerdict TakeHedge(bool idempotent);
+
+  double balance() const { return balance_; }
+
+ private:
+  double balance_ = kMaxBalance;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_DECISIONS_RETRY_BUDGET_H_
--- a/source/decisions/upstream_book.cc
+++ b/source/decisions/upstream_book.cc
@@ -1,10 +1,43 @@
 #include "decisions/upstream_book.h"
 
+#include <algorithm>
+
 namespace wisteriayoke {
 namespace {
 
 constexpr std::uint32_t kFailuresBeforeEjection = 1;
-constexpr Duration kEjectionTime = std::chrono::milliseconds(500);
+constexpr Duration kFirstEjection = std::chrono::milliseconds(500);
+constexpr Duration kLongestEjection = std::chrono::seconds(8);
+constexpr Duration kSlowStart = std::chrono::seconds(2);
+constexpr double kSlowStartFirstShare = 0.25;
+/// Part of a lower latency sample that enters the average; a higher one
+/// replaces it.
+constexpr double kLatencyDecay = 0.1;
+
+Duration EjectionTime(std::uint32_t ejections) {
+  Duration time = kFirstEjection;
+  for (std::uint32_t i = 1; i < ejections && time < kLongestEjection; ++i) {
+    time *= 2;
+  }
+  return std::min(time, kLongestEjection);
+}
+
+Duration AverageLatency(Duration average, Duration sample) {
+  if (sample >= average) return sample;
+  const auto step = static_cast<double>((average - sample).count());
+  return average - Duration(static_cast<Duration::rep>(step * kLatencyDecay));
+}
+
+bool IsEjected(const UpstreamState& state, TimePoint now) {
+  return !state.leaving && state.ejected_until && now < *state.ejected_until;
+}
+
+/// Requests of other daemons, from the upstream's report.
+std::uint32_t CountReportedOthers(const LoadReport& report) {
+  return report.in_flight > report.own_in_flight
+             ? report.in_flight - report.own_in_flight
+             : 0;
+}
 
 }  // namespace
 
@@ -30,30 +63,47 @@
 
 void UpstreamBook::RecordSuccess(const UpstreamName& name) {
   RecordEnd(name);
-  states_[name].consecutive_failures = 0;
-  states_[name].ejected_until.reset();
+  UpstreamState& state = states_[name];
+  state.consecutive_failures = 0;
+  state.ejections = 0;
+  state.ejected_until.reset();
+}
+
+void UpstreamBook::RecordSuccess(const UpstreamName& name, Duration latency,
+                                 TimePoint now) {
+  const bool was_ejected = StateOf(name).ejected_until.has_value();
+  RecordSuccess(name);
+  UpstreamState& state = states_[name];
+  if (was_ejected) state.slow_start_from = now;
+  state.latency = AverageLatency(state.latency, latency);
 }
 
 void UpstreamBook::RecordFailure(const UpstreamName& name, TimePoint now) {
   RecordEnd(name);
   UpstreamState& state = states_[name];
-  if (++state.consecutive_failures >= kFailuresBeforeEjection) {
-    state.ejected_until = now + kEjectionTime;
-  }
+  if (IsEjected(state, now)) return;
+  if (++state.consecutive_failures < kFailuresBeforeEjection) return;
+  state.ejected_until = now + EjectionTime(++state.ejections);
+  state.slow_start_from.reset();
 }
 
 void UpstreamBook::SetLeaving(const UpstreamName& name, bool leaving) {
   states_[name].leaving = leaving;
 }
 
+void UpstreamBook::RecordReport(const UpstreamName& name,
+                                std::uint32_t in_flight) {
+  UpstreamState& state = states_[name];
+  state.report = LoadReport{in_flight, state.in_flight};
+}
+
 UpstreamHealth UpstreamBook::HealthOf(const UpstreamName& name,
                                       TimePoint now) const {
   const UpstreamState& state = StateOf(name);
   if (state.leaving) return UpstreamHealth::kLeaving;
-  if (state.ejected_until && now < *state.ejected_until) {
-    return UpstreamHealth::kEjected;
-  }
-  return UpstreamHealth::kHealthy;
+  if (!state.ejected_until) return UpstreamHealth::kHealthy;
+  return now < *state.ejected_until ? UpstreamHealth::kEjected
+                                    : UpstreamHealth::kProbing;
 }
 
 const UpstreamState& UpstreamBook::StateOf(const UpstreamName& name) const {
@@ -62,14 +112,61 @@
   return found == states_.end() ? kUnseen : found->second;
 }
 
+std::uint32_t UpstreamBook::CountInFlight(const UpstreamName& name,
+                                          const PeerLoads& peer_loads,
+                                          TimePoint now) const {
+  const UpstreamState& state = StateOf(name);
+  const std::uint32_t told = peer_loads.InFlightOf(name, now);
+  const bool peers_tell = peer_loads.CountDaemons() > 0;
+  if (peers_tell || !state.report) return state.in_flight + told;
+  return state.in_flight + CountReportedOthers(*state.report);
+}
+
+std::uint32_t UpstreamBook::CountSlots(const UpstreamSpec& upstream,
+                                       TimePoint now) const {
+  const UpstreamState& state = StateOf(upstream.name);
+  if (HealthOf(upstream.name, now) == UpstreamHealth::kProbing) return 1;
+  if (!state.slow_start_from) return upstream.slots;
+  const double passed =
+      std::chrono::duration<double>(now - *state.slow_start_from) / kSlowStart;
+  const double share = std::min(
+      1.0, kSlowStartFirstShare + (1.0 - kSlowStartFirstShare) * passed);
+  return std::max(1U, static_cast<std::uint32_t>(share * upstream.slots));
+}
+
+std::vector<const UpstreamSpec*> UpstreamBook::ListEjectedToKeep(
+    const Pool& pool, TimePoint now) const {
+  std::vector<const UpstreamSpec*> ejected;
+  for (const auto& upstream : pool.upstreams) {
+    if (IsEjected(StateOf(upstream.name), now)) ejected.push_back(&upstream);
+  }
+  const auto most = static_cast<std::size_t>(
+      kMaxEjectedShare * static_cast<double>(pool.upstreams.size()));
+  if (ejected.size() <= most) return {};
+  std::stable_sort(ejected.begin(), ejected.end(),
+                   [this](const UpstreamSpec* a, const UpstreamSpec* b) {
+                     return StateOf(a->name).ejected_until <
+                            StateOf(b->name).ejected_until;
+                   });
+  ejected.resize(ejected.size() - most);
+  return ejected;
+}
+
 std::vector<const UpstreamSpec*> UpstreamBook::ListUsable(
     const Pool& pool, const std::set<UpstreamName>& excluded,
     TimePoint now) const {
+  const auto kept = ListEjectedToKeep(pool, now);
   std::vector<const UpstreamSpec*> usable;
   for (const auto& upstream : pool.upstreams) {
     if (excluded.contains(upstream.name)) continue;
-    if (HealthOf(upstream.name, now) != UpstreamHealth::kHealthy) continue;
-    usable.push_back(&upstream);
+    const UpstreamHealth health = HealthOf(upstream.name, now);
+    const bool busy = StateOf(upstream.name).in_flight > 0;
+    const bool is_kept =
+        std::find(kept.begin(), kept.end(), &upstream) != kept.end();
+    if (health == UpstreamHealth::kHealthy || is_kept ||
+        (health == UpstreamHealth::kProbing && !busy)) {
+      usable.push_back(&upstream);
+    }
   }
   return usable;
 }
--- a/source/decisions/upstream_book.h
+++ b/source/decisions/upstream_book.h
@@ -5,56 +5,101 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "base/ids.h"
 #include "base/names_table.h"
 #include "base/time_types.h"
+#include "decisions/peer_loads.h"
 #include "decisions/table_set.h"
 
 namespace wisteriayoke {
 
 /// Whether an upstream gets new work.
-enum class UpstreamHealth { kHealthy, kEjected, kLeaving };
+enum class UpstreamHealth {
+  kHealthy,
+  kProbing,  ///< Half open: one request at a time until one succeeds.
+  kEjected,
+  kLeaving,
+};
 
 inline constexpr auto kUpstreamHealthNames = MakeNamesTable<UpstreamHealth>({
     {UpstreamHealth::kHealthy, "healthy"},
+    {UpstreamHealth::kProbing, "probing"},
     {UpstreamHealth::kEjected, "ejected"},
     {UpstreamHealth::kLeaving, "leaving"},
 });
 
+/// What an upstream last said about its load; it lags.
+struct LoadReport {
+  std::uint32_t in_flight = 0;      ///< Requests of all daemons.
+  std::uint32_t own_in_flight = 0;  ///< This daemon's requests at the time.
+};
+
 /// What one daemon knows about one upstream.
 struct UpstreamState {
   std::uint32_t in_flight = 0;  ///< This daemon's own requests.
+  std::optional<LoadReport> report;
+  Duration latency = Duration::zero();  ///< Peak EWMA; zero while unknown.
   bool leaving = false;
   std::uint32_t consecutive_failures = 0;
+  std::uint32_t ejections = 0;  ///< In a row, without a success between.
   std::optional<TimePoint> ejected_until;
+  std::optional<TimePoint> slow_start_from;
 };
 
 /// Keeps the state of all upstreams and answers which may get new work.
+///
+/// A failing upstream is ejected, for longer each time, then probed by one
+/// request at a time, then given its slots back step by step.
 class UpstreamBook {
  public:
+  /// Largest share of a pool's upstreams that is ejected at a time.
+  static constexpr double kMaxEjectedShare = 0.5;
+
   /// Forgets the upstreams that `tables` no longer names.
   void Retain(const TableSet& tables);
 
   void RecordStart(const UpstreamName& name);
   void RecordSuccess(const UpstreamName& name);
+  /// Ends a request with success; `now` is when, `latency` how long one unit of
+  /// work took.
+  void RecordSuccess(const UpstreamName& name, Duration latency, TimePoint now);
   void RecordFailure(const UpstreamName& name, TimePoint now);
   /// Ends a request that says nothing about the upstream's health.
   void RecordEnd(const UpstreamName& name);
   void SetLeaving(const UpstreamName& name, bool leaving);
 
+  /// Takes in what the upstream said about the requests that it runs.
+  void RecordReport(const UpstreamName& name, std::uint32_t in_flight);
+
   UpstreamHealth HealthOf(const UpstreamName& name, TimePoint now) const;
 
   /// Returns the state of `name`; a default one if nothing is known.
   const UpstreamState& StateOf(const UpstreamName& name) const;
 
-  /// Returns the upstreams of `pool` that may get new work.
+  /// Returns the best estimate of the requests of all daemons at `name`: own
+  /// ones and those that the peers told of, or, where no peer tells, the
+  /// upstream's report corrected by what this daemon did since.
+  std::uint32_t CountInFlight(const UpstreamName& name,
+                              const PeerLoads& peer_loads, TimePoint now) const;
+
+  /// Returns the slots of `upstream` that may be used now: one while probing,
+  /// a rising part of all during a slow start.
+  std::uint32_t CountSlots(const UpstreamSpec& upstream, TimePoint now) const;
+
+  /// Returns the upstreams of `pool` that may get new work. If more than
+  /// `kMaxEjectedShare` of them are ejected, those whose ejection ends first
+  /// are returned as well.
   std::vector<const UpstreamSpec*> ListUsable(
       const Pool& pool, const std::set<UpstreamName>& excluded,
       TimePoint now) const;
 
  private:
+  std::vector<const UpstreamSpec*> ListEjectedToKeep(const Pool& pool,
+                                                     TimePoint now) const;
+
   std::map<UpstreamName, UpstreamState> states_;
 };
 
--- /dev/null
+++ b/tests/decisions/retry_budget_test.cc
@@ -0,0 +1,52 @@
+#include "decisions/retry_budget.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace wisteriayoke {
+
+TEST_CASE(
+    "retries stay within their share and never repeat what may have run") {
+  CHECK(rc::check("budget", [] {
+    RetryBudget budget;
+    double requests = 0.0;
+    double retries = 0.0;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(600, rc::gen::inRange(0, 5));
+    for (const int step : steps) {
+      if (step == 0) {
+        budget.RecordRequest();
+        ++requests;
+        continue;
+      }
+      const RetryQuestion question{step % 2 == 0, step > 2};
+      const RetryVerdict verdict = budget.TakeRetry(question);
+      if (question.may_have_run && !question.idempotent) {
+        RC_ASSERT(verdict == RetryVerdict::kMayHaveRun);
+      }
+      if (verdict == RetryVerdict::kAllowed) ++retries;
+      RC_ASSERT(retries <= RetryBudget::kMaxBalance +
+                               RetryBudget::kShare * requests + 1e-6);
+    }
+  }));
+}
+
+TEST_CASE("only idempotent work is hedged") {
+  RetryBudget budget;
+  CHECK(budget.TakeHedge(false) == RetryVerdict::kMayHaveRun);
+  CHECK(budget.TakeHedge(true) == RetryVerdict::kAllowed);
+}
+
+TEST_CASE("a spent budget refuses until new requests refill it") {
+  RetryBudget budget;
+  const RetryQuestion question{.idempotent = true, .may_have_run = true};
+  while (budget.TakeRetry(question) == RetryVerdict::kAllowed) {
+  }
+  for (int i = 0; i < 6; ++i) budget.RecordRequest();
+  CHECK(budget.TakeRetry(question) == RetryVerdict::kAllowed);
+  CHECK(budget.TakeRetry(question) == RetryVerdict::kBudgetSpent);
+}
+
+}  // namespace wisteriayoke
