--- a/tests/decisions/admission_test.cc
+++ b/tests/decisions/admission_test.cc
@@ -151,7 +151,7 @@
     model.Feed(SlotsChanged{4});
     const auto service = *rc::gen::inRange(2, 12);
     std::map<TicketNumber, int> left;
-    for (int tick = 0; tick < 150; ++tick) {
+    for (int tick = 0; tick < 400; ++tick) {
       const int arrivals = *rc::gen::inRange(0, 4);
       for (int i = 0; i < arrivals; ++i) model.Offer(i, WorkSize::kShort);
       for (const auto ticket : model.ListIn(Stage::kRunning)) {
