peers: carry trials of suspects

Cause: trials came to the rumours while the datagrams were written. Change: their encoding; every rumour but a renewed sign of leaving is told at once, not only heads. Result: ctest passes.

--- a/source/decisions/gossip_queue.cc
+++ b/source/decisions/gossip_queue.cc
@@ -44,9 +44,9 @@
       return RumourNovelty::kKnown;
     }
     item = {rumour, now};
-    return std::holds_alternative<TableHeadRumour>(rumour)
-               ? RumourNovelty::kNew
-               : RumourNovelty::kRenewed;
+    return std::holds_alternative<LeavingRumour>(rumour)
+               ? RumourNovelty::kRenewed
+               : RumourNovelty::kNew;
   }
   rumours_.push_back({rumour, now});
   return RumourNovelty::kNew;
--- a/source/decisions/gossip_queue.h
+++ b/source/decisions/gossip_queue.h
@@ -14,8 +14,8 @@
 /// What a rumour that comes in means to the queue.
 enum class RumourNovelty {
   kKnown,    ///< Nothing new.
-  kRenewed,  ///< A fresher word on a known subject.
-  kNew,      ///< The first word on its subject, or a higher version.
+  kRenewed,  ///< A known sign was seen again.
+  kNew,      ///< All should hear of it at once.
 };
 
 /// Holds the news that a daemon passes on with its messages, and forgets each
--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -30,6 +30,12 @@
     archive_(number);
   }
 
+  void Code(bool& flag) {
+    std::uint8_t byte = flag ? 1 : 0;
+    archive_(byte);
+    flag = byte != 0;
+  }
+
   void Code(std::string& text) {
     std::size_t size = text.size();
     CodeSize(size);
@@ -79,6 +85,11 @@
     CodeAll(rumour.daemon, rumour.upstream, rumour.in_flight);
   }
 
+  void Code(TrialRumour& rumour) {
+    CodeAll(rumour.fingerprint, rumour.upstream, rumour.daemon, rumour.ended,
+            rumour.age);
+  }
+
   template <typename... Kinds>
   void Code(std::variant<Kinds...>& value) {
     auto index = static_cast<std::uint8_t>(value.index());
--- a/tests/wire/datagram_codec_test.cc
+++ b/tests/wire/datagram_codec_test.cc
@@ -17,7 +17,9 @@
   message.rumours = {TableHeadRumour{{4, "next"}},
                      LeavingRumour{UpstreamName("engine1"), Duration(5)},
                      SuspectRumour{"print", UpstreamName("e"), Duration(6)},
-                     LoadRumour{DaemonName("d"), UpstreamName("e"), 7}};
+                     LoadRumour{DaemonName("d"), UpstreamName("e"), 7},
+                     TrialRumour{"print", UpstreamName("e"), DaemonName("d"),
+                                 true, Duration(8)}};
   message.clock_us = 11;
   return message;
 }
