tests: a paused call is seen to hold its sender up

Cause: the check on what the sender had written also held if the answer had ended before the check.

Result: fails with Pause doing nothing, passes with it.

--- a/tests/runtime/backpressure_test.cc
+++ b/tests/runtime/backpressure_test.cc
@@ -77,6 +77,7 @@
     call->Resume();
   });
   loop.Run();
+  CHECK(written_while_paused > 0);
   CHECK(written_while_paused < kHeldUpBytes);
   CHECK(whole);
   CHECK(received == kAnswerBytes);
