--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -6,6 +6,7 @@
 
 #include "decisions/chain_speeds.h"
 #include "decisions/peer_loads.h"
+#include "decisions/quarantine.h"
 #include "decisions/table_set.h"
 #include "decisions/upstream_book.h"
 #include "runtime/event_loop.h"
@@ -25,9 +26,12 @@
   PeerLoads peer_loads;    ///< In-flight counts told by other daemons.
   RumourExchange rumours;  ///< What daemons tell one another.
   ChainSpeeds speeds;
+  Quarantine quarantine;
   Timeline timeline;
   bool draining = false;
   std::uint64_t requests_started = 0;
+  std::uint64_t requests_cut =
+      0;                        ///< By a stop, before their answer was whole.
   std::size_t open_claims = 0;  ///< Ledger claims whose outcome is pending.
 
   bool ready() const { return tables != nullptr && !draining; }
--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -19,6 +19,10 @@
   kInvariantBroken,
   kMemberChanged,
   kDatagramDropped,
+  kUpstreamCrashed,
+  kTrialStarted,
+  kRequestQuarantined,
+  kRequestCut,
 };
 
 inline constexpr auto kEventKindNames = MakeNamesTable<EventKind>({
@@ -34,6 +38,10 @@
     {EventKind::kInvariantBroken, "invariant-broken"},
     {EventKind::kMemberChanged, "member-changed"},
     {EventKind::kDatagramDropped, "datagram-dropped"},
+    {EventKind::kUpstreamCrashed, "upstream-crashed"},
+    {EventKind::kTrialStarted, "trial-started"},
+    {EventKind::kRequestQuarantined, "request-quarantined"},
+    {EventKind::kRequestCut, "request-cut"},
 });
 
 }  // namespace wisteriayoke
