ctl: edit the tables and watch the daemons from the command line

wisteriayokectl checks, gets, sets, compares and lists the tables at the platform itself, so that it works while no daemon does. It shows the status, merges the time lines by their hybrid clocks, explains one request, restarts a child and asks for a planned stop over the operators' ports. The tool has no loop and starts no thread.

A head below the operator's base comes from a read that lags and is read again. INI parsing moved out of Settings, for the tool's own file; log_level is checked. tests/system/operators_tool.sh passes; ctest passes as a whole.

--- /dev/null
+++ b/source/ctl/blocking_http.h
@@ -0,0 +1,22 @@
+#ifndef WISTERIAYOKE_CTL_BLOCKING_HTTP_H_
+#define WISTERIAYOKE_CTL_BLOCKING_HTTP_H_
+
+#include <optional>
+
+#include "base/last_reason.h"
+#include "base/time_types.h"
+#include "decisions/table_spec.h"
+#include "wire/http_message.h"
+
+namespace wisteriayoke {
+
+/// Sends `request` to `endpoint` and waits for the whole response. Fails with
+/// kConnectFailed if nothing was sent, otherwise with kTimedOut or
+/// kConnectionBroken.
+std::optional<HttpResponse> FetchBlocking(const Endpoint& endpoint,
+                                          const HttpRequest& request,
+                                          Duration timeout, LastReason& reason);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_CTL_BLOCKING_HTTP_H_
--- /dev/null
+++ b/source/ctl/daemon_commands.cc
@@ -0,0 +1,203 @@
+#include "ctl/daemon_commands.h"
+
+#include <ctime>
+#include <functional>
+
+#include "base/version.h"
+#include "ctl/blocking_http.h"
+#include "supervisor/context/operators_codec.h"
+#include "supervisor/context/timeline_merge.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr int kFirstErrorStatus = 400;
+constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
+
+/// Sends `request` to each daemon and gives the good answers to `use`, which
+/// may refuse one. Failures are joined in the result's reason.
+CommandResult AskDaemons(
+    const CtlOptions& options, const HttpRequest& request,
+    const std::function<bool(const std::string& body, LastReason&)>& use) {
+  CommandResult result;
+  std::string failures;
+  for (const auto& daemon : options.daemons) {
+    LastReason reason;
+    const auto answer = FetchBlocking(daemon, request, options.timeout, reason);
+    if (answer && answer->head.status >= kFirstErrorStatus) {
+      reason.Set(answer->head.status == 404 ? ResultCode::kUnknownChild
+                                            : ResultCode::kConnectionBroken,
+                 daemon.ToString() + " answered " + answer->body);
+    } else if (answer && use(answer->body, reason)) {
+      continue;
+    }
+    failures += (failures.empty() ? "" : " ") + reason.message();
+    result.reason.Set(reason.code(), failures);
+  }
+  return result;
+}
+
+std::string DescribeFlags(const DaemonStatus& status) {
+  if (status.draining) return "draining";
+  return status.ready ? "ready" : "not-ready";
+}
+
+std::string FormatStatus(const DaemonStatus& status) {
+  std::string text =
+      status.name.text() + " " + DescribeFlags(status) +
+      " data_centre=" + status.data_centre.text() +
+      " tables=" + std::to_string(status.version.number) +
+      " requests=" + std::to_string(status.requests_started) +
+      " invariants_broken=" + std::to_string(status.invariants_broken) + "\n";
+  for (const auto& child : status.children) {
+    text += "  child " + child.path +
+            (child.running ? " running" : " stopped") +
+            " restarts=" + std::to_string(child.restarts) + "\n";
+  }
+  for (const auto& upstream : status.upstreams) {
+    text += "  upstream " + upstream.pool.text() + "/" + upstream.name.text() +
+            " " + std::string(kUpstreamHealthNames.NameOf(upstream.health)) +
+            " in_flight=" + std::to_string(upstream.in_flight) + "\n";
+  }
+  return text;
+}
+
+std::string FormatTime(const HybridTime& time) {
+  const auto seconds =
+      static_cast<std::time_t>(time.wall_us / kMicrosecondsPerSecond);
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  constexpr std::size_t kTextSize = 64;
+  char text[kTextSize];
+  std::string shown(text, std::strftime(text, kTextSize, "%FT%T.", &utc));
+  const std::string fraction =
+      std::to_string(time.wall_us % kMicrosecondsPerSecond);
+  constexpr std::size_t kFractionDigits = 6;
+  shown += std::string(kFractionDigits - fraction.size(), '0') + fraction;
+  return shown + "+" + std::to_string(time.counter);
+}
+
+std::string FormatEvents(const std::vector<MergedEvent>& events) {
+  std::string text;
+  for (const auto& [daemon, event] : events) {
+    text += FormatTime(event.time) + " " + daemon.text() + " " +
+            std::string(kEventKindNames.NameOf(event.kind)) +
+            " code=" + std::to_string(static_cast<int>(event.code));
+    for (const auto& [name, value] : event.fields) {
+      text += " " + name + "=" + value;
+    }
+    text += "\n";
+  }
+  return text;
+}
+
+CommandResult CollectEvents(const CtlOptions& options,
+                            std::vector<MergedEvent>& events) {
+  std::vector<DaemonTimeline> timelines;
+  CommandResult result =
+      AskDaemons(options, {.target = "/timeline"},
+                 [&timelines](const std::string& body, LastReason& reason) {
+                   auto timeline = ParseDaemonTimeline(body, reason);
+                   if (!timeline) return false;
+                   timelines.push_back(std::move(*timeline));
+                   return true;
+                 });
+  events = MergeTimelines(timelines);
+  return result;
+}
+
+std::string RenderEvents(const std::vector<MergedEvent>& events, bool json) {
+  return json ? EncodeMergedEvents(events) + "\n" : FormatEvents(events);
+}
+
+}  // namespace
+
+CommandResult ShowStatus(const CtlOptions& options) {
+  std::string text;
+  std::string json;
+  CommandResult result =
+      AskDaemons(options, {.target = "/status"},
+                 [&](const std::string& body, LastReason& reason) {
+                   const auto status = ParseDaemonStatus(body, reason);
+                   if (!status) return false;
+                   text += FormatStatus(*status);
+                   json += (json.empty() ? "" : ",") + body;
+                   return true;
+                 });
+  result.output = options.json ? "[" + json + "]\n" : text;
+  return result;
+}
+
+CommandResult DrainDaemons(const CtlOptions& options) {
+  std::size_t drained = 0;
+  CommandResult result =
+      AskDaemons(options, {.method = "POST", .target = "/drain"},
+                 [&drained](const std::string&, LastReason&) {
+                   ++drained;
+                   return true;
+                 });
+  result.output =
+      options.json
+          ? "{\"draining\":" + std::to_string(drained) + "}\n"
+          : std::to_string(drained) + " daemons finish what is in flight\n";
+  return result;
+}
+
+CommandResult RestartChildren(const CtlOptions& options) {
+  std::size_t restarted = 0;
+  CommandResult result =
+      AskDaemons(options,
+                 {.method = "POST",
+                  .target = "/children/" + options.operands[0] + "/restart"},
+                 [&restarted](const std::string&, LastReason&) {
+                   ++restarted;
+                   return true;
+                 });
+  result.output =
+      options.json ? "{\"restarted\":" + std::to_string(restarted) + "}\n"
+                   : "restarted on " + std::to_string(restarted) + " daemons\n";
+  return result;
+}
+
+CommandResult ShowTimeline(const CtlOptions& options) {
+  std::vector<MergedEvent> events;
+  CommandResult result = CollectEvents(options, events);
+  if (events.size() > options.limit) {
+    events.erase(events.begin(),
+                 events.end() - static_cast<long>(options.limit));
+  }
+  result.output = RenderEvents(events, options.json);
+  return result;
+}
+
+CommandResult ExplainRequest(const CtlOptions& options) {
+  std::vector<MergedEvent> events;
+  CommandResult result = CollectEvents(options, events);
+  const auto selected = SelectRequest(events, RequestId(options.operands[0]));
+  result.output = RenderEvents(selected, options.json);
+  if (selected.empty()) {
+    result.note =
+        "no event is kept: the request ran without an incident, is older than "
+        "the daemons' events, or was never here";
+  }
+  return result;
+}
+
+CommandResult ShowVersions(const CtlOptions& options) {
+  const std::string own(kVersion);
+  std::string text = "wisteriayokectl " + own + "\n";
+  std::string json = R"({"wisteriayokectl":")" + own + "\"";
+  CommandResult result = AskDaemons(
+      options, {.target = "/status"},
+      [&](const std::string& body, LastReason& reason) {
+        const auto status = ParseDaemonStatus(body, reason);
+        if (!status) return false;
+        text += status->name.text() + " " + status->release + "\n";
+        json += ",\"" + status->name.text() + "\":\"" + status->release + "\"";
+        return true;
+      });
+  result.output = options.json ? json + "}\n" : text;
+  return result;
+}
+
+}  // namespace wisteriayoke
--- a/source/decisions/table_editor.cc
+++ b/source/decisions/table_editor.cc
@@ -45,6 +45,10 @@
 TableEditor::Actions TableEditor::StartEdit(const HeadRead& event) {
   current_ = event.head;
   const std::uint64_t in_force = event.head ? event.head->version.number : 0;
+  // A head below the operator's base comes from a read that lags behind.
+  if (in_force < base_) {
+    return RepeatOr(EditOutcome::kConflict, ResultCode::kTableConflict);
+  }
   if (in_force != base_) {
     return Finish(EditOutcome::kConflict, ResultCode::kTableConflict);
   }
--- a/source/supervisor/context/operators_codec.cc
+++ b/source/supervisor/context/operators_codec.cc
@@ -1,6 +1,7 @@
 #include "supervisor/context/operators_codec.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace wisteriayoke {
 namespace {
@@ -139,6 +140,16 @@
                  {"events", ListToJson(timeline.events)}});
 }
 
+std::string EncodeMergedEvents(const std::vector<MergedEvent>& events) {
+  Json list = Json::array();
+  for (const auto& row : events) {
+    Json entry = ToJson(row.event);
+    entry["daemon"] = row.daemon.text();
+    list.push_back(std::move(entry));
+  }
+  return ToText(list);
+}
+
 std::optional<DaemonTimeline> ParseDaemonTimeline(std::string_view json,
                                                   LastReason& reason) {
   return ParseWith(json, ReadTimeline, reason);
--- a/source/supervisor/context/operators_codec.h
+++ b/source/supervisor/context/operators_codec.h
@@ -18,6 +18,12 @@
   std::vector<TimelineEvent> events;
 };
 
+/// One event and the daemon that recorded it.
+struct MergedEvent {
+  DaemonName daemon;
+  TimelineEvent event;
+};
+
 /// Returns the JSON form of a daemon's status.
 std::string EncodeDaemonStatus(const DaemonStatus& status);
 
@@ -33,6 +39,9 @@
 std::optional<DaemonTimeline> ParseDaemonTimeline(std::string_view json,
                                                   LastReason& reason);
 
+/// Returns the JSON form of the events of several daemons.
+std::string EncodeMergedEvents(const std::vector<MergedEvent>& events);
+
 }  // namespace wisteriayoke
 
 #endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_OPERATORS_CODEC_H_
--- a/source/supervisor/context/setting_key.cc
+++ b/source/supervisor/context/setting_key.cc
@@ -16,8 +16,8 @@
     {kDrainDeadline, "daemon", "drain_deadline_ms", kMilliseconds, "0", false,
      "Longest time that a planned stop waits for requests in flight; 0 "
      "waits as long as the longest deadline of a route."},
-    {kLogLevel, "daemon", "log_level", kText, "info", false,
-     "Least level that is logged: debug, info, warning or error."},
+    {kLogLevel, "daemon", "log_level", kLevel, "info", false,
+     "Least level that is logged."},
     {kClockError, "daemon", "clock_error_ms", kMilliseconds, "60000", false,
      "Most that this instance's clock differs from the true time."},
     {kFrontAddress, "front", "address", kEndpoint, "", false,
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -37,6 +37,7 @@
 /// The form of a setting's value.
 enum class SettingType {
   kText,
+  kLevel,
   kEndpoint,
   kEndpointList,
   kMilliseconds,
@@ -45,6 +46,7 @@
 
 inline constexpr auto kSettingTypeNames = MakeNamesTable<SettingType>({
     {SettingType::kText, "text"},
+    {SettingType::kLevel, "debug|info|warning|error"},
     {SettingType::kEndpoint, "IP:PORT"},
     {SettingType::kEndpointList, "IP:PORT, ..."},
     {SettingType::kMilliseconds, "milliseconds"},
--- a/source/supervisor/context/settings.cc
+++ b/source/supervisor/context/settings.cc
@@ -1,83 +1,23 @@
 #include "supervisor/context/settings.h"
 
-#include <ini.h>
-
 #include <algorithm>
 #include <charconv>
-#include <fstream>
-#include <numeric>
-#include <sstream>
 
+#include "supervisor/context/ini_text.h"
+#include "supervisor/context/log.h"
 #include "wire/table_codec.h"
 
 namespace wisteriayoke {
 namespace {
 
-/// One assignment of the file, in order.
-struct Assignment {
-  std::string section;
-  std::string name;
-  std::string value;
-};
-
-int CollectAssignment(void* user, const char* section, const char* name,
-                      const char* value) {
-  static_cast<std::vector<Assignment>*>(user)->push_back(
-      {section, name, value});
-  return 1;
-}
-
-std::string Trim(std::string_view text) {
-  const std::size_t first = text.find_first_not_of(" \t\r");
-  if (first == std::string_view::npos) return "";
-  const std::size_t last = text.find_last_not_of(" \t\r");
-  return std::string(text.substr(first, last - first + 1));
-}
-
-/// Returns the number of the line that sets `name` in `section`, from 1. The
-/// parser of this platform does not report it.
-int FindLine(const std::string& ini, const std::string& section,
-             const std::string& name) {
-  std::istringstream lines(ini);
-  std::string current;
-  int number = 0;
-  for (std::string line; std::getline(lines, line);) {
-    ++number;
-    const std::string text = Trim(line);
-    if (text.starts_with('[')) current = text.substr(1, text.find(']') - 1);
-    const std::string key = Trim(text.substr(0, text.find_first_of("=:")));
-    if (current == section && key == name) return number;
-  }
-  return 0;
-}
-
-std::size_t EditDistance(std::string_view a, std::string_view b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  std::iota(row.begin(), row.end(), 0U);
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    std::size_t diagonal = row[0]++;
-    for (std::size_t j = 0; j < b.size(); ++j) {
-      const std::size_t replaced = diagonal + (a[i] == b[j] ? 0 : 1);
-      diagonal = row[j + 1];
-      row[j + 1] = std::min({replaced, row[j] + 1, row[j + 1] + 1});
-    }
-  }
-  return row.back();
-}
-
 std::string FullName(const SettingInfo& info) {
   return std::string(info.section) + "." + std::string(info.name);
 }
 
-std::string FindNearestName(const std::string& name) {
-  const auto table = SettingTable();
-  const auto nearest =
-      std::min_element(table.begin(), table.end(),
-                       [&name](const SettingInfo& a, const SettingInfo& b) {
-                         return EditDistance(name, FullName(a)) <
-                                EditDistance(name, FullName(b));
-                       });
-  return FullName(*nearest);
+std::vector<std::string> ListFullNames() {
+  std::vector<std::string> names;
+  for (const auto& info : SettingTable()) names.push_back(FullName(info));
+  return names;
 }
 
 const SettingInfo* FindSetting(std::string_view section,
@@ -95,20 +35,13 @@
   return parsed.ec == std::errc() && parsed.ptr == end;
 }
 
-std::vector<std::string> SplitList(const std::string& text) {
-  std::vector<std::string> items;
-  std::istringstream stream(text);
-  for (std::string item; std::getline(stream, item, ',');) {
-    if (!Trim(item).empty()) items.push_back(Trim(item));
-  }
-  return items;
-}
-
 bool IsValid(SettingType type, const std::string& value) {
   LastReason ignored;
   switch (type) {
     case SettingType::kText:
       return !value.empty();
+    case SettingType::kLevel:
+      return kLogLevelNames.Find(value).has_value();
     case SettingType::kEndpoint:
       return ParseEndpoint(value, ignored).has_value();
     case SettingType::kEndpointList: {
@@ -145,29 +78,19 @@
 
 std::optional<Settings> Settings::Create(const std::string& ini,
                                          LastReason& reason) {
-  std::vector<Assignment> assignments;
-  const int bad_line =
-      ini_parse_string(ini.c_str(), CollectAssignment, &assignments);
-  if (bad_line != 0) {
-    reason.Set(ResultCode::kSettingInvalid,
-               "line " + std::to_string(bad_line) + " is not INI.");
-    return std::nullopt;
-  }
+  const auto assignments = ParseIni(ini, reason);
+  if (!assignments) return std::nullopt;
   Settings settings;
   for (const auto& info : SettingTable()) {
     settings.values_[info.key] = std::string(info.default_value);
   }
-  for (const auto& [section, name, value] : assignments) {
-    const SettingInfo* info = FindSetting(section, name);
+  for (const auto& assignment : *assignments) {
+    const SettingInfo* info = FindSetting(assignment.section, assignment.name);
     if (info == nullptr) {
-      const std::string full = section + "." + name;
-      reason.Set(ResultCode::kSettingUnknown,
-                 "line " + std::to_string(FindLine(ini, section, name)) +
-                     ": unknown setting \"" + full + "\"; did you mean \"" +
-                     FindNearestName(full) + "\"?");
+      ExplainUnknownSetting(assignment, ListFullNames(), reason);
       return std::nullopt;
     }
-    settings.values_[info->key] = value;
+    settings.values_[info->key] = assignment.value;
   }
   for (const auto& info : SettingTable()) {
     if (!CheckValue(info, settings.values_[info.key], reason)) {
@@ -179,14 +102,9 @@
 
 std::optional<Settings> Settings::Load(const std::string& path,
                                        LastReason& reason) {
-  std::ifstream file(path);
-  if (!file) {
-    reason.Set(ResultCode::kFileUnreadable, "can't read \"" + path + "\".");
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return Create(text.str(), reason);
+  const auto text = ReadTextFile(path, reason);
+  if (!text) return std::nullopt;
+  return Create(*text, reason);
 }
 
 std::uint64_t Settings::Count(SettingKey key) const {
