--- /dev/null
+++ b/source/bench/bench_daemon.cc
@@ -0,0 +1,211 @@
+#include "bench/bench_daemon.h"
+
+#include <utility>
+
+#include "base/overloaded.h"
+#include "decisions/pool_share.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// One way between a daemon and an upstream or a peer.
+constexpr Duration kLinkDelay = std::chrono::microseconds(500);
+constexpr Duration kAnnounceInterval = std::chrono::milliseconds(200);
+constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+/// Age of a load report when it arrives.
+constexpr Duration kReportLag = std::chrono::milliseconds(250);
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+/// Time to cancel a request and to export its KV cache.
+constexpr Duration kSuspendTime = std::chrono::milliseconds(5);
+constexpr Duration kDeadline = std::chrono::seconds(600);
+constexpr std::uint32_t kMaxAttempts = 4;
+/// Tokens of a typical request.
+constexpr double kTypicalTokens = 50.0;
+/// The daemon's estimate of a length is off by at most this share.
+constexpr double kEstimateError = 0.3;
+
+}  // namespace
+
+BenchDaemon::BenchDaemon(VirtualTime& time, const Pool& pool,
+                         FakeUpstreams& upstreams, BenchPolicy policy,
+                         std::size_t number, std::uint64_t seed)
+    : time_(time),
+      pool_(pool),
+      upstreams_(upstreams),
+      policy_(policy),
+      name_("daemon" + std::to_string(number)),
+      random_(seed * 1000 + number),
+      routing_(MakeRoutingPolicy(policy.routing)) {}
+
+void BenchDaemon::After(Duration delay, std::function<void()> call) {
+  time_.Schedule(delay, [this, call = std::move(call)] {
+    if (alive_) call();
+  });
+}
+
+void BenchDaemon::Start(std::vector<BenchDaemon*> peers) {
+  peers_ = std::move(peers);
+  std::uniform_int_distribution<Duration::rep> phase(0, 200'000);
+  Tick();
+  After(Duration(phase(random_)), [this] { AnnounceLoads(); });
+  After(Duration(phase(random_)), [this] { ReadReports(); });
+}
+
+void BenchDaemon::Tick() {
+  const PoolShare share =
+      CountPoolShare(pool_, book_, peer_loads_, time_.Now());
+  Feed(SlotsChanged{share.slots, share.even});
+  Feed(TimePassed{});
+  After(kTickInterval, [this] { Tick(); });
+}
+
+void BenchDaemon::AnnounceLoads() {
+  for (const auto& upstream : pool_.upstreams) {
+    const LoadRumour rumour{name_, upstream.name,
+                            book_.StateOf(upstream.name).in_flight};
+    for (BenchDaemon* peer : peers_) {
+      time_.Schedule(kLinkDelay, [peer, rumour, this] {
+        if (peer->alive_) peer->peer_loads_.Record(rumour, time_.Now());
+      });
+    }
+  }
+  peer_loads_.Expire(time_.Now());
+  After(kAnnounceInterval, [this] { AnnounceLoads(); });
+}
+
+void BenchDaemon::ReadReports() {
+  for (const auto& [name, upstream] : upstreams_) {
+    After(kReportLag, [this, name = name, load = upstream->in_flight()] {
+      book_.RecordReport(name, load);
+    });
+  }
+  After(kReportInterval, [this] { ReadReports(); });
+}
+
+void BenchDaemon::Offer(const BenchJobPtr& job) {
+  jobs_[job->number] = job;
+  budget_.RecordRequest();
+  if (!policy_.admission) return Dispatch(job);
+  std::uniform_real_distribution<double> error(1.0 - kEstimateError,
+                                               1.0 + kEstimateError);
+  QueuedRequest request;
+  request.ticket = job->number;
+  request.workspace = WorkspaceName(std::to_string(job->workspace));
+  request.weight = job->weight;
+  request.cost = job->tokens * error(random_) / kTypicalTokens;
+  request.latest_start = time_.Now() + kDeadline;
+  Feed(RequestOffered{request, job->size});
+}
+
+void BenchDaemon::Feed(const AdmissionEvent& event) {
+  if (!policy_.admission) return;
+  for (const auto& action : admission_.Handle(event, time_.Now())) {
+    std::visit([this](const auto& known) { Carry(known); }, action);
+  }
+}
+
+void BenchDaemon::Carry(const AdmitRequest& action) {
+  Dispatch(jobs_.at(action.ticket));
+}
+
+void BenchDaemon::Carry(const RefuseRequest& action) {
+  jobs_.at(action.ticket)->refused = time_.Now();
+  jobs_.erase(action.ticket);
+}
+
+void BenchDaemon::Carry(const SuspendRequest& action) {
+  const TicketNumber ticket = action.ticket;
+  After(kLinkDelay, [this, ticket] {
+    const auto place = places_.find(ticket);
+    if (place == places_.end()) return;
+    upstreams_.at(place->second)->Cancel(ticket);
+    book_.RecordEnd(place->second);
+    places_.erase(place);
+    After(kSuspendTime, [this, ticket] { Feed(RequestSuspended{ticket}); });
+  });
+}
+
+void BenchDaemon::Carry(const ResumeRequest& action) {
+  Dispatch(jobs_.at(action.ticket));
+}
+
+void BenchDaemon::Dispatch(const BenchJobPtr& job) {
+  const auto usable = book_.ListUsable(pool_, job->excluded, time_.Now());
+  const auto candidates =
+      BuildCandidates(usable, book_, peer_loads_, time_.Now());
+  const auto daemons =
+      static_cast<std::uint32_t>(peer_loads_.CountDaemons() + 1);
+  const auto choice = ChooseUpstream(
+      routing_, candidates,
+      {.daemons = daemons, .keep_to_share = job->size == WorkSize::kLong},
+      random_);
+  if (!choice || job->attempts >= kMaxAttempts) {
+    job->lost = true;
+    return Finish(job);
+  }
+  Send(job, candidates[*choice].upstream->name);
+}
+
+void BenchDaemon::Send(const BenchJobPtr& job, const UpstreamName& name) {
+  book_.RecordStart(name);
+  places_[job->number] = name;
+  ++sends_;
+  const TimePoint sent = time_.Now();
+  if (!job->sent) job->sent = sent;
+  After(kLinkDelay, [this, job, name, sent] {
+    if (!places_.contains(job->number)) return;
+    upstreams_.at(name)->Run(
+        job,
+        [this, job, sent] {
+          After(kLinkDelay, [this, job, sent] { HandleBegin(job, sent); });
+        },
+        [this, job, name, sent] {
+          After(kLinkDelay,
+                [this, job, name, sent] { HandleEnd(job, name, sent); });
+        },
+        [this, job, name] {
+          After(kLinkDelay, [this, job, name] { HandleBreak(job, name); });
+        });
+  });
+}
+
+void BenchDaemon::HandleBegin(const BenchJobPtr& job, TimePoint sent) {
+  if (!job->first_token) job->first_token = time_.Now();
+  Feed(AnswerBegun{job->number, time_.Now() - sent});
+}
+
+void BenchDaemon::HandleEnd(const BenchJobPtr& job, const UpstreamName& name,
+                            TimePoint sent) {
+  if (places_.erase(job->number) == 0) return;
+  const Duration held = time_.Now() - sent;
+  book_.RecordSuccess(name, held / std::max(1U, job->tokens), time_.Now());
+  job->end = time_.Now();
+  Finish(job);
+}
+
+void BenchDaemon::HandleBreak(const BenchJobPtr& job,
+                              const UpstreamName& name) {
+  if (places_.erase(job->number) == 0) return;
+  book_.RecordFailure(name, time_.Now());
+  job->excluded.insert(name);
+  if (job->first_token) ++job->attempts;
+  const RetryVerdict verdict =
+      budget_.TakeRetry({.idempotent = true, .may_have_run = true});
+  if (verdict == RetryVerdict::kAllowed) return Dispatch(job);
+  job->lost = true;
+  Finish(job);
+}
+
+void BenchDaemon::Finish(const BenchJobPtr& job) {
+  jobs_.erase(job->number);
+  Feed(RequestEnded{job->number});
+}
+
+void BenchDaemon::Kill() {
+  alive_ = false;
+  for (const auto& [ticket, name] : places_)
+    upstreams_.at(name)->Cancel(ticket);
+  for (const auto& [ticket, job] : jobs_) job->lost = true;
+}
+
+}  // namespace wisteriayoke
--- a/source/decisions/admission.cc
+++ b/source/decisions/admission.cc
@@ -23,6 +23,18 @@
   return Duration(static_cast<Duration::rep>(us));
 }
 
+/// Time over which the recent work of a workspace decays to a third.
+constexpr Duration kRecentTime = std::chrono::milliseconds(300);
+/// Part of its recent rate that a workspace is expected to keep.
+constexpr double kRecentShare = 0.7;
+/// Recent work below this is forgotten.
+constexpr double kNegligibleCost = 0.01;
+
+double Decay(double cost, Duration passed) {
+  return cost * std::exp(-std::chrono::duration<double>(passed) /
+                         std::chrono::duration<double>(kRecentTime));
+}
+
 std::size_t ShareOf(std::uint32_t slots, double share) {
   return static_cast<std::size_t>(std::ceil(slots * share));
 }
@@ -43,7 +55,10 @@
                  },
                  [&](const RequestEnded& e) { End(e, now); },
                  [&](const RequestSuspended& e) { Suspend(e, now); },
-                 [&](const SlotsChanged& e) { limit_.SetCeiling(e.slots); },
+                 [&](const SlotsChanged& e) {
+                   limit_.SetCeiling(e.slots);
+                   own_slots_ = e.own_slots;
+                 },
                  [&](const TimePassed&) { Expire(now, actions); },
              },
              event);
@@ -59,7 +74,8 @@
   return slots() < 2 ? 0 : ShareOf(slots(), limits_.free_share);
 }
 
-double Admission::WorkRateOf(const QueuedRequest& request, WorkSize size) {
+double Admission::WorkRateOf(const QueuedRequest& request, WorkSize size,
+                             TimePoint now) {
   const Lane& lane = LaneOf(size);
   const std::size_t kept = std::min(LongShare(), long_.running);
   const double lane_slots =
@@ -70,15 +86,21 @@
   const double weight = std::max(1U, request.weight);
   const double share =
       weight / (weight + lane.queue.SumOtherWeights(request.workspace));
-  return lane_slots * share / lane.us_per_cost;
+  const double guaranteed = lane_slots * share / lane.us_per_cost;
+  const auto found = lane.recent.find(request.workspace);
+  if (found == lane.recent.end()) return guaranteed;
+  const double recent = Decay(found->second.cost, now - found->second.updated) /
+                        static_cast<double>(kRecentTime.count());
+  return std::max(guaranteed, kRecentShare * recent);
 }
 
-Duration Admission::PredictWait(const QueuedRequest& request, WorkSize size) {
+Duration Admission::PredictWait(const QueuedRequest& request, WorkSize size,
+                                TimePoint now) {
   const Lane& lane = LaneOf(size);
   if (lane.us_per_cost <= 0.0) return Duration::zero();
   const double ahead =
       lane.queue.SumCostAhead(request.workspace, request.priority);
-  return Microseconds(ahead / WorkRateOf(request, size));
+  return Microseconds(ahead / WorkRateOf(request, size, now));
 }
 
 RefuseRequest Admission::Refuse(const QueuedRequest& request, WorkSize size,
@@ -86,7 +108,7 @@
   const double us_per_cost = LaneOf(size).us_per_cost;
   const Duration spacing =
       us_per_cost > 0.0 && slots() > 0
-          ? Microseconds(request.cost / WorkRateOf(request, size))
+          ? Microseconds(request.cost / WorkRateOf(request, size, now))
           : Duration::zero();
   TimePoint& next = next_return_[request.workspace];
   const TimePoint latest = now + kLongestRetryAfter;
@@ -103,7 +125,7 @@
     actions.emplace_back(Refuse(request, event.size, code, wait, now));
   };
   if (slots() == 0) return refuse(ResultCode::kNoUpstream, {});
-  const Duration wait = PredictWait(request, event.size);
+  const Duration wait = PredictWait(request, event.size, now);
   const Duration allowed = request.latest_start - now;
   if (waiting() >= limits_.max_waiting) {
     return refuse(ResultCode::kOverloaded, wait);
@@ -158,9 +180,14 @@
 
 void Admission::Expire(TimePoint now, Actions& actions) {
   for (const WorkSize size : {WorkSize::kShort, WorkSize::kLong}) {
-    for (const auto& request : LaneOf(size).queue.TakeExpired(now)) {
+    Lane& lane = LaneOf(size);
+    std::erase_if(lane.recent, [now](const auto& entry) {
+      return Decay(entry.second.cost, now - entry.second.updated) <
+             kNegligibleCost;
+    });
+    for (const auto& request : lane.queue.TakeExpired(now)) {
       actions.emplace_back(Refuse(request, size, ResultCode::kDeadlineTooShort,
-                                  PredictWait(request, size), now));
+                                  PredictWait(request, size, now), now));
     }
   }
   std::erase_if(next_return_,
@@ -172,7 +199,8 @@
   const bool long_waits = !long_.queue.empty();
   if (long_waits && long_.running < LongShare()) return WorkSize::kLong;
   if (!short_.queue.empty()) return WorkSize::kShort;
-  if (long_waits && running_.size() + FreeShare() < slots()) {
+  if (long_waits &&
+      running_.size() + FreeShare() < std::min(slots(), own_slots_)) {
     return WorkSize::kLong;
   }
   return std::nullopt;
@@ -198,6 +226,9 @@
   } else {
     actions.emplace_back(AdmitRequest{ticket});
   }
+  RecentWork& recent = lane.recent[running.request.workspace];
+  recent = {Decay(recent.cost, now - recent.updated) + running.request.cost,
+            now};
   ++lane.running;
   running_.emplace(ticket, std::move(running));
 }
--- a/source/decisions/admission.h
+++ b/source/decisions/admission.h
@@ -49,6 +49,8 @@
 /// The slots that this daemon may use have changed.
 struct SlotsChanged {
   std::uint32_t slots = 0;
+  /// Those of them that weren't borrowed from other daemons.
+  std::uint32_t own_slots = slots;
 };
 
 /// Some time has passed; deadlines may have.
@@ -120,9 +122,16 @@
  private:
   using Actions = std::vector<AdmissionAction>;
 
+  /// Work that one workspace was lately given, as a decaying sum.
+  struct RecentWork {
+    double cost = 0.0;
+    TimePoint updated;
+  };
+
   /// The queue of one size of work.
   struct Lane {
     FairQueue queue;
+    std::map<WorkspaceName, RecentWork> recent;
     std::size_t running = 0;
     double us_per_cost = 0.0;  ///< Slot time for one unit; 0 while unknown.
   };
@@ -156,8 +165,9 @@
 
   std::size_t LongShare() const;
   std::size_t FreeShare() const;
-  double WorkRateOf(const QueuedRequest& request, WorkSize size);
-  Duration PredictWait(const QueuedRequest& request, WorkSize size);
+  double WorkRateOf(const QueuedRequest& request, WorkSize size, TimePoint now);
+  Duration PredictWait(const QueuedRequest& request, WorkSize size,
+                       TimePoint now);
   RefuseRequest Refuse(const QueuedRequest& request, WorkSize size,
                        ResultCode code, Duration wait, TimePoint now);
 
@@ -165,6 +175,7 @@
   ConcurrencyLimit limit_;
   Lane short_;
   Lane long_;
+  std::uint32_t own_slots_ = 0;
   std::size_t suspending_ = 0;
   std::unordered_map<TicketNumber, RunningRequest> running_;
   std::unordered_map<TicketNumber, SuspendedRequest> suspended_;
--- /dev/null
+++ b/source/decisions/pool_share.cc
@@ -0,0 +1,60 @@
+#include "decisions/pool_share.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace wisteriayoke {
+namespace {
+
+/// Part of the other daemons' shares that isn't borrowed, so that their next
+/// requests find a slot before the counts are told again.
+constexpr double kUnborrowedShare = 0.1;
+
+/// Slots of the usable upstreams that hold one layer, and their use.
+struct LayerUse {
+  std::uint32_t slots = 0;
+  std::uint32_t others = 0;  ///< In flight, of other daemons.
+};
+
+PoolShare ShareOf(const LayerUse& use, std::size_t daemons) {
+  const auto even =
+      static_cast<std::uint32_t>((use.slots + daemons - 1) / daemons);
+  const auto kept = static_cast<std::uint32_t>(
+      std::ceil(kUnborrowedShare * even * static_cast<double>(daemons - 1)));
+  const std::uint32_t taken = use.others + kept;
+  const std::uint32_t free = use.slots > taken ? use.slots - taken : 0;
+  return {std::max(even, free), even};
+}
+
+bool Holds(const Pool& pool, const UpstreamSpec& upstream,
+           std::uint32_t layer) {
+  if (pool.kind == RouteKind::kService) return true;
+  return upstream.layers.first <= layer && layer < upstream.layers.end;
+}
+
+}  // namespace
+
+PoolShare CountPoolShare(const Pool& pool, const UpstreamBook& book,
+                         const PeerLoads& peer_loads, TimePoint now) {
+  std::set<std::uint32_t> layers{0};
+  for (const auto& upstream : pool.upstreams) {
+    layers.insert(upstream.layers.first);
+  }
+  const auto usable = book.ListUsable(pool, {}, now);
+  const std::size_t daemons = peer_loads.CountDaemons() + 1;
+  std::optional<PoolShare> least;
+  for (const std::uint32_t layer : layers) {
+    LayerUse use;
+    for (const auto* upstream : usable) {
+      if (!Holds(pool, *upstream, layer)) continue;
+      use.slots += book.CountSlots(*upstream, now);
+      use.others += peer_loads.InFlightOf(upstream->name, now);
+    }
+    const PoolShare share = ShareOf(use, daemons);
+    if (!least || share.slots < least->slots) least = share;
+  }
+  return least.value_or(PoolShare{});
+}
+
+}  // namespace wisteriayoke
--- a/source/decisions/routing.cc
+++ b/source/decisions/routing.cc
@@ -48,8 +48,10 @@
 
 /// Returns the candidates of the best class that isn't empty: a free slot in
 /// the daemon's own share, any free slot, the own share, all.
-Indices SelectOpen(const Candidates& candidates, std::uint32_t daemons) {
-  const auto in_share = [daemons](const RoutingCandidate& candidate) {
+Indices SelectOpen(const Candidates& candidates,
+                   const RoutingRequest& request) {
+  const auto in_share = [daemons = request.daemons](
+                            const RoutingCandidate& candidate) {
     return candidate.own_in_flight * std::max(1U, daemons) < candidate.slots;
   };
   const auto is_free = [](const RoutingCandidate& candidate) {
@@ -58,6 +60,9 @@
   Indices open = Select(candidates, [&](const RoutingCandidate& candidate) {
     return in_share(candidate) && is_free(candidate);
   });
+  if (open.empty() && request.keep_to_share) {
+    open = Select(candidates, in_share);
+  }
   if (open.empty()) open = Select(candidates, is_free);
   if (open.empty()) open = Select(candidates, in_share);
   if (open.empty()) open = Select(candidates, [](const auto&) { return true; });
@@ -149,7 +154,7 @@
           [&](RoundRobin& turn) { return turn.next++ % candidates.size(); },
           [&](const LeastReported&) { return ChooseLeastReported(candidates); },
           [&](const TwoChoices&) {
-            const Indices open = SelectOpen(candidates, request.daemons);
+            const Indices open = SelectOpen(candidates, request);
             if (request.prefix_hash) {
               return ChooseByPrefix(candidates, open, *request.prefix_hash);
             }
--- a/source/decisions/routing.h
+++ b/source/decisions/routing.h
@@ -29,6 +29,9 @@
   std::optional<std::uint64_t> prefix_hash;
   /// Live daemons that share the upstreams.
   std::uint32_t daemons = 1;
+  /// Whether to stay in the daemon's own share of an upstream's slots, for
+  /// work that holds its slot for long.
+  bool keep_to_share = false;
 };
 
 /// Lists `usable` with the load and speed that `book` knows. An upstream
