admission: carry admission, routing and retry budgets in the daemon

Cause: each request's session started at once, whatever the load.

The front end offers each request to the AdmissionGate, which starts its session with a ticket, queues it or refuses it with a worked out Retry-After. Long answers are suspended while short work waits and resume at the next token with their KV cache. Sessions ask the pool's retry budget before they send again; services are chosen by the routing policy. A refused resend of a key that may have run before is answered as unknown, not as not run.

--- a/source/decisions/model_request.cc
+++ b/source/decisions/model_request.cc
@@ -37,13 +37,15 @@
   return std::visit(
       Overloaded{
           [this](const ModelAdmitted&) { return Actions{AskForChain()}; },
+          [this](const ModelSuspended&) { return Suspend(); },
+          [this](const ModelResumed&) { return Resume(); },
           [this](const ChainChosen& chosen) { return HandleChain(chosen); },
           [this](const ChainUnavailable&) { return HandleUnavailable(); },
           [](const ChainReserved&) {
             return Actions{WaitForChain{kChainWait}};
           },
           [this](const ChainWaitOver&) {
-            return running_ ? Actions{} : Actions{AskForChain()};
+            return running_ || suspended_ ? Actions{} : Actions{AskForChain()};
           },
           [this](const RequestRefused& refused) {
             return Fail(refused.code, refused.message);
@@ -65,6 +67,24 @@
       event);
 }
 
+/// Stops the attempt; the engines keep the KV cache for a later one.
+ModelRequest::Actions ModelRequest::Suspend() {
+  if (suspended_) return {};
+  suspended_ = true;
+  if (!running_) return {};
+  running_ = false;
+  may_have_run_ = true;
+  ++suspensions_;
+  KeepHolders({});
+  return {CancelAttempt{attempt_, {}, ResultCode::kOk, false}};
+}
+
+ModelRequest::Actions ModelRequest::Resume() {
+  if (!suspended_) return {};
+  suspended_ = false;
+  return {AskForChain()};
+}
+
 RequestChain ModelRequest::AskForChain() const {
   RequestChain request{.excluded = excluded_, .warm = {}};
   for (const auto& [name, stage] : holders_) request.warm.insert(name);
@@ -72,7 +92,7 @@
 }
 
 ModelRequest::Actions ModelRequest::HandleChain(const ChainChosen& event) {
-  if (running_) return {};
+  if (running_ || suspended_) return {};
   running_ = true;
   waits_ = 0;
   ++attempt_;
@@ -83,7 +103,7 @@
 }
 
 ModelRequest::Actions ModelRequest::HandleUnavailable() {
-  if (running_) return {};
+  if (running_ || suspended_) return {};
   if (waits_ >= kMaxChainWaits) {
     return Fail(CodeOfFailure(), "no usable engines cover the model's layers");
   }
@@ -192,7 +212,7 @@
   ++fruitless_attempts_;
   may_have_run_ = may_have_run_ || MayHaveRun(code);
   if (fruitless_attempts_ >= kMaxFruitlessAttempts ||
-      attempt_ >= kMaxAttempts) {
+      attempt_ >= kMaxAttempts + suspensions_) {
     running_ = false;
     Actions actions{CancelAttempt{attempt_, culprit, code, true}};
     actions.push_back(
--- a/source/decisions/model_request.h
+++ b/source/decisions/model_request.h
@@ -74,10 +74,17 @@
 /// The request's deadline passed.
 struct DeadlinePassed {};
 
+/// Its slot is needed by other work.
+struct ModelSuspended {};
+
+/// It has a slot again after `ModelSuspended`.
+struct ModelResumed {};
+
 using ModelRequestEvent =
-    std::variant<ModelAdmitted, ChainChosen, ChainUnavailable, ChainReserved,
-                 ChainWaitOver, RequestRefused, TokenArrived, StreamEnded,
-                 AttemptBroke, AttemptPreempted, CallerLeft, DeadlinePassed>;
+    std::variant<ModelSuspended, ModelResumed, ModelAdmitted, ChainChosen,
+                 ChainUnavailable, ChainReserved, ChainWaitOver, RequestRefused,
+                 TokenArrived, StreamEnded, AttemptBroke, AttemptPreempted,
+                 CallerLeft, DeadlinePassed>;
 
 /// Choose a chain that avoids `excluded` and prefers `warm` engines, which hold
 /// the request's KV cache.
@@ -161,6 +168,8 @@
  private:
   using Actions = std::vector<ModelRequestAction>;
 
+  Actions Suspend();
+  Actions Resume();
   Actions HandleChain(const ChainChosen& event);
   Actions HandleUnavailable();
   Actions HandleToken(const TokenArrived& event);
@@ -182,7 +191,9 @@
   ModelRequestSpec spec_;
   AttemptNumber attempt_ = 0;
   AttemptNumber fruitless_attempts_ = 0;
+  AttemptNumber suspensions_ = 0;
   std::uint32_t waits_ = 0;
+  bool suspended_ = false;
   bool running_ = false;
   bool finished_ = false;
   bool may_have_run_ = false;
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -2,11 +2,14 @@
 #define WISTERIAYOKE_SUPERVISOR_CONTEXT_DAEMON_CONTEXT_H_
 
 #include <cstdint>
+#include <memory>
+#include <random>
 #include <string>
 
 #include "decisions/chain_speeds.h"
 #include "decisions/peer_loads.h"
 #include "decisions/quarantine.h"
+#include "decisions/routing.h"
 #include "decisions/table_set.h"
 #include "decisions/upstream_book.h"
 #include "runtime/event_loop.h"
@@ -16,6 +19,8 @@
 
 namespace wisteriayoke {
 
+class AdmissionGate;
+
 /// State that outlives the restart of any child. The root owns it and hands it
 /// to the children that it makes.
 struct DaemonState {
@@ -27,7 +32,11 @@
   RumourExchange rumours;  ///< What daemons tell one another.
   ChainSpeeds speeds;
   Quarantine quarantine;
+  RoutingPolicy routing = TwoChoices{};
+  std::mt19937_64 random{std::random_device{}()};  ///< For the routing.
   Timeline timeline;
+  /// Set by the first front end; holds the queues of all pools.
+  std::shared_ptr<AdmissionGate> admission;
   bool draining = false;
   std::uint64_t requests_started = 0;
   std::uint64_t requests_cut =
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -24,6 +24,8 @@
   kMaxConnections,
   kMaxHeaderBytes,
   kMaxBodyBytes,
+  kMaxQueueWait,
+  kMaxQueued,
   kRequestTimeout,
   kIdleTimeout,
   kWriteTimeout,
--- /dev/null
+++ b/source/supervisor/front/admission_ticket.cc
@@ -0,0 +1,39 @@
+#include "supervisor/front/admission_ticket.h"
+
+#include <utility>
+
+#include "supervisor/front/admission_gate.h"
+
+namespace wisteriayoke {
+
+AdmissionTicket::AdmissionTicket(std::shared_ptr<AdmissionGate> gate,
+                                 PoolName pool, TicketNumber number,
+                                 TimePoint start)
+    : gate_(std::move(gate)),
+      pool_(std::move(pool)),
+      number_(number),
+      start_(start) {}
+
+AdmissionTicket::~AdmissionTicket() { gate_->End(pool_, number_); }
+
+void AdmissionTicket::RecordBegin() {
+  if (begun_) return;
+  begun_ = true;
+  gate_->Begin(pool_, number_, start_);
+}
+
+RetryVerdict AdmissionTicket::TakeRetry(const RetryQuestion& question) {
+  return gate_->TakeRetry(pool_, question);
+}
+
+void AdmissionTicket::Suspend() {
+  if (!on_suspend_) return;
+  on_suspend_();
+  gate_->ConfirmSuspended(pool_, number_);
+}
+
+void AdmissionTicket::Resume() {
+  if (on_resume_) on_resume_();
+}
+
+}  // namespace wisteriayoke
--- a/source/supervisor/front/caller_answer.cc
+++ b/source/supervisor/front/caller_answer.cc
@@ -7,7 +7,7 @@
 
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
-constexpr auto kRetryAfterSeconds = "1";
+constexpr int kStatusGatewayTimeout = 504;
 
 }  // namespace
 
@@ -22,13 +22,16 @@
 }
 
 HttpResponse BuildErrorAnswer(const RequestId& request, ResultCode code,
-                              std::string_view message) {
+                              std::string_view message, Duration retry_after) {
   HttpResponse response;
   response.head.status = DescribeResultCode(code).http_status;
   AddOutcomeFields(request, code, response.head.fields);
   if (response.head.status == kStatusTooManyRequests ||
-      response.head.status == kStatusUnavailable) {
-    response.head.fields.push_back({"Retry-After", kRetryAfterSeconds});
+      response.head.status == kStatusUnavailable ||
+      response.head.status == kStatusGatewayTimeout) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
+    response.head.fields.push_back(
+        {"Retry-After", std::to_string(seconds.count())});
   }
   response.head.fields.push_back({"Content-Type", "application/json"});
   response.body = EncodeErrorBody(code, message);
--- a/source/supervisor/front/caller_answer.h
+++ b/source/supervisor/front/caller_answer.h
@@ -6,6 +6,7 @@
 
 #include "base/ids.h"
 #include "base/result_code.h"
+#include "base/time_types.h"
 #include "wire/http_message.h"
 
 namespace wisteriayoke {
@@ -14,9 +15,13 @@
 void AddOutcomeFields(const RequestId& request, ResultCode code,
                       HttpFields& fields);
 
+/// What a caller is told to wait where no delay was worked out.
+inline constexpr Duration kUsualRetryAfter = std::chrono::seconds(1);
+
 /// Returns the whole error answer for `code`.
 HttpResponse BuildErrorAnswer(const RequestId& request, ResultCode code,
-                              std::string_view message);
+                              std::string_view message,
+                              Duration retry_after = kUsualRetryAfter);
 
 }  // namespace wisteriayoke
 
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -35,6 +35,26 @@
       std::string(text) + "\n"};
 }
 
+/// Tells whether an earlier send of the request may have run, as far as can be
+/// known without the ledger.
+bool MayHaveRunBefore(const Route& route, const HttpRequest& request) {
+  return !route.idempotent &&
+         !FindField(request.fields, "Idempotency-Key").empty() &&
+         FindField(request.fields, "Wisteriayoke-Send") != "1";
+}
+
+HttpResponse BuildRefusal(const RequestId& id, const RefuseRequest& refusal,
+                          bool may_have_run) {
+  if (!may_have_run) {
+    return BuildErrorAnswer(id, refusal.code, "the pool's queue is full",
+                            refusal.retry_after);
+  }
+  return BuildErrorAnswer(id, ResultCode::kOutcomeUnknown,
+                          "this send was not run, but an earlier send of the "
+                          "key may have been; resend it later",
+                          refusal.retry_after);
+}
+
 }  // namespace
 
 FrontEnd::FrontEnd(DaemonContext context, PlatformFinder platform,
@@ -44,6 +64,9 @@
       on_failure_(std::move(on_failure)) {}
 
 bool FrontEnd::Start(LastReason& reason) {
+  if (!context_.state.admission) {
+    context_.state.admission = std::make_shared<AdmissionGate>(context_);
+  }
   server_ = HttpServer::Create(
       context_.loop, context_.settings.EndpointOf(SettingKey::kFrontAddress),
       LimitsOf(context_.settings),
@@ -137,7 +160,8 @@
   }
   const WorkspaceName workspace(
       std::string(FindField(request.fields, kWorkspaceField)));
-  if (state.tables->FindWorkspace(workspace) == nullptr) {
+  const Workspace* known = state.tables->FindWorkspace(workspace);
+  if (known == nullptr) {
     return refuse(ResultCode::kUnknownWorkspace,
                   "no workspace \"" + workspace.text() + "\"");
   }
@@ -146,40 +170,72 @@
     return refuse(ResultCode::kUnknownRoute,
                   "no route matches " + request.target);
   }
+  RoutedRequest routed{state.tables,       *known, *route, id,
+                       std::move(request), caller};
   if (route->kind == RouteKind::kModel) {
-    return StartModelSession(*route, request, id, caller);
+    return StartModelSession(std::move(routed));
   }
-  StartServiceSession(*route, std::move(request), id, caller);
+  StartServiceSession(std::move(routed));
 }
 
-void FrontEnd::StartServiceSession(const Route& route, HttpRequest request,
-                                   const RequestId& id,
-                                   const CallerPtr& caller) {
-  const WorkspaceName workspace(
-      std::string(FindField(request.fields, kWorkspaceField)));
-  const auto session =
-      ServiceSession::Create(context_, platform_,
-                             {context_.state.tables, route, workspace, id,
-                              std::move(request), caller});
-  if (session) session->Start();
+void FrontEnd::Admit(const RoutedRequest& routed, std::uint32_t max_tokens,
+                     std::function<void(AdmissionTicketPtr)> start) {
+  Applicant applicant;
+  applicant.pool = routed.route.pool;
+  applicant.request.workspace = routed.workspace.name;
+  applicant.request.weight = routed.workspace.weight;
+  applicant.request.priority = routed.route.priority;
+  applicant.request.latest_start = context_.loop.Now() + routed.route.deadline;
+  applicant.max_tokens = max_tokens;
+  applicant.start = std::move(start);
+  const bool may_have_run = MayHaveRunBefore(routed.route, routed.request);
+  applicant.refuse = [id = routed.id, caller = routed.caller,
+                      may_have_run](const RefuseRequest& refusal) {
+    caller->Respond(BuildRefusal(id, refusal, may_have_run));
+  };
+  const auto gate = context_.state.admission;
+  const TicketNumber ticket = gate->Offer(std::move(applicant));
+  if (!gate->IsWaiting(routed.route.pool, ticket)) return;
+  routed.caller->set_on_closed([gate, pool = routed.route.pool, ticket] {
+    gate->Withdraw(pool, ticket);
+  });
+}
+
+void FrontEnd::StartServiceSession(RoutedRequest routed) {
+  auto shared = std::make_shared<RoutedRequest>(std::move(routed));
+  Admit(
+      *shared, 0,
+      [context = context_, platform = platform_,
+       shared](AdmissionTicketPtr ticket) {
+        const auto session = ServiceSession::Create(
+            context, platform,
+            {shared->tables, shared->route, shared->workspace.name, shared->id,
+             std::move(shared->request), shared->caller, std::move(ticket)});
+        if (session) session->Start();
+      });
 }
 
-void FrontEnd::StartModelSession(const Route& route, const HttpRequest& request,
-                                 const RequestId& id, const CallerPtr& caller) {
-  const bool chat = PathOf(request.target).ends_with("/chat/completions");
+void FrontEnd::StartModelSession(RoutedRequest routed) {
+  const bool chat =
+      PathOf(routed.request.target).ends_with("/chat/completions");
   LastReason reason;
-  auto completion = ParseCompletion(request.body, chat, reason);
+  auto completion = ParseCompletion(routed.request.body, chat, reason);
   if (!completion) {
-    return caller->Respond(
-        BuildErrorAnswer(id, reason.code(), reason.message()));
+    return routed.caller->Respond(
+        BuildErrorAnswer(routed.id, reason.code(), reason.message()));
   }
-  const std::string workspace(FindField(request.fields, kWorkspaceField));
   std::string fingerprint =
-      ComputeDigest(workspace + "\n" + route.name.text() + "\n" + request.body);
-  std::make_shared<ModelSession>(context_, context_.state.tables, route, id,
-                                 std::move(fingerprint), std::move(*completion),
-                                 caller)
-      ->Start();
+      ComputeDigest(routed.workspace.name.text() + "\n" +
+                    routed.route.name.text() + "\n" + routed.request.body);
+  const std::uint32_t max_tokens = completion->max_tokens;
+  Admit(routed, max_tokens,
+        [context = context_, routed, fingerprint = std::move(fingerprint),
+         completion = std::move(*completion)](AdmissionTicketPtr ticket) {
+          std::make_shared<ModelSession>(context, routed.tables, routed.route,
+                                         routed.id, fingerprint, completion,
+                                         routed.caller, std::move(ticket))
+              ->Start();
+        });
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/front/front_end.h
+++ b/source/supervisor/front/front_end.h
@@ -7,6 +7,7 @@
 #include "runtime/http_server.h"
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/front/admission_gate.h"
 #include "supervisor/platform/platform_client.h"
 
 namespace wisteriayoke {
@@ -29,13 +30,24 @@
  private:
   using CallerPtr = std::shared_ptr<HttpServerSession>;
 
+  /// A request whose workspace and route are known.
+  struct RoutedRequest {
+    TableSetPtr tables;  ///< Owns `workspace` and `route`.
+    const Workspace& workspace;
+    const Route& route;
+    RequestId id;
+    HttpRequest request;
+    CallerPtr caller;
+  };
+
   void Handle(HttpRequest request, const CallerPtr& caller);
   bool HandleProbe(std::string_view path, const CallerPtr& caller);
   void RouteRequest(HttpRequest request, const CallerPtr& caller);
-  void StartModelSession(const Route& route, const HttpRequest& request,
-                         const RequestId& id, const CallerPtr& caller);
-  void StartServiceSession(const Route& route, HttpRequest request,
-                           const RequestId& id, const CallerPtr& caller);
+  void StartModelSession(RoutedRequest routed);
+  void StartServiceSession(RoutedRequest routed);
+  /// Calls `start` once the request has a slot, or refuses it.
+  void Admit(const RoutedRequest& routed, std::uint32_t max_tokens,
+             std::function<void(AdmissionTicketPtr)> start);
   void WaitForClaims(std::function<void()> done);
   RequestId NextRequestId();
   void FollowSuspects();
--- a/source/supervisor/front/model_session.cc
+++ b/source/supervisor/front/model_session.cc
@@ -18,6 +18,8 @@
 constexpr Duration kCancelTimeout = std::chrono::milliseconds(500);
 /// Longest line that an engine may send.
 constexpr std::size_t kMaxLineBytes = 64 * 1024;
+/// Longest prompt whose time to the first token is compared with others'.
+constexpr std::size_t kComparablePromptBytes = 1024;
 constexpr int kStatusOk = 200;
 
 /// Tells whose fault an engine's refusal is.
@@ -40,7 +42,8 @@
 ModelSession::ModelSession(DaemonContext context, TableSetPtr tables,
                            const Route& route, RequestId id,
                            std::string fingerprint, CompletionRequest request,
-                           std::shared_ptr<HttpServerSession> caller)
+                           std::shared_ptr<HttpServerSession> caller,
+                           AdmissionTicketPtr ticket)
     : context_(context),
       tables_(std::move(tables)),
       route_(route),
@@ -48,6 +51,7 @@
       id_(std::move(id)),
       request_(std::move(request)),
       caller_(std::move(caller)),
+      ticket_(std::move(ticket)),
       decider_({pool_.layer_count, request_.max_tokens}),
       guard_(context, std::move(fingerprint), id_) {}
 
@@ -65,6 +69,16 @@
   deadline_ = context_.loop.Now() + route_.deadline;
   deadline_timer_ = context_.loop.Schedule(route_.deadline,
                                            [this] { Feed(DeadlinePassed{}); });
+  const auto feed_if_alive =
+      [weak = weak_from_this()](const ModelRequestEvent& event) {
+        if (const auto self = weak.lock()) self->Feed(event);
+      };
+  ticket_->set_on_suspend([this, feed_if_alive] {
+    context_.state.timeline.Record(LogLevel::kInfo, EventKind::kSuspended,
+                                   ResultCode::kOk, {{"request", id_.text()}});
+    feed_if_alive(ModelSuspended{});
+  });
+  ticket_->set_on_resume([feed_if_alive] { feed_if_alive(ModelResumed{}); });
   Feed(ModelAdmitted{});
 }
 
@@ -86,6 +100,7 @@
 }
 
 void ModelSession::ChooseAndFeedChain(const RequestChain& request) {
+  if (!MayStartAttempt()) return Feed(ChainUnavailable{});
   TrialDecision decision = guard_.Advance(
       [this, &request](const std::set<UpstreamName>& avoided, bool idle_only) {
         return Choose(request, avoided, idle_only);
@@ -123,6 +138,16 @@
                      {state.upstreams, state.speeds, request.warm});
 }
 
+/// Asks the retry budget for each attempt that follows a failure; while it is
+/// spent the request waits as it does for engines.
+bool ModelSession::MayStartAttempt() {
+  if (!retry_needed_ || !ticket_) return true;
+  const RetryQuestion question{.idempotent = true, .may_have_run = true};
+  if (ticket_->TakeRetry(question) != RetryVerdict::kAllowed) return false;
+  retry_needed_ = false;
+  return true;
+}
+
 void ModelSession::WaitForChainAgain(const WaitForChain& action) {
   wait_timer_ = context_.loop.Schedule(
       action.delay,
@@ -286,6 +311,7 @@
   ReleaseChain(action.culprit, action.code);
   if (action.final) DropKv();
   if (!action.final && action.code != ResultCode::kOk) {
+    retry_needed_ = true;
     context_.state.timeline.Record(LogLevel::kWarning, EventKind::kAttemptBroke,
                                    action.code,
                                    {{"request", id_.text()},
@@ -317,6 +343,9 @@
 }
 
 void ModelSession::SendToken(const DeliverToken& action) {
+  if (ticket_ && request_.prompt.size() <= kComparablePromptBytes) {
+    ticket_->RecordBegin();
+  }
   text_ += action.text;
   if (!request_.stream) return;
   StartStreamOnce();
@@ -332,6 +361,7 @@
 }
 
 void ModelSession::Complete(const CompleteAnswer& action) {
+  ticket_.reset();
   deadline_timer_.reset();
   wait_timer_.reset();
   guard_.HandleAnswered();
@@ -361,6 +391,7 @@
 }
 
 void ModelSession::Fail(const FailAnswer& action) {
+  ticket_.reset();
   deadline_timer_.reset();
   wait_timer_.reset();
   guard_.End();
--- a/source/supervisor/front/model_session.h
+++ b/source/supervisor/front/model_session.h
@@ -12,6 +12,7 @@
 #include "runtime/http_client_call.h"
 #include "runtime/http_server_session.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/front/admission_ticket.h"
 #include "supervisor/front/suspect_guard.h"
 #include "wire/completion_codec.h"
 #include "wire/engine_codec.h"
@@ -27,7 +28,8 @@
   /// same content have the same `fingerprint`.
   ModelSession(DaemonContext context, TableSetPtr tables, const Route& route,
                RequestId id, std::string fingerprint, CompletionRequest request,
-               std::shared_ptr<HttpServerSession> caller);
+               std::shared_ptr<HttpServerSession> caller,
+               AdmissionTicketPtr ticket);
 
   void Start();
 
@@ -38,6 +40,7 @@
                               const std::set<UpstreamName>& avoided,
                               bool idle_only) const;
   void StartCall(const StartAttempt& action);
+  bool MayStartAttempt();
   void WaitForChainAgain(const WaitForChain& action);
   void CancelCall(const CancelAttempt& action);
   void DropKv();
@@ -66,6 +69,7 @@
   RequestId id_;
   CompletionRequest request_;
   std::shared_ptr<HttpServerSession> caller_;
+  AdmissionTicketPtr ticket_;  ///< Null once the session has ended.
   ModelRequest decider_;
   SuspectGuard guard_;
   bool attempt_delivered_ = false;
@@ -78,6 +82,7 @@
   std::string line_buffer_;
   std::string text_;
   bool stream_started_ = false;
+  bool retry_needed_ = false;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/front/service_session.cc
+++ b/source/supervisor/front/service_session.cc
@@ -160,17 +160,42 @@
 
 void ServiceSession::ChooseAndFeedUpstream(
     const std::set<UpstreamName>& excluded) {
-  const UpstreamBook& book = context_.state.upstreams;
-  const UpstreamSpec* best = nullptr;
-  for (const auto* upstream :
-       book.ListUsable(pool_, excluded, context_.loop.Now())) {
-    if (best == nullptr || book.StateOf(upstream->name).in_flight <
-                               book.StateOf(best->name).in_flight) {
-      best = upstream;
-    }
-  }
-  if (best == nullptr) return Feed(UpstreamUnavailable{});
-  Feed(UpstreamChosen{best->name});
+  if (!excluded.empty() && !MayRetry()) return Feed(UpstreamUnavailable{});
+  DaemonState& state = context_.state;
+  const auto candidates = ListCandidates(excluded);
+  const auto daemons =
+      static_cast<std::uint32_t>(state.peer_loads.CountDaemons() + 1);
+  const auto choice = ChooseUpstream(state.routing, candidates,
+                                     {.daemons = daemons}, state.random);
+  if (!choice) return Feed(UpstreamUnavailable{});
+  Feed(UpstreamChosen{candidates[*choice].upstream->name});
+}
+
+/// Lists the upstreams that may get the call. One that is only being probed
+/// gets no call that must not be repeated, unless there is no other.
+std::vector<RoutingCandidate> ServiceSession::ListCandidates(
+    const std::set<UpstreamName>& excluded) const {
+  const DaemonState& state = context_.state;
+  const TimePoint now = context_.loop.Now();
+  auto candidates =
+      BuildCandidates(state.upstreams.ListUsable(pool_, excluded, now),
+                      state.upstreams, state.peer_loads, now);
+  if (input_.route.idempotent) return candidates;
+  auto healthy = candidates;
+  std::erase_if(healthy, [&](const RoutingCandidate& candidate) {
+    return state.upstreams.HealthOf(candidate.upstream->name, now) !=
+           UpstreamHealth::kHealthy;
+  });
+  return healthy.empty() ? candidates : healthy;
+}
+
+/// Asks the retry budget. The decider sends again only what was not sent or is
+/// idempotent.
+bool ServiceSession::MayRetry() {
+  const RetryQuestion question{.idempotent = input_.route.idempotent,
+                               .may_have_run = input_.route.idempotent};
+  return !input_.ticket ||
+         input_.ticket->TakeRetry(question) == RetryVerdict::kAllowed;
 }
 
 const UpstreamSpec* ServiceSession::FindUpstream(
@@ -183,6 +208,7 @@
 
 void ServiceSession::StartCall(const SendCall& action) {
   context_.state.upstreams.RecordStart(action.upstream);
+  call_start_ = context_.loop.Now();
   HttpRequest request{.method = input_.request.method,
                       .target = input_.request.target,
                       .fields = {{"Wisteriayoke-Request", input_.id.text()}},
@@ -205,12 +231,14 @@
     book.RecordFailure(call.upstream, context_.loop.Now());
     return Feed(CallBroke{call.attempt, result.sent, result.code});
   }
-  book.RecordSuccess(call.upstream);
+  const TimePoint now = context_.loop.Now();
+  book.RecordSuccess(call.upstream, now - call_start_, now);
   answer_ = std::move(result.response);
   Feed(CallAnswered{call.attempt, ledger_ ? EncodeKeptAnswer(answer_) : ""});
 }
 
 void ServiceSession::ReturnToCaller(const HttpResponse& answer, bool replayed) {
+  input_.ticket.reset();
   HttpResponse response;
   response.head.status = answer.head.status;
   AddOutcomeFields(input_.id, ResultCode::kOk, response.head.fields);
@@ -233,6 +261,7 @@
 }
 
 void ServiceSession::Fail(const FailCall& action) {
+  input_.ticket.reset();
   context_.state.timeline.Record(
       LogLevel::kWarning, EventKind::kRequestFailed, action.code,
       {{"request", input_.id.text()}, {"reason", action.message}});
--- a/source/supervisor/front/service_session.h
+++ b/source/supervisor/front/service_session.h
@@ -5,11 +5,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "decisions/service_request.h"
 #include "runtime/http_client_call.h"
 #include "runtime/http_server_session.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/front/admission_ticket.h"
 #include "supervisor/front/ledger_store.h"
 
 namespace wisteriayoke {
@@ -28,6 +30,7 @@
     RequestId id;
     HttpRequest request;
     std::shared_ptr<HttpServerSession> caller;
+    AdmissionTicketPtr ticket;
   };
 
   /// Makes a session, or answers the caller and returns null if the request's
@@ -48,6 +51,9 @@
   void Feed(const ServiceRequestEvent& event);
   void Carry(const ServiceRequestAction& action);
   void ChooseAndFeedUpstream(const std::set<UpstreamName>& excluded);
+  std::vector<RoutingCandidate> ListCandidates(
+      const std::set<UpstreamName>& excluded) const;
+  bool MayRetry();
   void StartCall(const SendCall& action);
   void HandleResult(const SendCall& call, FetchResult result);
   void ReturnToCaller(const HttpResponse& answer, bool replayed);
@@ -63,6 +69,7 @@
   ServiceRequest decider_;
   std::optional<LedgerStore> ledger_;
   TimePoint deadline_;
+  TimePoint call_start_;
   HttpResponse answer_;
   LoopTimerPtr wake_timer_;
 };
