peers: measure the cost of membership and keep it in bounds

Cause: with 24 busy upstreams a daemon of 64 spent 25,445 B/s both ways, over the 18 KB/s for control; a group of 320 that starts at once gossiped its lists. Change: counts travel without the daemon's name and the tables' head, 20 in a message; a joining daemon doesn't pass its list on. A start of 320 at once is over the bound for about a minute.

--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -90,6 +90,7 @@
   const bool alone = members_.CountPresent() == 0;
   const Endpoint to = contacts[random_() % contacts.size()];
   if (!alone) return Send(to, Ping{next_sequence_++, false});
+  joined_ = now_;
   for (const auto& contact : contacts) {
     Send(contact, Ping{next_sequence_++, true});
   }
@@ -119,14 +120,14 @@
   }
 }
 
-void Membership::Learn(const Member& record) {
+void Membership::Learn(const Member& record, bool from_list) {
   if (record.name == self_.name) return Refute(record);
   if (!members_.Merge(record, now_)) return;
   suspects_.erase(record.name);
   if (record.status == MemberStatus::kSuspect) {
     suspects_[record.name] = now_ + SuspicionTime();
   }
-  gossip_.AddMember(record);
+  if (!from_list) gossip_.AddMember(record);
   actions_.emplace_back(MemberChanged{record});
 }
 
@@ -146,7 +147,11 @@
   const PeerMessage& message = event.message;
   if (message.sender.name == self_.name) return;
   Learn(message.sender);
-  for (const auto& member : message.members) Learn(member);
+  // The list that a joining daemon gets is known to the others already.
+  const bool joining = now_ - joined_ < kJoinTime;
+  for (const auto& member : message.members) {
+    Learn(member, joining && member.status == MemberStatus::kAlive);
+  }
   if (message.head.number > 0) {
     actions_.emplace_back(HeadHeard{message.head, event.from});
   }
@@ -195,7 +200,7 @@
 
 void Membership::HandleLoads(const LoadsCounted& event) {
   const std::size_t total = event.loads.size();
-  PeerMessage message = Envelope(Notice{});
+  PeerMessage message{.sender = self_, .content = Notice{}};
   const std::size_t count = std::min(kLoadsInMessage, total);
   for (std::size_t i = 0; i < count; ++i) {
     message.rumours.emplace_back(event.loads[(next_load_ + i) % total]);
--- a/source/decisions/membership.h
+++ b/source/decisions/membership.h
@@ -94,11 +94,13 @@
   /// Members that are told of this daemon's in-flight counts.
   static constexpr std::size_t kLoadNeighbours = 4;
   /// Most in-flight counts in one message; the rest takes turns.
-  static constexpr std::size_t kLoadsInMessage = 24;
+  static constexpr std::size_t kLoadsInMessage = 20;
   /// Records of random members in each message, against lost news.
   static constexpr std::size_t kRandomRecords = 2;
   /// Records in each part of the list that a joining daemon gets.
   static constexpr std::size_t kRecordsInList = 12;
+  /// Time in which a daemon that asked to join gets the list of members.
+  static constexpr Duration kJoinTime = std::chrono::seconds(1);
   /// Periods between tries to reach a dead member or a seed.
   static constexpr unsigned kContactPeriods = 5;
 
@@ -145,7 +147,8 @@
   void StartProbe();
   void ContactAbsent();
   void ExpireSuspects();
-  void Learn(const Member& record);
+  /// Takes a record; one `from_list` is news for this daemon alone.
+  void Learn(const Member& record, bool from_list = false);
   void Refute(const Member& record);
   void Suspect(const Member& member);
   void TellAtOnce(const Endpoint& excluded);
@@ -165,6 +168,7 @@
   std::map<DaemonName, TimePoint> suspects_;  ///< When each is declared dead.
   std::uint32_t next_sequence_ = 1;
   unsigned periods_ = 0;
+  TimePoint joined_{-kJoinTime};  ///< Latest try to join.
   std::size_t next_load_ = 0;
   TimePoint now_;
   std::vector<PeerAction> actions_;
--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -108,8 +108,10 @@
   }
 
   void Code(PeerMessage& message) {
+    if constexpr (!kReads) NameLoads(message, message.sender.name, {});
     CodeAll(message.sender, message.head, message.content, message.members,
             message.rumours, message.clock_us, message.clock_counter);
+    if constexpr (kReads) NameLoads(message, {}, message.sender.name);
   }
 
   template <typename... Parts>
@@ -118,6 +120,15 @@
   }
 
  private:
+  /// The sender's own counts travel without its name.
+  static void NameLoads(PeerMessage& message, const DaemonName& from,
+                        const DaemonName& to) {
+    for (auto& rumour : message.rumours) {
+      auto* load = std::get_if<LoadRumour>(&rumour);
+      if (load != nullptr && load->daemon == from) load->daemon = to;
+    }
+  }
+
   void CodeSize(std::size_t& size) {
     if (size > kMaxTextBytes) throw cereal::Exception("too long");
     auto byte = static_cast<std::uint8_t>(size);
--- a/tests/decisions/group_driver.h
+++ b/tests/decisions/group_driver.h
@@ -17,6 +17,8 @@
 /// delays, reorders, loses and cuts. For tests alone.
 class GroupDriver {
  public:
+  static constexpr std::size_t kFirstPort = 7000;
+
   /// Sees each message as it is sent.
   using Observer = std::function<void(std::size_t from, const PeerMessage&)>;
   /// Sees each action of a daemon that isn't a message.
@@ -35,7 +37,7 @@
   }
   static Endpoint EndpointOf(std::size_t i) {
     return {"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250),
-            static_cast<std::uint16_t>(7000 + i)};
+            static_cast<std::uint16_t>(kFirstPort + i)};
   }
 
   /// Starts daemon `i`, anew if it ran before.
@@ -131,14 +133,12 @@
   void Send(std::size_t from, const SendPeerMessage& send) {
     if (observer_) observer_(from, send.message);
     if (random_() % 100 < loss_percent_) return;
-    for (std::size_t to = 0; to < nodes_.size(); ++to) {
-      if (EndpointOf(to) != send.to) continue;
-      if (nodes_[to].side != nodes_[from].side) return;
-      const Duration delay(static_cast<Duration::rep>(250 + random_() % 2000));
-      Schedule(now_ + delay, [this, from, to, message = send.message] {
-        Feed(to, PeerMessageArrived{message, EndpointOf(from)});
-      });
-    }
+    const std::size_t to = send.to.port - kFirstPort;
+    if (nodes_[to].side != nodes_[from].side) return;
+    const Duration delay(static_cast<Duration::rep>(250 + random_() % 2000));
+    Schedule(now_ + delay, [this, from, to, message = send.message] {
+      Feed(to, PeerMessageArrived{message, EndpointOf(from)});
+    });
   }
 
   std::vector<Node> nodes_;
--- /dev/null
+++ b/tests/peers/membership_cost_test.cc
@@ -0,0 +1,97 @@
+#include <doctest/doctest.h>
+#include <time.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "tests/decisions/group_driver.h"
+#include "wire/datagram_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr std::size_t kUpstreams = 24;
+/// Time in which all that start at once come to know each other.
+constexpr Duration kJoinTime = std::chrono::seconds(90);
+constexpr Duration kMeasured = std::chrono::seconds(6);
+constexpr Duration kLoadInterval = std::chrono::milliseconds(300);
+/// Bytes of the headers of IPv4 and UDP for each datagram.
+constexpr std::uint64_t kHeaderBytes = 28;
+/// What a daemon may spend on control, sent and received.
+constexpr double kBytesPerSecondLimit = 18.0 * 1024;
+constexpr double kCoreShareLimit = 0.02;
+
+/// What each daemon of a group spends in a second.
+struct MemberCost {
+  double mean_bytes = 0;  ///< Sent and received.
+  double worst_sent = 0;
+  double core_share = 0;  ///< Deciders and codec, both ways.
+};
+
+std::vector<LoadRumour> MakeLoads(std::size_t daemon) {
+  std::vector<LoadRumour> loads;
+  for (std::size_t i = 0; i < kUpstreams; ++i) {
+    loads.push_back({GroupDriver::NameOf(daemon),
+                     UpstreamName("engine" + std::to_string(100 + i)), 3});
+  }
+  return loads;
+}
+
+double ProcessorSeconds() {
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+MemberCost Measure(std::size_t count) {
+  GroupDriver group(count, 1);
+  group.RunFor(kJoinTime);
+  for (std::size_t i = 0; i < count; ++i) {
+    REQUIRE(group.membership(i).group_size() == count);
+    group.Feed(i, HeadChanged{{1700, std::string(64, 'a')}});
+  }
+  std::vector<std::uint64_t> sent(count);
+  group.set_observer([&sent](std::size_t from, const PeerMessage& message) {
+    LastReason reason;
+    const auto data = EncodeDatagram(message, reason);
+    REQUIRE(data.has_value());
+    REQUIRE(ParseDatagram(*data, reason).has_value());
+    sent[from] += data->size() + kHeaderBytes;
+  });
+  const double start = ProcessorSeconds();
+  for (Duration time{}; time < kMeasured; time += kLoadInterval) {
+    for (std::size_t i = 0; i < count; ++i) {
+      group.Feed(i, LoadsCounted{MakeLoads(i)});
+    }
+    group.RunFor(kLoadInterval);
+  }
+  const double seconds = std::chrono::duration<double>(kMeasured).count();
+  MemberCost cost;
+  for (const std::uint64_t bytes : sent) {
+    const double rate = static_cast<double>(bytes) / seconds;
+    cost.mean_bytes += 2 * rate / static_cast<double>(count);
+    cost.worst_sent = std::max(cost.worst_sent, rate);
+  }
+  cost.core_share =
+      (ProcessorSeconds() - start) / seconds / static_cast<double>(count);
+  return cost;
+}
+
+}  // namespace
+
+TEST_CASE("the cost of membership and counts for a daemon stays in bounds") {
+  for (const unsigned count : {4U, 16U, 64U, 320U}) {
+    const MemberCost cost = Measure(count);
+    std::printf(
+        "members=%u bytes_both_ways=%.0f B/s worst_sent=%.0f B/s "
+        "core_share=%.5f\n",
+        count, cost.mean_bytes, cost.worst_sent, cost.core_share);
+    CHECK(cost.mean_bytes <= kBytesPerSecondLimit);
+    CHECK(cost.core_share <= kCoreShareLimit);
+  }
+}
+
+}  // namespace wisteriayoke
