--- a/tests/decisions/lease_world.cc
+++ b/tests/decisions/lease_world.cc
@@ -120,8 +120,9 @@
 
 LeaseEvent LeaseWorld::Execute(const LeaseAction& action) {
   const auto* write = std::get_if<WriteLease>(&action);
-  if (write == nullptr)
+  if (write == nullptr) {
     return LeaseRead{OperationOf(action), record_, version_};
+  }
   if (broken_ != BrokenLeaseRule::kWriteUnconditionally &&
       write->expected != version_) {
     return LeaseConflicted{write->operation, record_, version_};
