--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -197,8 +197,11 @@
   applicant.max_tokens = max_tokens;
   applicant.start = std::move(start);
   const bool may_have_run = MayHaveRunBefore(routed.route, routed.request);
-  applicant.refuse = [id = routed.id, caller = routed.caller,
+  applicant.refuse = [&metrics = context_.state.metrics, id = routed.id,
+                      caller = routed.caller,
                       may_have_run](const RefuseRequest& refusal) {
+    metrics.CountAnswer(may_have_run ? ResultCode::kOutcomeUnknown
+                                     : refusal.code);
     caller->Respond(BuildRefusal(id, refusal, may_have_run));
   };
   const auto gate = context_.state.admission;
