quarantine: ask an engine for a sign of life after a stopped run

Cause: a daemon that learns from a peer that its running request is a suspect stops the run. If the engine crashed just then, nobody blamed the request: sent to two daemons at once, it took three engines. Engines that failed also looked idle, so that trials went to dead ones.

Changed: after a run that is stopped, whatever the reason, the session asks each of its engines; one that can't be reached has crashed under the request. The choice of a chain counts failures in a row, peers' requests and the slots of a slow start.

--- a/source/decisions/chain.cc
+++ b/source/decisions/chain.cc
@@ -13,15 +13,25 @@
 /// answer avoids running its prefix again.
 constexpr double kWarmFactor = 0.25;
 
+/// Share by which each failure in a row makes an engine look slower.
+constexpr double kFailureFactor = 4.0;
+constexpr std::uint32_t kMaxCountedFailures = 8;
+
 /// Returns the expected time of `upstream` for a token, in microseconds.
 double StageCost(const UpstreamSpec& upstream, const ChainInputs& inputs) {
-  const double in_flight = inputs.book.StateOf(upstream.name).in_flight;
-  const double load = (in_flight + 1.0) / std::max(1U, upstream.slots);
+  const UpstreamState& state = inputs.book.StateOf(upstream.name);
+  const double in_flight =
+      inputs.book.CountInFlight(upstream.name, inputs.peer_loads, inputs.now);
+  const double load =
+      (in_flight + 1.0) /
+      std::max(1U, inputs.book.CountSlots(upstream, inputs.now));
   const auto time =
       static_cast<double>(inputs.speeds.ComputeTimeOf(upstream).count());
   const double warm = inputs.warm.contains(upstream.name) ? kWarmFactor : 1.0;
   const double queue = load > 1.0 ? kQueueFactor * load : 0.0;
-  return time * warm * (1.0 + load + queue);
+  const double failures =
+      std::min(state.consecutive_failures, kMaxCountedFailures);
+  return time * warm * (1.0 + load + queue) * (1.0 + kFailureFactor * failures);
 }
 
 /// Best way to cover [0, layers.end) that ends with `upstream`.
--- a/source/decisions/chain.h
+++ b/source/decisions/chain.h
@@ -8,6 +8,7 @@
 #include "base/ids.h"
 #include "decisions/chain_speeds.h"
 #include "decisions/layer_range.h"
+#include "decisions/peer_loads.h"
 #include "decisions/table_spec.h"
 #include "decisions/upstream_book.h"
 
@@ -26,9 +27,11 @@
 /// What the choice of a chain takes into account besides the pool.
 struct ChainInputs {
   const UpstreamBook& book;
+  const PeerLoads& peer_loads;
   const ChainSpeeds& speeds;
   /// Engines that hold the request's KV cache already.
   std::set<UpstreamName> warm;
+  TimePoint now;
 };
 
 /// Chooses the chain with the least expected time for a token over `usable`
--- a/tests/decisions/quarantine_test.cc
+++ b/tests/decisions/quarantine_test.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kEngines = 6;
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr Duration kRestartTime = std::chrono::seconds(1);
+/// Time until a daemon knows whether an engine lives on after a stopped run.
+constexpr int kConfirmTicks = 2;
 constexpr int kLastTick = 20'000;
 /// A rumour reaches all daemons in less than half the settle time.
 constexpr int kMaxRumourTicks = 14;
@@ -59,6 +61,7 @@
   void Run() {
     for (; tick_ < kLastTick && AnyOpen(); ++tick_) {
       DeliverRumours();
+      ReportLateCrashes();
       for (auto& request : requests_) {
         if (request.open() && request.start_tick <= tick_) Step(request);
       }
@@ -137,8 +140,7 @@
     Quarantine& daemon = *daemons_[request.daemon];
     if (request.engine < 0) return Ask(request, daemon);
     if (daemon.MustStop(request.fingerprint, request.id, Now())) {
-      request.engine = -1;
-      return;
+      return Stop(request);
     }
     if (request.crash_token == request.delivered) return Crash(request);
     ++request.delivered;
@@ -180,6 +182,26 @@
     }
   }
 
+  /// Stops a run that must not go on. The engine may be running the token that
+  /// crashes it, which the daemon finds out when it asks the engine.
+  void Stop(Request& request) {
+    const Request culprit = request;
+    request.engine = -1;
+    if (culprit.crash_token != culprit.delivered) return;
+    Crash(culprit);
+    late_crashes_.push_back({tick_ + kConfirmTicks, culprit});
+  }
+
+  void ReportLateCrashes() {
+    for (const auto& [tick, request] : late_crashes_) {
+      if (tick != tick_) continue;
+      Post(request.daemon,
+           daemons_[request.daemon]->RecordCrash(
+               request.fingerprint, request.id, NameOf(request.engine),
+               request.delivered, Now()));
+    }
+  }
+
   /// No engine runs two requests that their daemons run on trial.
   void CheckTrials() const {
     std::map<int, int> trials;
@@ -200,6 +222,7 @@
   std::vector<Message> messages_;
   std::map<int, TimePoint> down_until_;
   std::map<std::string, int> lost_;
+  std::vector<std::pair<int, Request>> late_crashes_;
   int tick_ = 0;
 };
 
