--- a/source/bench/bench_daemon.cc
+++ b/source/bench/bench_daemon.cc
@@ -203,8 +203,9 @@
 
 void BenchDaemon::Kill() {
   alive_ = false;
-  for (const auto& [ticket, name] : places_)
+  for (const auto& [ticket, name] : places_) {
     upstreams_.at(name)->Cancel(ticket);
+  }
   for (const auto& [ticket, job] : jobs_) job->lost = true;
 }
 
--- a/source/bench/wisteriayoke_bench_main.cc
+++ b/source/bench/wisteriayoke_bench_main.cc
@@ -74,13 +74,13 @@
 
 std::optional<Options> ParseOptions(int argc, const char** argv,
                                     LastReason& reason) {
-  long seed = 1;
+  int seed = 1;
   int seeds = 0;
   int json = 0;
   char* policy = nullptr;
   char* svg = nullptr;
   const poptOption table[] = {
-      {"seed", 0, POPT_ARG_LONG, &seed, 0, "First seed (1)", "N"},
+      {"seed", 0, POPT_ARG_INT, &seed, 0, "First seed (1)", "N"},
       {"seeds", 0, POPT_ARG_INT, &seeds, 0, "Seeds to run (1; for check 5)",
        "N"},
       {"policy", 0, POPT_ARG_STRING, &policy, 0,
