responses: never take one without a length or chunks for whole

Cause: a response without a length was taken as whole when its connection closed, so a cut answer of a service could be returned, and recorded in the ledger, as done. Ruled out: trusting an orderly close, since a process that dies closes in order too.

--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -45,11 +45,14 @@
 
 bool HttpResponseParser::PushEnd(LastReason& reason) {
   if (done()) return true;
-  boost::system::error_code error;
-  if (state_->parser.got_some()) state_->parser.put_eof(error);
-  if (done() && !error) return true;
+  const bool open_ended =
+      state_->parser.is_header_done() && state_->parser.need_eof();
   reason.Set(ResultCode::kConnectionBroken,
-             "the connection ended before the response did");
+             open_ended
+                 ? "the response has neither a length nor chunks, so its "
+                   "end can't be told from a broken connection; let the "
+                   "upstream send one of them"
+                 : "the connection ended before the response did");
   return false;
 }
 
--- a/source/wire/http_response_parser.h
+++ b/source/wire/http_response_parser.h
@@ -22,7 +22,8 @@
   /// Adds received bytes. Fails if they are not HTTP or are over a limit.
   bool Push(std::string_view data, LastReason& reason);
 
-  /// Notes the end of the connection. Fails if the message is not whole.
+  /// Notes the end of the connection. Fails unless the message is known to be
+  /// whole; one without a length or chunks never is.
   bool PushEnd(LastReason& reason);
 
   bool head_done() const;
--- a/tests/wire/http_parser_test.cc
+++ b/tests/wire/http_parser_test.cc
@@ -61,4 +61,13 @@
   }
 }
 
+TEST_CASE("a response that ends with its connection can't pass for whole") {
+  HttpResponseParser parser({});
+  LastReason reason;
+  REQUIRE(parser.Push("HTTP/1.1 200 OK\r\n\r\nhold", reason));
+  CHECK_FALSE(parser.done());
+  CHECK_FALSE(parser.PushEnd(reason));
+  CHECK(reason.code() == ResultCode::kConnectionBroken);
+}
+
 }  // namespace wisteriayoke
