tables: refuse numbers that don't fit their field

The reader now checks the number before it converts it and names the field. The new test failed for all three numbers before and passes.

--- a/source/wire/table_codec.cc
+++ b/source/wire/table_codec.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <stdexcept>
@@ -31,6 +32,9 @@
     seen_.insert(name);
     const auto found = object_.find(name);
     if (found == object_.end()) return fallback;
+    if constexpr (std::is_unsigned_v<Value> && !std::is_same_v<Value, bool>) {
+      CheckUnsigned<Value>(name, *found);
+    }
     try {
       return found->template get<Value>();
     } catch (const Json::exception&) {
@@ -81,6 +85,18 @@
   }
 
  private:
+  /// Refuses a number that would change when read as a `Value`.
+  template <typename Value>
+  void CheckUnsigned(const std::string& name, const Json& value) const {
+    constexpr auto kMost = std::numeric_limits<Value>::max();
+    if (!value.is_number()) return;
+    if (value.is_number_unsigned() && value.get<std::uint64_t>() <= kMost) {
+      return;
+    }
+    throw TableError(Describe(name) + " must be a whole number from 0 to " +
+                     std::to_string(kMost) + ".");
+  }
+
   const Json& object_;
   std::string where_;
   std::set<std::string> seen_;
--- a/tests/wire/table_codec_test.cc
+++ b/tests/wire/table_codec_test.cc
@@ -27,6 +27,17 @@
   CHECK(reason.message().find("\"nam\"") != std::string::npos);
 }
 
+TEST_CASE("a number that doesn't fit is refused by its field") {
+  for (const char* weight : {"-1", "4294967296", "1.5"}) {
+    LastReason reason;
+    const std::string json = std::string(R"({"workspaces":[{"name":"w",)") +
+                             "\"weight\":" + weight + "}]}";
+    CHECK_FALSE(ParseTableSpec(json, reason).has_value());
+    CHECK(reason.code() == ResultCode::kTableInvalid);
+    CHECK(reason.message().find("\"weight\"") != std::string::npos);
+  }
+}
+
 TEST_CASE("an address must be an IP number and a port") {
   LastReason reason;
   CHECK(ParseEndpoint("127.0.0.1:80", reason).has_value());
