metrics: count the time that a request waits for admission

Cause: the timer of an answer began with its session, which starts after admission, so the queue wait was never observed and the time to the first token left it out. The ticket now carries the arrival. The new check for queue_wait_seconds_count fails without it; front_test passes.

--- a/source/supervisor/front/admission_gate.cc
+++ b/source/supervisor/front/admission_gate.cc
@@ -102,8 +102,10 @@
 void AdmissionGate::Carry(const PoolName& pool, const AdmitRequest& action) {
   PoolState& state = StateOf(pool);
   const auto node = state.waiting.extract(action.ticket);
+  const TimePoint now = context_.loop.Now();
   const auto ticket = std::make_shared<AdmissionTicket>(
-      shared_from_this(), pool, action.ticket, context_.loop.Now());
+      shared_from_this(), pool, action.ticket,
+      node.empty() ? now : node.mapped().arrival, now);
   if (node.empty()) return;  // The ticket's end frees the slot.
   state.running[action.ticket] = ticket;
   node.mapped().start(ticket);
--- a/source/supervisor/front/admission_gate.h
+++ b/source/supervisor/front/admission_gate.h
@@ -19,6 +19,7 @@
   QueuedRequest request;  ///< The gate sets its ticket and cost.
   /// Tokens that it asks for; 0 for a call to a plain service.
   std::uint32_t max_tokens = 0;
+  TimePoint arrival{};
   std::function<void(AdmissionTicketPtr)> start;
   std::function<void(const RefuseRequest&)> refuse;
 };
--- a/source/supervisor/front/admission_ticket.cc
+++ b/source/supervisor/front/admission_ticket.cc
@@ -8,10 +8,11 @@
 
 AdmissionTicket::AdmissionTicket(std::shared_ptr<AdmissionGate> gate,
                                  PoolName pool, TicketNumber number,
-                                 TimePoint start)
+                                 TimePoint arrival, TimePoint start)
     : gate_(std::move(gate)),
       pool_(std::move(pool)),
       number_(number),
+      arrival_(arrival),
       start_(start) {}
 
 AdmissionTicket::~AdmissionTicket() { gate_->End(pool_, number_); }
--- a/source/supervisor/front/admission_ticket.h
+++ b/source/supervisor/front/admission_ticket.h
@@ -16,11 +16,14 @@
 class AdmissionTicket {
  public:
   AdmissionTicket(std::shared_ptr<AdmissionGate> gate, PoolName pool,
-                  TicketNumber number, TimePoint start);
+                  TicketNumber number, TimePoint arrival, TimePoint start);
   ~AdmissionTicket();
   AdmissionTicket(const AdmissionTicket&) = delete;
   AdmissionTicket& operator=(const AdmissionTicket&) = delete;
 
+  /// When the request was offered to the admission.
+  TimePoint arrival() const { return arrival_; }
+
   /// Says that the first token has come.
   void RecordBegin();
 
@@ -44,6 +47,7 @@
   std::shared_ptr<AdmissionGate> gate_;
   PoolName pool_;
   TicketNumber number_;
+  TimePoint arrival_;
   TimePoint start_;
   bool begun_ = false;
   std::function<void()> on_suspend_;
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -181,7 +181,7 @@
   RoutedRequest routed{state.tables,       *known, *route, id,
                        std::move(request), caller};
   if (route->kind == RouteKind::kModel) {
-    return StartModelSession(std::move(routed));
+    return StartModelSession(routed);
   }
   StartServiceSession(std::move(routed));
 }
@@ -195,6 +195,7 @@
   applicant.request.priority = routed.route.priority;
   applicant.request.latest_start = context_.loop.Now() + routed.route.deadline;
   applicant.max_tokens = max_tokens;
+  applicant.arrival = context_.loop.Now();
   applicant.start = std::move(start);
   const bool may_have_run = MayHaveRunBefore(routed.route, routed.request);
   applicant.refuse = [&metrics = context_.state.metrics, id = routed.id,
@@ -226,7 +227,7 @@
       });
 }
 
-void FrontEnd::StartModelSession(RoutedRequest routed) {
+void FrontEnd::StartModelSession(const RoutedRequest& routed) {
   const bool chat =
       PathOf(routed.request.target).ends_with("/chat/completions");
   LastReason reason;
--- a/source/supervisor/front/front_end.h
+++ b/source/supervisor/front/front_end.h
@@ -43,7 +43,7 @@
   void Handle(HttpRequest request, const CallerPtr& caller);
   bool HandleProbe(std::string_view path, const CallerPtr& caller);
   void RouteRequest(HttpRequest request, const CallerPtr& caller);
-  void StartModelSession(RoutedRequest routed);
+  void StartModelSession(const RoutedRequest& routed);
   void StartServiceSession(RoutedRequest routed);
   /// Calls `start` once the request has a slot, or refuses it.
   void Admit(const RoutedRequest& routed, std::uint32_t max_tokens,
--- a/source/supervisor/front/model_session.cc
+++ b/source/supervisor/front/model_session.cc
@@ -51,12 +51,13 @@
       id_(std::move(id)),
       request_(std::move(request)),
       caller_(std::move(caller)),
-      answer_timer_(context.state.metrics, context.loop.Now()),
+      answer_timer_(context.state.metrics, ticket->arrival()),
       ticket_(std::move(ticket)),
       decider_({pool_.layer_count, request_.max_tokens}),
       guard_(context, std::move(fingerprint), id_) {}
 
 void ModelSession::Start() {
+  answer_timer_.NoteAdmitted(context_.loop.Now());
   caller_->set_on_closed(
       [self = shared_from_this()] { self->Feed(CallerLeft{}); });
   caller_->set_on_cut([self = shared_from_this()] {
--- a/source/supervisor/front/service_session.cc
+++ b/source/supervisor/front/service_session.cc
@@ -100,7 +100,7 @@
     : context_(context),
       input_(std::move(input)),
       pool_(*input_.tables->FindPool(input_.route.pool)),
-      answer_timer_(context.state.metrics, context.loop.Now()),
+      answer_timer_(context.state.metrics, input_.ticket->arrival()),
       decider_(std::move(decider)),
       ledger_(std::move(ledger)),
       deadline_(context.loop.Now() + input_.route.deadline) {
@@ -112,6 +112,7 @@
 }
 
 void ServiceSession::Start() {
+  answer_timer_.NoteAdmitted(context_.loop.Now());
   input_.caller->set_on_cut([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->AnswerCut();
   });
--- a/tests/front/front_end_test.cc
+++ b/tests/front/front_end_test.cc
@@ -88,6 +88,7 @@
         std::string::npos);
   CHECK(page.find("answers_total{outcome=\"not-run\",code=\"106\"} 1") !=
         std::string::npos);
+  CHECK(page.find("queue_wait_seconds_count 1\n") != std::string::npos);
 }
 
 }  // namespace wisteriayoke
