--- a/tests/decisions/routing_test.cc
+++ b/tests/decisions/routing_test.cc
@@ -99,6 +99,7 @@
   book.RecordSuccess(upstreams[0].name, std::chrono::milliseconds(10), {});
   book.RecordSuccess(upstreams[2].name, std::chrono::milliseconds(30), {});
   std::vector<const UpstreamSpec*> usable;
+  usable.reserve(upstreams.size());
   for (const auto& upstream : upstreams) usable.push_back(&upstream);
   const auto candidates = BuildCandidates(usable, book, {}, {});
   CHECK(candidates[1].latency == std::chrono::milliseconds(10));
