--- a/source/bench/experiment.cc
+++ b/source/bench/experiment.cc
@@ -15,6 +15,8 @@
 constexpr auto kTargets = std::to_array<Target>({
     {Experiment::kBound, "busy", TargetSense::kAtLeast, 0.97},
     {Experiment::kRecovery, "upstream_killed", TargetSense::kAtMost, 1000.0},
+    {Experiment::kTightRecovery, "upstream_killed", TargetSense::kAtMost,
+     1000.0},
     {Experiment::kRecovery, "lost", TargetSense::kAtMost, 0.0},
     {Experiment::kRecovery, "daemon_killed", TargetSense::kAtMost, 2000.0},
     {Experiment::kCrest, "goodput", TargetSense::kAtLeast, 0.95},
@@ -58,6 +60,8 @@
 constexpr std::size_t kKilledUpstreams = 4;
 /// Load that the upstreams which are left can still carry.
 constexpr double kRecoveryRate = 0.8;
+/// Load that leaves those which are left 94% busy.
+constexpr double kTightRate = 0.85;
 constexpr Duration kFault = seconds(10);
 constexpr Duration kReturn = seconds(15);
 constexpr Duration kEnd = seconds(20);
@@ -67,11 +71,13 @@
       SelectJobs(run.jobs(), [](const auto& job) { return job.lost; }).size());
 }
 
+void KillInstance(BenchRun& run) {
+  for (std::size_t i = 0; i < kKilledUpstreams; ++i) run.KillUpstream(i);
+}
+
 Metrics RunRecovery(BenchPolicy policy, std::uint64_t seed) {
   BenchRun run(policy, {.rate = Constant(kRecoveryRate), .length = kEnd}, seed);
-  run.At(kFault, [&] {
-    for (std::size_t i = 0; i < kKilledUpstreams; ++i) run.KillUpstream(i);
-  });
+  run.At(kFault, [&] { KillInstance(run); });
   run.At(kReturn, [&] {
     for (std::size_t i = 0; i < kKilledUpstreams; ++i) run.ReviveUpstream(i);
   });
@@ -90,6 +96,18 @@
   };
 }
 
+Metrics RunTightRecovery(BenchPolicy policy, std::uint64_t seed) {
+  BenchRun run(policy, {.rate = Constant(kTightRate), .length = kEnd}, seed);
+  run.At(kFault, [&] { KillInstance(run); });
+  run.Run();
+  const auto after = SelectArrivals(run.jobs(), kFault, kEnd);
+  return {
+      {"upstream_killed", RecoveryTime(run.jobs(), kFault, kEnd), "ms"},
+      {"served_after", ShareOf(after, IsGood), "ratio"},
+      {"lost", CountLost(run), "requests"},
+  };
+}
+
 constexpr Duration kCrestStart = seconds(5);
 constexpr Duration kCrestTop = seconds(7);
 constexpr double kUsualRate = 0.6;
@@ -185,6 +203,8 @@
       return RunBound(policy, seed);
     case Experiment::kRecovery:
       return RunRecovery(policy, seed);
+    case Experiment::kTightRecovery:
+      return RunTightRecovery(policy, seed);
     case Experiment::kCrest:
       return RunCrest(policy, seed);
     case Experiment::kBlocking:
--- a/source/bench/experiment.h
+++ b/source/bench/experiment.h
@@ -13,11 +13,18 @@
 namespace wisteriayoke {
 
 /// What the bench measures.
-enum class Experiment { kBound, kRecovery, kCrest, kBlocking };
+enum class Experiment {
+  kBound,
+  kRecovery,
+  kTightRecovery,  ///< The upstreams that are left are 94% busy.
+  kCrest,
+  kBlocking,
+};
 
 inline constexpr auto kExperimentNames = MakeNamesTable<Experiment>({
     {Experiment::kBound, "bound"},
     {Experiment::kRecovery, "recovery"},
+    {Experiment::kTightRecovery, "tight-recovery"},
     {Experiment::kCrest, "crest"},
     {Experiment::kBlocking, "blocking"},
 });
--- a/source/bench/wisteriayoke_bench_main.cc
+++ b/source/bench/wisteriayoke_bench_main.cc
@@ -39,13 +39,16 @@
   return all;
 }
 
-bool ReadExperiment(const char* name, Options& options, LastReason& reason) {
-  const std::string text = name == nullptr ? "" : name;
-  if (text == "check") {
-    options.check = true;
+/// Reads EXPERIMENT, `check` or `check EXPERIMENT`.
+bool ReadExperiment(poptContext context, Options& options, LastReason& reason) {
+  const char* word = poptGetArg(context);
+  options.check = word != nullptr && std::string_view(word) == "check";
+  if (options.check) {
     options.experiments = ListExperiments();
-    return true;
+    word = poptGetArg(context);
+    if (word == nullptr) return true;
   }
+  const std::string text = word == nullptr ? "" : word;
   const auto experiment = kExperimentNames.Find(text);
   if (experiment) {
     options.experiments = {*experiment};
@@ -53,8 +56,8 @@
   }
   reason.Set(ResultCode::kUsage,
              "\"" + text +
-                 "\": give bound, recovery, crest, blocking or "
-                 "check; see --help.");
+                 "\": give bound, recovery, tight-recovery, crest, blocking "
+                 "or check; see --help.");
   return false;
 }
 
@@ -90,7 +93,9 @@
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context =
       poptGetContext("wisteriayoke_bench", argc, argv, table, 0);
-  poptSetOtherOptionHelp(context, "bound|recovery|crest|blocking|check");
+  poptSetOtherOptionHelp(context,
+                         "bound|recovery|tight-recovery|crest|blocking|"
+                         "check [EXPERIMENT]");
   const int result = poptGetNextOpt(context);
   Options options{.seed = static_cast<std::uint64_t>(seed),
                   .json = json != 0,
@@ -98,8 +103,7 @@
   if (result < -1) {
     reason.Set(ResultCode::kUsage, "unknown option: see --help.");
   }
-  const bool good = result >= -1 &&
-                    ReadExperiment(poptGetArg(context), options, reason) &&
+  const bool good = result >= -1 && ReadExperiment(context, options, reason) &&
                     ReadPolicy(policy, options, reason);
   options.seeds = seeds > 0 ? seeds : options.check ? kDefaultSeeds : 1;
   std::free(policy);
--- a/source/decisions/admission.cc
+++ b/source/decisions/admission.cc
@@ -9,6 +9,10 @@
 namespace wisteriayoke {
 namespace {
 
+/// Margin over the wait in turn behind what waits now, for the work of other
+/// workspaces that is still to come.
+constexpr double kInTurnMargin = 3.0;
+
 /// Bounds on the cost of one request, so that a wrong estimate can't distort
 /// the shares or stall the queue.
 constexpr double kLeastCost = 0.1;
@@ -74,19 +78,23 @@
   return slots() < 2 ? 0 : ShareOf(slots(), limits_.free_share);
 }
 
-double Admission::WorkRateOf(const QueuedRequest& request, WorkSize size,
-                             TimePoint now) {
-  const Lane& lane = LaneOf(size);
+double Admission::LaneRateOf(WorkSize size) {
   const std::size_t kept = std::min(LongShare(), long_.running);
   const double lane_slots =
       size == WorkSize::kLong
           ? static_cast<double>(std::max(LongShare(), long_.running))
           : std::max(1.0,
                      static_cast<double>(slots()) - static_cast<double>(kept));
+  return lane_slots / LaneOf(size).us_per_cost;
+}
+
+double Admission::WorkRateOf(const QueuedRequest& request, WorkSize size,
+                             TimePoint now) {
+  const Lane& lane = LaneOf(size);
   const double weight = std::max(1U, request.weight);
   const double share =
       weight / (weight + lane.queue.SumOtherWeights(request.workspace));
-  const double guaranteed = lane_slots * share / lane.us_per_cost;
+  const double guaranteed = LaneRateOf(size) * share;
   const auto found = lane.recent.find(request.workspace);
   if (found == lane.recent.end()) return guaranteed;
   const double recent = Decay(found->second.cost, now - found->second.updated) /
@@ -100,7 +108,12 @@
   if (lane.us_per_cost <= 0.0) return Duration::zero();
   const double ahead =
       lane.queue.SumCostAhead(request.workspace, request.priority);
-  return Microseconds(ahead / WorkRateOf(request, size, now));
+  const double weight = std::max(1U, request.weight);
+  const double others =
+      lane.queue.SumOtherCost(request.workspace, ahead / weight);
+  const double in_turn = (ahead + others) / LaneRateOf(size);
+  return Microseconds(std::min(kInTurnMargin * in_turn,
+                               ahead / WorkRateOf(request, size, now)));
 }
 
 RefuseRequest Admission::Refuse(const QueuedRequest& request, WorkSize size,
--- a/source/decisions/admission.h
+++ b/source/decisions/admission.h
@@ -165,6 +165,9 @@
 
   std::size_t LongShare() const;
   std::size_t FreeShare() const;
+  /// Work per microsecond of all slots that `size` may use.
+  double LaneRateOf(WorkSize size);
+  /// Work per microsecond that a workspace may count on.
   double WorkRateOf(const QueuedRequest& request, WorkSize size, TimePoint now);
   Duration PredictWait(const QueuedRequest& request, WorkSize size,
                        TimePoint now);
--- a/source/decisions/fair_queue.cc
+++ b/source/decisions/fair_queue.cc
@@ -1,6 +1,7 @@
 #include "decisions/fair_queue.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace wisteriayoke {
@@ -122,6 +123,18 @@
   return cost;
 }
 
+double FairQueue::SumOtherCost(const WorkspaceName& workspace,
+                               double turns) const {
+  double sum = 0.0;
+  for (const auto& [name, flow] : flows_) {
+    if (name == workspace) continue;
+    const double waiting =
+        std::accumulate(flow.cost.begin(), flow.cost.end(), 0.0);
+    sum += std::min(std::max(0.0, waiting), turns * flow.weight);
+  }
+  return sum;
+}
+
 double FairQueue::SumOtherWeights(const WorkspaceName& workspace) const {
   const auto found = flows_.find(workspace);
   return total_weight_ - (found == flows_.end() ? 0 : found->second.weight);
--- a/source/decisions/fair_queue.h
+++ b/source/decisions/fair_queue.h
@@ -54,6 +54,10 @@
   /// Work of `workspace` that is taken before a new request of `priority`.
   double SumCostAhead(const WorkspaceName& workspace, Priority priority) const;
 
+  /// Work of the workspaces other than `workspace` that is taken while it gets
+  /// `turns` times its weight: their waiting work at most.
+  double SumOtherCost(const WorkspaceName& workspace, double turns) const;
+
   /// Sum of the weights of the waiting workspaces, other than `workspace`.
   double SumOtherWeights(const WorkspaceName& workspace) const;
 
