front: give the writing of a completion a class of its own

ModelSession had grown to 430 lines and did two jobs: carrying out decisions towards engines, and writing the answer to the caller. The second is now CompletionWriter; behaviour is unchanged.

--- a/source/supervisor/front/model_session.cc
+++ b/source/supervisor/front/model_session.cc
@@ -5,7 +5,6 @@
 #include "base/overloaded.h"
 #include "decisions/chain.h"
 #include "supervisor/context/log.h"
-#include "supervisor/front/caller_answer.h"
 #include "supervisor/front/request_cut.h"
 
 namespace wisteriayoke {
@@ -51,6 +50,7 @@
       id_(std::move(id)),
       request_(std::move(request)),
       caller_(std::move(caller)),
+      writer_(id_, request_, caller_),
       answer_timer_(context.state.metrics, ticket->arrival()),
       ticket_(std::move(ticket)),
       decider_({pool_.layer_count, request_.max_tokens}),
@@ -352,26 +352,12 @@
   }
 }
 
-void ModelSession::StartStreamOnce() {
-  if (stream_started_) return;
-  stream_started_ = true;
-  HttpResponseHead head;
-  AddOutcomeFields(id_, ResultCode::kOk, head.fields);
-  head.fields.push_back({"Content-Type", "text/event-stream"});
-  head.fields.push_back({"Cache-Control", "no-cache"});
-  caller_->StartStream(head);
-}
-
 void ModelSession::SendToken(const DeliverToken& action) {
   answer_timer_.NoteToken(context_.loop.Now());
   if (ticket_ && request_.prompt.size() <= kComparablePromptBytes) {
     ticket_->RecordBegin();
   }
-  text_ += action.text;
-  if (!request_.stream) return;
-  StartStreamOnce();
-  caller_->WritePiece(
-      EncodeTokenEvent(id_.text(), request_.model, action.text, request_.chat));
+  writer_.WriteToken(action.text);
   PauseIfCallerIsSlow();
 }
 
@@ -396,23 +382,7 @@
   chain_.clear();
   if (call_) call_->Cancel();
   call_.reset();
-  if (request_.stream) {
-    StartStreamOnce();
-    caller_->WritePiece(EncodeEndEvents(id_.text(), request_.model,
-                                        action.finish_reason, request_.chat));
-    return caller_->EndStream();
-  }
-  HttpResponse response;
-  AddOutcomeFields(id_, ResultCode::kOk, response.head.fields);
-  response.head.fields.push_back({"Content-Type", "application/json"});
-  response.body =
-      EncodeCompletion({.id = id_.text(),
-                        .model = request_.model,
-                        .text = text_,
-                        .finish_reason = action.finish_reason,
-                        .completion_tokens = decider_.delivered_tokens()},
-                       request_.chat);
-  caller_->Respond(response);
+  writer_.Complete(action.finish_reason);
 }
 
 void ModelSession::Fail(const FailAnswer& action) {
@@ -424,11 +394,7 @@
   context_.state.timeline.Record(
       LogLevel::kWarning, EventKind::kRequestFailed, action.code,
       {{"request", id_.text()}, {"reason", action.message}});
-  if (!stream_started_) {
-    return caller_->Respond(BuildErrorAnswer(id_, action.code, action.message));
-  }
-  caller_->WritePiece(EncodeErrorEvent(action.code, action.message));
-  caller_->BreakStream();
+  writer_.Fail(action.code, action.message);
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/front/model_session.h
+++ b/source/supervisor/front/model_session.h
@@ -14,6 +14,7 @@
 #include "supervisor/context/answer_timer.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/admission_ticket.h"
+#include "supervisor/front/completion_writer.h"
 #include "supervisor/front/suspect_guard.h"
 #include "wire/completion_codec.h"
 #include "wire/engine_codec.h"
@@ -59,7 +60,6 @@
   void HandleToken(const TokenArrived& token);
   void RecordTimings(const std::vector<StageTiming>& timings);
   void ReleaseChain(const UpstreamName& culprit, ResultCode code);
-  void StartStreamOnce();
   void PauseIfCallerIsSlow();
   const UpstreamSpec* FindUpstream(const UpstreamName& name) const;
 
@@ -70,6 +70,7 @@
   RequestId id_;
   CompletionRequest request_;
   std::shared_ptr<HttpServerSession> caller_;
+  CompletionWriter writer_;
   AnswerTimer answer_timer_;
   AdmissionTicketPtr ticket_;  ///< Null once the session has ended.
   ModelRequest decider_;
@@ -82,8 +83,6 @@
   LoopTimerPtr wait_timer_;
   AttemptNumber attempt_ = 0;
   std::string line_buffer_;
-  std::string text_;
-  bool stream_started_ = false;
   bool retry_needed_ = false;
 };
 
