polls: keep the pacing of all polls in one module

Two modules paced polls, one of the platform and one of upstreams, with random engines of different types. They are one now, and the children use the daemon's engine.

--- a/scripts/measure-costs.sh
+++ b/scripts/measure-costs.sh
@@ -101,6 +101,6 @@
 }
 
 measure_load
-for upstreams in 10 40 160; do measure_idle "upstreams$upstreams"; done
+for upstreams in 10 40 160 600; do measure_idle "upstreams$upstreams"; done
 upstreams=1
 for workspaces in 100 1100 4400; do measure_idle "workspaces$workspaces"; done
--- a/source/decisions/poll_pace.cc
+++ b/source/decisions/poll_interval.cc
@@ -1,4 +1,4 @@
-#include "decisions/poll_pace.h"
+#include "decisions/poll_interval.h"
 
 #include <algorithm>
 
@@ -10,6 +10,17 @@
 
 }  // namespace
 
+Duration SharedPollInterval(Duration interval, std::size_t group_size,
+                            std::mt19937_64& random) {
+  if (group_size > kPollsUnshared) {
+    interval = interval * static_cast<Duration::rep>(group_size) /
+               static_cast<Duration::rep>(kPollsUnshared);
+  }
+  std::uniform_int_distribution<Duration::rep> spread(interval.count() / 2,
+                                                      interval.count());
+  return Duration(spread(random));
+}
+
 Duration ComputePollInterval(std::size_t upstreams, Duration wanted) {
   constexpr Duration kSecond = std::chrono::seconds(1);
   const auto count = static_cast<Duration::rep>(upstreams);
--- a/source/decisions/poll_interval.h
+++ b/source/decisions/poll_interval.h
@@ -8,22 +8,27 @@
 
 namespace wisteriayoke {
 
-/// Daemons up to which each polls at the interval of its settings.
+/// Daemons up to which each polls the platform at the interval of its settings.
 inline constexpr std::size_t kPollsUnshared = 16;
 
 /// Returns a random delay before the next read of something that a daemon
 /// passes on to its peers at once. In a larger group each daemon reads less
 /// often, so that the load on the platform doesn't grow with the group.
-inline Duration SharedPollInterval(Duration interval, std::size_t group_size,
-                                   std::minstd_rand& random) {
-  if (group_size > kPollsUnshared) {
-    interval = interval * static_cast<Duration::rep>(group_size) /
-               static_cast<Duration::rep>(kPollsUnshared);
-  }
-  std::uniform_int_distribution<Duration::rep> spread(interval.count() / 2,
-                                                      interval.count());
-  return Duration(spread(random));
-}
+Duration SharedPollInterval(Duration interval, std::size_t group_size,
+                            std::mt19937_64& random);
+
+/// Most polls of upstreams that one daemon makes in a second, on average.
+inline constexpr std::size_t kMaxPollsPerSecond = 160;
+
+/// Returns the mean time between two polls of one of `upstreams` upstreams by
+/// one daemon: `wanted`, or longer if that were more than kMaxPollsPerSecond.
+/// Daemons tell one another what they see, so that the more of them there are,
+/// the sooner one of them polls a given upstream.
+Duration ComputePollInterval(std::size_t upstreams, Duration wanted);
+
+/// Returns a random time around `interval`, so that daemons that start together
+/// don't poll together. Its mean is `interval`.
+Duration SpreadPollInterval(Duration interval, std::mt19937_64& random);
 
 }  // namespace wisteriayoke
 
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -36,7 +36,7 @@
   ChainSpeeds speeds;
   Quarantine quarantine;
   RoutingPolicy routing = TwoChoices{};
-  std::mt19937_64 random{std::random_device{}()};  ///< For the routing.
+  std::mt19937_64 random{std::random_device{}()};  ///< For routing and polls.
   Metrics metrics;
   Timeline timeline{metrics};
   /// Set by the first front end; holds the queues of all pools.
--- a/source/supervisor/instances/instance_watcher.cc
+++ b/source/supervisor/instances/instance_watcher.cc
@@ -14,8 +14,7 @@
     : context_(context),
       platform_(std::move(platform)),
       peers_(std::move(peers)),
-      on_failure_(std::move(on_failure)),
-      jitter_(std::random_device{}()) {}
+      on_failure_(std::move(on_failure)) {}
 
 bool InstanceWatcher::Start(LastReason& /*reason*/) {
   signs_ = context_.state.rumours.Subscribe([this](const Rumour& rumour) {
@@ -46,7 +45,7 @@
   const auto peers = peers_();
   const Duration interval = SharedPollInterval(
       context_.settings.Milliseconds(SettingKey::kInstancePollInterval),
-      peers ? peers->group_size() : 1, jitter_);
+      peers ? peers->group_size() : 1, context_.state.random);
   poll_timer_ = context_.loop.Schedule(interval, [this] { Poll(); });
   const auto platform = platform_();
   if (!platform) return;
--- a/source/supervisor/instances/instance_watcher.h
+++ b/source/supervisor/instances/instance_watcher.h
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <memory>
-#include <random>
 
 #include "supervisor/peers/peer_link.h"
 #include "supervisor/platform/platform_client.h"
@@ -31,7 +30,6 @@
   PeerFinder peers_;
   FailureHandler on_failure_;
   RumourExchange::Subscription signs_;
-  std::minstd_rand jitter_;
   LoopTimerPtr poll_timer_;
   LoopTimerPtr tick_timer_;
   std::uint64_t revision_ = 0;
--- a/source/supervisor/tables/table_keeper.cc
+++ b/source/supervisor/tables/table_keeper.cc
@@ -37,8 +37,7 @@
       peers_(std::move(peers)),
       on_change_(std::move(on_change)),
       on_failure_(std::move(on_failure)),
-      follower_(context.state.version),
-      jitter_(std::random_device{}()) {}
+      follower_(context.state.version) {}
 
 bool TableKeeper::Start(LastReason& /*reason*/) {
   heads_ = context_.state.rumours.Subscribe([this](const Rumour& rumour) {
@@ -82,7 +81,7 @@
   const auto peers = peers_();
   const Duration interval = SharedPollInterval(
       context_.settings.Milliseconds(SettingKey::kHeadPollInterval),
-      peers ? peers->group_size() : 1, jitter_);
+      peers ? peers->group_size() : 1, context_.state.random);
   poll_timer_ = context_.loop.Schedule(interval, [this] { PollHead(); });
 }
 
--- a/source/supervisor/tables/table_keeper.h
+++ b/source/supervisor/tables/table_keeper.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 
 #include "decisions/table_follower.h"
@@ -53,7 +52,6 @@
   ChangeHandler on_change_;
   FailureHandler on_failure_;
   TableFollower follower_;
-  std::minstd_rand jitter_;
   RumourExchange::Subscription heads_;
   LoopTimerPtr poll_timer_;
   LoopTimerPtr listen_timer_;
--- a/source/supervisor/upstreams/upstream_monitor.cc
+++ b/source/supervisor/upstreams/upstream_monitor.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "decisions/poll_pace.h"
+#include "decisions/poll_interval.h"
 #include "supervisor/context/leaving_feed.h"
 
 namespace wisteriayoke {
--- a/tests/decisions/poll_pace_test.cc
+++ b/tests/decisions/poll_interval_test.cc
@@ -1,4 +1,4 @@
-#include "decisions/poll_pace.h"
+#include "decisions/poll_interval.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -17,6 +17,16 @@
   }));
 }
 
+TEST_CASE("a larger group reads the platform no more often") {
+  std::mt19937_64 random(7);
+  const Duration wanted = std::chrono::milliseconds(500);
+  CHECK(SharedPollInterval(wanted, 4, random) <= wanted);
+  for (const std::size_t group : {16, 64, 320}) {
+    const Duration least = wanted * static_cast<int>(group) / 32;
+    CHECK(SharedPollInterval(wanted, group, random) >= least);
+  }
+}
+
 TEST_CASE("today's upstreams are polled as often as the settings ask") {
   const Duration wanted = std::chrono::milliseconds(300);
   CHECK(ComputePollInterval(43, wanted) == wanted);
