wire: read the store's answers in one place

Cause: the operators' tool and the daemon's platform client each had the same table from a status of the store to a result code and the same parsing of a record's version. Both now call store_codec. Behaviour is unchanged.

--- a/source/ctl/store_client.cc
+++ b/source/ctl/store_client.cc
@@ -1,35 +1,17 @@
 #include "ctl/store_client.h"
 
-#include <charconv>
-
 #include "ctl/blocking_http.h"
 #include "wire/digest.h"
+#include "wire/store_codec.h"
 
 namespace wisteriayoke {
 namespace {
 
-ResultCode CodeOfStatus(int status) {
-  switch (status) {
-    case 200:
-      return ResultCode::kOk;
-    case 404:
-      return ResultCode::kObjectMissing;
-    case 409:
-      return ResultCode::kStoreConflict;
-    case 429:
-      return ResultCode::kStoreRateLimited;
-    default:
-      return ResultCode::kStoreUnreachable;
-  }
-}
-
 StoreRecord ToRecord(const std::optional<HttpResponse>& response) {
   if (!response) return {.code = ResultCode::kStoreUnreachable};
-  StoreRecord record{.code = CodeOfStatus(response->head.status),
-                     .value = response->body};
-  const auto text = FindField(response->head.fields, "Record-Version");
-  std::from_chars(text.data(), text.data() + text.size(), record.version);
-  return record;
+  return {.code = CodeOfStoreStatus(response->head.status),
+          .value = response->body,
+          .version = ReadRecordVersion(response->head.fields)};
 }
 
 }  // namespace
@@ -61,7 +43,7 @@
     reason.Set(ResultCode::kStoreUnreachable, reason.message());
     return std::nullopt;
   }
-  const ResultCode code = CodeOfStatus(response->head.status);
+  const ResultCode code = CodeOfStoreStatus(response->head.status);
   if (code != ResultCode::kOk) {
     reason.Set(code, "the object store has no content " + hash + ".");
     return std::nullopt;
@@ -81,7 +63,7 @@
       endpoint_,
       {.method = "PUT", .target = "/objects/" + hash, .body = content},
       timeout_, ignored);
-  return response ? CodeOfStatus(response->head.status)
+  return response ? CodeOfStoreStatus(response->head.status)
                   : ResultCode::kStoreUnreachable;
 }
 
--- a/source/supervisor/platform/platform_client.cc
+++ b/source/supervisor/platform/platform_client.cc
@@ -1,46 +1,24 @@
 #include "supervisor/platform/platform_client.h"
 
-#include <charconv>
 #include <utility>
 
+#include "wire/store_codec.h"
+
 namespace wisteriayoke {
 namespace {
 
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1000);
 constexpr std::size_t kMaxRunningCalls = 64;
 constexpr std::size_t kMaxWaitingCalls = 256;
-constexpr std::string_view kVersionField = "Record-Version";
 constexpr std::string_view kExpectedField = "Expected-Version";
 
-std::uint64_t ParseVersion(std::string_view text) {
-  std::uint64_t version = 0;
-  std::from_chars(text.data(), text.data() + text.size(), version);
-  return version;
-}
-
-ResultCode CodeOfStatus(int status) {
-  switch (status) {
-    case 200:
-      return ResultCode::kOk;
-    case 404:
-      return ResultCode::kObjectMissing;
-    case 409:
-      return ResultCode::kStoreConflict;
-    case 429:
-      return ResultCode::kStoreRateLimited;
-    default:
-      return ResultCode::kStoreUnreachable;
-  }
-}
-
 StoreReply ToReply(const FetchResult& result) {
   if (result.code != ResultCode::kOk) {
     return {.code = ResultCode::kStoreUnreachable, .sent = result.sent};
   }
   const HttpResponse& response = result.response;
-  const ResultCode code = CodeOfStatus(response.head.status);
-  return {code, response.body,
-          ParseVersion(FindField(response.head.fields, kVersionField)),
+  const ResultCode code = CodeOfStoreStatus(response.head.status);
+  return {code, response.body, ReadRecordVersion(response.head.fields),
           code == ResultCode::kStoreUnreachable};
 }
 
--- /dev/null
+++ b/source/wire/store_codec.cc
@@ -0,0 +1,29 @@
+#include "wire/store_codec.h"
+
+#include <charconv>
+
+namespace wisteriayoke {
+
+ResultCode CodeOfStoreStatus(int status) {
+  switch (status) {
+    case 200:
+      return ResultCode::kOk;
+    case 404:
+      return ResultCode::kObjectMissing;
+    case 409:
+      return ResultCode::kStoreConflict;
+    case 429:
+      return ResultCode::kStoreRateLimited;
+    default:
+      return ResultCode::kStoreUnreachable;
+  }
+}
+
+std::uint64_t ReadRecordVersion(const HttpFields& fields) {
+  const std::string_view text = FindField(fields, "Record-Version");
+  std::uint64_t version = 0;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  return version;
+}
+
+}  // namespace wisteriayoke
