--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Checks the format and lints all C++ sources. With --fix, formats them instead.
+cd "$(dirname "$0")/.." || exit 1
+mapfile -t files < <(git ls-files --cached --others --exclude-standard \
+  'source/*.cc' 'source/*.h' 'tests/*.cc' 'tests/*.h')
+if [ "${1:-}" = "--fix" ]; then
+  clang-format -i "${files[@]}"
+  exit
+fi
+clang-format --dry-run --Werror "${files[@]}" || exit 1
+printf '%s\n' "${files[@]}" | grep '\.cc$' | grep -v '_implementation\.cc$' |
+  xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p build/release 2>/dev/null
--- /dev/null
+++ b/source/base/time_types.h
@@ -0,0 +1,26 @@
+#ifndef WISTERIAYOKE_BASE_TIME_TYPES_H_
+#define WISTERIAYOKE_BASE_TIME_TYPES_H_
+
+#include <chrono>
+
+namespace wisteriayoke {
+
+/// Length of time in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// Identifies the daemon's monotonic time line. It has no `now()`: the loop
+/// hands the time to the decisions, which never read a clock.
+struct MonotonicTimeline {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicTimeline>;
+  static constexpr bool is_steady = true;
+};
+
+/// Point on the daemon's monotonic time line.
+using TimePoint = std::chrono::time_point<MonotonicTimeline, Duration>;
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_BASE_TIME_TYPES_H_
--- /dev/null
+++ b/source/daemon/wisteriayoked_main.cc
@@ -0,0 +1,102 @@
+#include <popt.h>
+
+#include <cstdio>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/last_reason.h"
+#include "runtime/event_loop.h"
+#include "supervisor/context/log.h"
+#include "supervisor/context/settings.h"
+#include "supervisor/root/root_supervisor.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr auto kVersion = "0.1.0";
+
+/// What the command line asks for.
+struct Options {
+  std::string config;
+  bool check_config = false;
+  bool print_config = false;
+  bool version = false;
+};
+
+std::optional<Options> ParseOptions(int argc, const char** argv,
+                                    LastReason& reason) {
+  char* config = nullptr;
+  int check = 0;
+  int print = 0;
+  int version = 0;
+  const poptOption table[] = {{"config", 'c', POPT_ARG_STRING, &config, 0,
+                               "Read the settings from FILE", "FILE"},
+                              {"check-config", 0, POPT_ARG_NONE, &check, 0,
+                               "Check the settings and exit", nullptr},
+                              {"print-config", 0, POPT_ARG_NONE, &print, 0,
+                               "Print the settings in force and exit", nullptr},
+                              {"version", 0, POPT_ARG_NONE, &version, 0,
+                               "Print the version and exit", nullptr},
+                              POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("wisteriayoked", argc, argv, table, 0);
+  const int result = poptGetNextOpt(context);
+  Options options{.config = config == nullptr ? "" : config,
+                  .check_config = check != 0,
+                  .print_config = print != 0,
+                  .version = version != 0};
+  std::free(config);
+  const bool failed = result < -1 || poptPeekArg(context) != nullptr;
+  if (failed) {
+    reason.Set(ResultCode::kUsage,
+               std::string(poptBadOption(context, 0)) + ": see --help.");
+  }
+  poptFreeContext(context);
+  if (failed) return std::nullopt;
+  return options;
+}
+
+int Explain(const LastReason& reason) {
+  std::fprintf(stderr, "wisteriayoked: error %d: %s\n",
+               static_cast<int>(reason.code()), reason.message().c_str());
+  return ExitStatusOf(reason.code());
+}
+
+int RunDaemon(const Settings& settings) {
+  const auto level = kLogLevelNames.Find(settings.Text(SettingKey::kLogLevel));
+  ConfigureLog(level.value_or(LogLevel::kInfo),
+               settings.Text(SettingKey::kDaemonName));
+  EventLoop loop;
+  LastReason end;
+  RootSupervisor root(loop, settings, [&loop, &end](const LastReason& reason) {
+    end = reason;
+    loop.Stop();
+  });
+  if (!root.Start(end)) return Explain(end);
+  loop.WatchStopSignals([&root](int) { root.RequestStop(); });
+  LogEvent(LogLevel::kInfo, "started", ResultCode::kOk,
+           {{"front", settings.Text(SettingKey::kFrontAddress)}});
+  loop.Run();
+  LogEvent(LogLevel::kInfo, "ended", end.code(), {{"reason", end.message()}});
+  return ExitStatusOf(end.code());
+}
+
+int Main(int argc, const char** argv) {
+  LastReason reason;
+  const auto options = ParseOptions(argc, argv, reason);
+  if (!options) return Explain(reason);
+  if (options->version) {
+    std::printf("wisteriayoked %s\n", kVersion);
+    return 0;
+  }
+  const auto settings = Settings::Load(options->config, reason);
+  if (!settings) return Explain(reason);
+  if (options->print_config) std::fputs(settings->Print().c_str(), stdout);
+  if (options->check_config || options->print_config) return 0;
+  return RunDaemon(*settings);
+}
+
+}  // namespace
+}  // namespace wisteriayoke
+
+int main(int argc, const char** argv) { return wisteriayoke::Main(argc, argv); }
--- /dev/null
+++ b/source/decisions/table_spec.h
@@ -0,0 +1,99 @@
+#ifndef WISTERIAYOKE_DECISIONS_TABLE_SPEC_H_
+#define WISTERIAYOKE_DECISIONS_TABLE_SPEC_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/names_table.h"
+#include "base/time_types.h"
+#include "decisions/layer_range.h"
+
+namespace wisteriayoke {
+
+/// What a route or a pool serves.
+enum class RouteKind {
+  kModel,    ///< Completions by a chain of engines, streamed by token.
+  kService,  ///< Plain HTTP calls to an upstream service.
+};
+
+inline constexpr auto kRouteKindNames = MakeNamesTable<RouteKind>({
+    {RouteKind::kModel, "model"},
+    {RouteKind::kService, "service"},
+});
+
+/// Order in which waiting requests of one workspace are admitted.
+enum class Priority { kHigh, kNormal, kLow };
+
+inline constexpr auto kPriorityNames = MakeNamesTable<Priority>({
+    {Priority::kHigh, "high"},
+    {Priority::kNormal, "normal"},
+    {Priority::kLow, "low"},
+});
+
+/// Address of a process: an IP number and a port.
+struct Endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+
+  std::string ToString() const { return host + ":" + std::to_string(port); }
+
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+/// A customer of the operators; `weight` is its share under contention.
+struct Workspace {
+  WorkspaceName name;
+  std::uint32_t weight = 1;
+};
+
+/// Sends the requests whose path starts with `path_prefix` to a pool.
+struct Route {
+  RouteName name;
+  std::string path_prefix;
+  PoolName pool;
+  RouteKind kind = RouteKind::kModel;
+  bool idempotent = true;
+  Priority priority = Priority::kNormal;
+  Duration deadline = std::chrono::seconds(60);
+};
+
+/// One back end of a pool, as the operators describe it.
+struct UpstreamSpec {
+  UpstreamName name;
+  Endpoint endpoint;
+  DataCentreName data_centre;
+  std::string accelerator;
+  LayerRange layers;        ///< Only for engines.
+  std::uint32_t slots = 8;  ///< Requests that it runs at once.
+};
+
+/// Upstreams that are interchangeable (services) or that chain (engines).
+struct Pool {
+  PoolName name;
+  RouteKind kind = RouteKind::kModel;
+  std::string model;              ///< Only for engines.
+  std::uint32_t layer_count = 0;  ///< Only for engines.
+  bool checks_fencing = false;    ///< Whether engines refuse stale orders.
+  std::vector<UpstreamSpec> upstreams;
+};
+
+/// The operators' two tables, joined by pool names, and the workspaces.
+struct TableSpec {
+  std::vector<Workspace> workspaces;
+  std::vector<Route> routes;
+  std::vector<Pool> pools;
+};
+
+/// Identifies one content of the tables.
+struct TableVersion {
+  std::uint64_t number = 0;  ///< 0 stands for "no tables".
+  std::string hash;          ///< Digest of the content.
+
+  friend bool operator==(const TableVersion&, const TableVersion&) = default;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_DECISIONS_TABLE_SPEC_H_
--- /dev/null
+++ b/source/runtime/asio_implementation.cc
@@ -0,0 +1,2 @@
+// Compiles Asio's implementation once for all libraries.
+#include <asio/impl/src.hpp>
--- /dev/null
+++ b/source/runtime/event_loop.h
@@ -0,0 +1,51 @@
+#ifndef WISTERIAYOKE_RUNTIME_EVENT_LOOP_H_
+#define WISTERIAYOKE_RUNTIME_EVENT_LOOP_H_
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "base/time_types.h"
+#include "runtime/loop_timer.h"
+
+namespace wisteriayoke {
+
+/// The one loop of a process. All sessions and timers run on it, on the thread
+/// that calls `Run`; it blocks in the kernel while there is nothing to do.
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Runs until `Stop` is called or no work is left.
+  void Run();
+  void Stop();
+
+  /// Returns the monotonic time.
+  TimePoint Now() const;
+
+  /// Runs `call` on the next turn of the loop.
+  void Post(std::function<void()> call);
+
+  /// Runs `call` after `delay` unless the returned timer is destroyed first.
+  [[nodiscard]] LoopTimerPtr Schedule(Duration delay,
+                                      std::function<void()> call);
+
+  /// Calls `handler` with the number of each SIGTERM or SIGINT.
+  void WatchStopSignals(std::function<void(int)> handler);
+
+  asio::io_context& context() { return context_; }
+
+ private:
+  class SignalWatch;
+
+  asio::io_context context_;
+  std::unique_ptr<SignalWatch> signals_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_RUNTIME_EVENT_LOOP_H_
--- /dev/null
+++ b/source/runtime/http_client_call.cc
@@ -0,0 +1,161 @@
+#include "runtime/http_client_call.h"
+
+#include <asio/write.hpp>
+#include <utility>
+
+#include "base/overloaded.h"
+#include "wire/http_encode.h"
+
+namespace wisteriayoke {
+
+std::shared_ptr<HttpClientCall> HttpClientCall::Start(EventLoop& loop,
+                                                      const Endpoint& endpoint,
+                                                      HttpRequest request,
+                                                      HttpCallLimits limits,
+                                                      Handler handler) {
+  auto call =
+      std::make_shared<HttpClientCall>(loop, limits, std::move(handler));
+  call->Connect(endpoint, std::move(request));
+  return call;
+}
+
+HttpClientCall::HttpClientCall(EventLoop& loop, HttpCallLimits limits,
+                               Handler handler)
+    : loop_(loop),
+      limits_(limits),
+      handler_(std::move(handler)),
+      socket_(loop.context()),
+      parser_(limits.message),
+      read_buffer_() {}
+
+HttpClientCall::~HttpClientCall() = default;
+
+void HttpClientCall::Connect(const Endpoint& endpoint, HttpRequest request) {
+  request.keep_alive = false;
+  output_ = EncodeRequest(request, endpoint.ToString());
+  asio::error_code error;
+  const auto address = asio::ip::make_address(endpoint.host, error);
+  ArmTimer(limits_.connect_timeout);
+  socket_.async_connect(
+      {address, endpoint.port},
+      [self = shared_from_this()](const asio::error_code& failure) {
+        if (self->closed_) return;
+        if (failure) {
+          return self->Fail(ResultCode::kConnectFailed, failure.message());
+        }
+        self->Send();
+      });
+}
+
+void HttpClientCall::Send() {
+  asio::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  sent_ = true;
+  ArmTimer(limits_.idle_timeout);
+  asio::async_write(socket_, asio::buffer(output_),
+                    [self = shared_from_this()](const asio::error_code& error,
+                                                std::size_t /*size*/) {
+                      if (self->closed_ || !error) return;
+                      self->Fail(ResultCode::kConnectionBroken,
+                                 error.message());
+                    });
+  Read();
+}
+
+void HttpClientCall::Read() {
+  socket_.async_read_some(asio::buffer(read_buffer_),
+                          [self = shared_from_this()](
+                              const asio::error_code& error, std::size_t size) {
+                            if (self->closed_) return;
+                            if (error) return self->HandleReadEnd();
+                            self->HandleRead({self->read_buffer_.data(), size});
+                          });
+}
+
+void HttpClientCall::HandleRead(std::string_view data) {
+  LastReason reason;
+  if (!parser_.Push(data, reason)) {
+    return Fail(reason.code(), reason.message());
+  }
+  ArmTimer(limits_.idle_timeout);
+  Deliver();
+  if (closed_) return;
+  if (parser_.done()) return Finish(CallEnd{});
+  Read();
+}
+
+void HttpClientCall::HandleReadEnd() {
+  LastReason reason;
+  if (!parser_.PushEnd(reason)) return Fail(reason.code(), reason.message());
+  Deliver();
+  if (!closed_) Finish(CallEnd{});
+}
+
+void HttpClientCall::Deliver() {
+  const auto self = shared_from_this();
+  if (!head_delivered_ && parser_.head_done()) {
+    head_delivered_ = true;
+    handler_(CallHead{parser_.Head()});
+  }
+  if (closed_ || !head_delivered_) return;
+  std::string data = parser_.TakeBody();
+  if (!data.empty()) handler_(CallPiece{std::move(data)});
+}
+
+void HttpClientCall::Fail(ResultCode code, std::string message) {
+  Finish(CallFailure{code, std::move(message), sent_});
+}
+
+void HttpClientCall::Finish(CallEvent event) {
+  const auto handler = handler_;
+  Close();
+  handler(std::move(event));
+}
+
+void HttpClientCall::Cancel() { Close(); }
+
+void HttpClientCall::ArmTimer(Duration limit) {
+  timer_ = loop_.Schedule(limit, [this] {
+    Fail(ResultCode::kTimedOut,
+         sent_ ? "the response took too long" : "the connection took too long");
+  });
+}
+
+void HttpClientCall::Close() {
+  if (closed_) return;
+  closed_ = true;
+  timer_.reset();
+  // The handler may be what is running, so it is dropped on a later turn.
+  loop_.Post([self = shared_from_this()] { self->handler_ = nullptr; });
+  asio::error_code ignored;
+  socket_.close(ignored);
+}
+
+std::shared_ptr<HttpClientCall> FetchWhole(
+    EventLoop& loop, const Endpoint& endpoint, HttpRequest request,
+    HttpCallLimits limits, std::function<void(FetchResult)> done) {
+  auto result = std::make_shared<FetchResult>();
+  return HttpClientCall::Start(
+      loop, endpoint, std::move(request), limits,
+      [result, done = std::move(done)](CallEvent event) {
+        std::visit(Overloaded{
+                       [&result](CallHead& head) {
+                         result->sent = true;
+                         result->response.head = std::move(head.head);
+                       },
+                       [&result](CallPiece& piece) {
+                         result->response.body += piece.data;
+                       },
+                       [&result, &done](CallEnd&) { done(std::move(*result)); },
+                       [&result, &done](CallFailure& failure) {
+                         result->code = failure.code;
+                         result->message = std::move(failure.message);
+                         result->sent = failure.sent;
+                         done(std::move(*result));
+                       },
+                   },
+                   event);
+      });
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/runtime/http_client_call.h
@@ -0,0 +1,112 @@
+#ifndef WISTERIAYOKE_RUNTIME_HTTP_CLIENT_CALL_H_
+#define WISTERIAYOKE_RUNTIME_HTTP_CLIENT_CALL_H_
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "base/last_reason.h"
+#include "decisions/table_spec.h"
+#include "runtime/event_loop.h"
+#include "wire/http_response_parser.h"
+
+namespace wisteriayoke {
+
+/// The head of the response has come.
+struct CallHead {
+  HttpResponseHead head;
+};
+
+/// A piece of the response's body has come.
+struct CallPiece {
+  std::string data;
+};
+
+/// The response is whole. Nothing follows.
+struct CallEnd {};
+
+/// The call failed. Nothing follows.
+struct CallFailure {
+  ResultCode code = ResultCode::kOk;
+  std::string message;
+  bool sent = false;  ///< Whether any byte of the request may have left.
+};
+
+using CallEvent = std::variant<CallHead, CallPiece, CallEnd, CallFailure>;
+
+/// Bounds on one call.
+struct HttpCallLimits {
+  HttpLimits message{.body_bytes = 64 * 1024 * 1024};
+  Duration connect_timeout = std::chrono::milliseconds(500);
+  /// Longest wait for the next byte of the response.
+  Duration idle_timeout = std::chrono::seconds(30);
+};
+
+/// One HTTP request to another process over a connection of its own. It keeps
+/// itself alive until it ends.
+class HttpClientCall : public std::enable_shared_from_this<HttpClientCall> {
+ public:
+  using Handler = std::function<void(CallEvent)>;
+
+  /// Connects to `endpoint` and sends `request`; `handler` gets the events, the
+  /// first at the earliest on the next turn of the loop.
+  static std::shared_ptr<HttpClientCall> Start(EventLoop& loop,
+                                               const Endpoint& endpoint,
+                                               HttpRequest request,
+                                               HttpCallLimits limits,
+                                               Handler handler);
+
+  /// Closes the connection; no event follows.
+  void Cancel();
+
+  HttpClientCall(EventLoop& loop, HttpCallLimits limits, Handler handler);
+  ~HttpClientCall();
+  HttpClientCall(const HttpClientCall&) = delete;
+  HttpClientCall& operator=(const HttpClientCall&) = delete;
+
+ private:
+  static constexpr std::size_t kReadBytes = 16 * 1024;
+
+  void Connect(const Endpoint& endpoint, HttpRequest request);
+  void Send();
+  void Read();
+  void HandleRead(std::string_view data);
+  void HandleReadEnd();
+  void Deliver();
+  void Fail(ResultCode code, std::string message);
+  void Finish(CallEvent event);
+  void ArmTimer(Duration limit);
+  void Close();
+
+  EventLoop& loop_;
+  HttpCallLimits limits_;
+  Handler handler_;
+  asio::ip::tcp::socket socket_;
+  HttpResponseParser parser_;
+  std::array<char, kReadBytes> read_buffer_;
+  std::string output_;
+  LoopTimerPtr timer_;
+  bool sent_ = false;
+  bool head_delivered_ = false;
+  bool closed_ = false;
+};
+
+/// A whole response or the reason why there is none.
+struct FetchResult {
+  ResultCode code = ResultCode::kOk;
+  std::string message;
+  bool sent = false;
+  HttpResponse response;
+};
+
+/// Sends `request` and calls `done` once with the whole response.
+std::shared_ptr<HttpClientCall> FetchWhole(
+    EventLoop& loop, const Endpoint& endpoint, HttpRequest request,
+    HttpCallLimits limits, std::function<void(FetchResult)> done);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_RUNTIME_HTTP_CLIENT_CALL_H_
--- /dev/null
+++ b/source/runtime/http_server.cc
@@ -0,0 +1,103 @@
+#include "runtime/http_server.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriayoke {
+
+std::shared_ptr<HttpServer> HttpServer::Create(
+    EventLoop& loop, const Endpoint& endpoint, HttpServerLimits limits,
+    HttpServerSession::Handler handler,
+    HttpServerSession::ErrorHandler error_handler, LastReason& reason) {
+  auto server = std::make_shared<HttpServer>(loop, limits, std::move(handler),
+                                             std::move(error_handler));
+  asio::error_code error;
+  const auto address = asio::ip::make_address(endpoint.host, error);
+  const asio::ip::tcp::endpoint local(address, endpoint.port);
+  auto& acceptor = server->acceptor_;
+  if (!error) acceptor.open(local.protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) acceptor.bind(local, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    reason.Set(
+        ResultCode::kAddressInUse,
+        "can't listen at " + endpoint.ToString() + ": " + error.message());
+    return nullptr;
+  }
+  server->Accept();
+  return server;
+}
+
+HttpServer::HttpServer(EventLoop& loop, HttpServerLimits limits,
+                       HttpServerSession::Handler handler,
+                       HttpServerSession::ErrorHandler error_handler)
+    : loop_(loop),
+      limits_(limits),
+      handler_(std::move(handler)),
+      error_handler_(std::move(error_handler)),
+      acceptor_(loop.context()) {}
+
+void HttpServer::Accept() {
+  acceptor_.async_accept(
+      [self = shared_from_this()](const asio::error_code& error,
+                                  asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (!self->acceptor_.is_open()) return;
+        if (!error) self->AddSession(std::move(socket));
+        self->Accept();
+      });
+}
+
+void HttpServer::AddSession(asio::ip::tcp::socket socket) {
+  if (CountSessions() >= limits_.connections) {
+    asio::error_code ignored;
+    socket.close(ignored);
+    return;
+  }
+  auto session = std::make_shared<HttpServerSession>(
+      loop_, std::move(socket), limits_, handler_, error_handler_);
+  sessions_.push_back(session);
+  session->Start();
+}
+
+std::size_t HttpServer::CountSessions() {
+  std::erase_if(sessions_, [](const auto& weak) {
+    const auto session = weak.lock();
+    return !session || session->closed();
+  });
+  return sessions_.size();
+}
+
+void HttpServer::StopAccepting() {
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void HttpServer::Drain(std::function<void()> done) {
+  on_drained_ = std::move(done);
+  for (const auto& weak : std::vector(sessions_)) {
+    if (const auto session = weak.lock()) session->CloseWhenIdle();
+  }
+  CheckDrained();
+}
+
+void HttpServer::CheckDrained() {
+  if (CountSessions() == 0) {
+    if (const auto done = std::exchange(on_drained_, nullptr)) done();
+    return;
+  }
+  drain_timer_ =
+      loop_.Schedule(kDrainCheckInterval,
+                     [self = shared_from_this()] { self->CheckDrained(); });
+}
+
+void HttpServer::CutSessions() {
+  for (const auto& weak : std::vector(sessions_)) {
+    if (const auto session = weak.lock()) session->Abort();
+  }
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/runtime/http_server_session.cc
@@ -0,0 +1,174 @@
+#include "runtime/http_server_session.h"
+
+#include <asio/write.hpp>
+#include <utility>
+
+#include "wire/http_encode.h"
+
+namespace wisteriayoke {
+
+HttpServerSession::HttpServerSession(EventLoop& loop,
+                                     asio::ip::tcp::socket socket,
+                                     HttpServerLimits limits, Handler handler,
+                                     ErrorHandler error_handler)
+    : loop_(loop),
+      socket_(std::move(socket)),
+      limits_(limits),
+      handler_(std::move(handler)),
+      error_handler_(std::move(error_handler)),
+      parser_(limits.message),
+      read_buffer_() {}
+
+HttpServerSession::~HttpServerSession() = default;
+
+void HttpServerSession::Start() {
+  asio::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  ArmReadTimer();
+  Read();
+}
+
+void HttpServerSession::Read() {
+  socket_.async_read_some(asio::buffer(read_buffer_),
+                          [self = shared_from_this()](
+                              const asio::error_code& error, std::size_t size) {
+                            if (self->closed_) return;
+                            if (error) return self->HandleReadEnd();
+                            self->HandleRead({self->read_buffer_.data(), size});
+                          });
+}
+
+void HttpServerSession::HandleRead(std::string_view data) {
+  parser_.Push(data);
+  if (!answering_) NextRequest();
+  if (closed_ || close_when_idle_) return;
+  Read();
+}
+
+void HttpServerSession::HandleReadEnd() {
+  // A caller that closes its side while it waits is taken to have left.
+  Close();
+}
+
+void HttpServerSession::NextRequest() {
+  LastReason reason;
+  std::optional<HttpRequest> request = parser_.Next(reason);
+  if (reason.code() != ResultCode::kOk) return RefuseInput(reason);
+  if (!request) return ArmReadTimer();
+  read_timer_.reset();
+  answering_ = true;
+  keep_alive_ = request->keep_alive;
+  handler_(std::move(*request), shared_from_this());
+}
+
+void HttpServerSession::RefuseInput(const LastReason& reason) {
+  read_timer_.reset();
+  answering_ = true;
+  keep_alive_ = false;
+  Respond(error_handler_(reason));
+}
+
+void HttpServerSession::Respond(const HttpResponse& response) {
+  if (closed_ || !answering_) return;
+  keep_alive_ = keep_alive_ && !close_when_idle_;
+  Write(EncodeResponse(response, keep_alive_));
+  FinishAnswer();
+}
+
+void HttpServerSession::StartStream(const HttpResponseHead& head) {
+  if (closed_ || !answering_) return;
+  keep_alive_ = keep_alive_ && !close_when_idle_;
+  Write(EncodeChunkedHead(head, keep_alive_));
+}
+
+void HttpServerSession::WritePiece(std::string_view data) {
+  if (closed_ || data.empty()) return;
+  Write(EncodeChunk(data));
+}
+
+void HttpServerSession::EndStream() {
+  if (closed_) return;
+  Write(EncodeLastChunk());
+  FinishAnswer();
+}
+
+void HttpServerSession::FinishAnswer() {
+  answering_ = false;
+  on_closed_ = nullptr;
+  if (!keep_alive_) close_when_idle_ = true;
+  if (close_when_idle_) return;
+  loop_.Post([self = shared_from_this()] {
+    if (!self->closed_ && !self->answering_) self->NextRequest();
+  });
+}
+
+void HttpServerSession::Write(const std::string& data) {
+  if (pending_output_.size() + writing_.size() + data.size() >
+      limits_.buffered_bytes + limits_.message.body_bytes) {
+    return Close();
+  }
+  pending_output_ += data;
+  if (writing_.empty()) Flush();
+}
+
+void HttpServerSession::Flush() {
+  writing_ = std::exchange(pending_output_, {});
+  write_timer_ = loop_.Schedule(limits_.write_timeout, [this] { Close(); });
+  asio::async_write(socket_, asio::buffer(writing_),
+                    [self = shared_from_this()](const asio::error_code& error,
+                                                std::size_t /*size*/) {
+                      self->HandleWritten(error);
+                    });
+}
+
+void HttpServerSession::HandleWritten(const asio::error_code& error) {
+  write_timer_.reset();
+  writing_.clear();
+  if (closed_) return;
+  if (error) return Close();
+  if (!pending_output_.empty()) return Flush();
+  if (close_when_idle_ && !answering_) Close();
+}
+
+void HttpServerSession::BreakStream() {
+  if (closed_) return;
+  answering_ = false;
+  on_closed_ = nullptr;
+  close_when_idle_ = true;
+  if (writing_.empty()) Close();
+}
+
+void HttpServerSession::Abort() { Close(); }
+
+void HttpServerSession::CloseWhenIdle() {
+  close_when_idle_ = true;
+  if (!answering_ && writing_.empty() && !parser_.InMessage()) Close();
+}
+
+void HttpServerSession::ArmReadTimer() {
+  const bool in_message = parser_.InMessage();
+  if (in_message && read_timer_) return;
+  const Duration limit =
+      in_message ? limits_.request_timeout : limits_.idle_timeout;
+  read_timer_ = loop_.Schedule(limit, [this, in_message] {
+    if (!in_message) return Close();
+    LastReason reason;
+    reason.Set(ResultCode::kCallerTimedOut, "the request came too slowly");
+    RefuseInput(reason);
+  });
+}
+
+void HttpServerSession::Close() {
+  if (closed_) return;
+  const auto self = shared_from_this();
+  closed_ = true;
+  read_timer_.reset();
+  write_timer_.reset();
+  asio::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+  const auto handler = std::exchange(on_closed_, nullptr);
+  if (answering_ && handler) handler();
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/runtime/supervisor.h
@@ -0,0 +1,215 @@
+#ifndef WISTERIAYOKE_RUNTIME_SUPERVISOR_H_
+#define WISTERIAYOKE_RUNTIME_SUPERVISOR_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/last_reason.h"
+#include "decisions/restart_policy.h"
+#include "runtime/event_loop.h"
+
+namespace wisteriayoke {
+
+/// Called by a child, or by a supervisor towards its parent, when it can't go
+/// on. The child must not be used by its caller after this.
+using FailureHandler = std::function<void(const LastReason&)>;
+
+/// Starts, restarts and stops the children of one node of the supervisor tree.
+///
+/// `Child` is a `std::variant` of `std::shared_ptr`s. Each alternative offers
+/// `bool Start(LastReason&)` and `void Stop(std::function<void()> done)`.
+/// Children start in the order of their specifications and stop in reverse. A
+/// restarted child is made anew, from what its specification hands it.
+template <typename Child>
+class Supervisor {
+ public:
+  /// Describes one child.
+  struct ChildSpec {
+    std::string name;
+    RestartPolicy policy = RestartPolicy::kPermanent;
+    RestartIntensity intensity;
+    std::function<Child(FailureHandler)> create;
+  };
+
+  /// Observes each failure of a child and what was decided about it.
+  using Observer = std::function<void(const std::string& child, RestartDecision,
+                                      const LastReason&)>;
+
+  Supervisor(EventLoop& loop, Observer observer, FailureHandler escalate)
+      : loop_(loop),
+        observer_(std::move(observer)),
+        escalate_(std::move(escalate)) {}
+
+  Supervisor(const Supervisor&) = delete;
+  Supervisor& operator=(const Supervisor&) = delete;
+  ~Supervisor() { *alive_ = false; }
+
+  /// Adds a child and starts it. Fails with the child's reason.
+  bool Add(ChildSpec spec, LastReason& reason) {
+    children_.push_back(std::make_unique<Entry>(std::move(spec)));
+    if (StartChild(*children_.back(), reason)) return true;
+    children_.pop_back();
+    return false;
+  }
+
+  /// Stops the child called `name` and forgets it.
+  void Remove(const std::string& name) {
+    for (auto it = children_.begin(); it != children_.end(); ++it) {
+      if ((*it)->spec.name != name) continue;
+      std::unique_ptr<Entry> removed = std::move(*it);
+      children_.erase(it);
+      StopChild(*removed, [] {});
+      return;
+    }
+  }
+
+  /// Stops all children, last started first, then calls `done`. A child can be
+  /// found until it has stopped.
+  void Stop(std::function<void()> done) {
+    if (children_.empty()) return done();
+    Entry& last = *children_.back();
+    last.restart_timer.reset();
+    auto next = [this, alive = alive_, done = std::move(done)] {
+      if (!*alive) return;
+      children_.pop_back();
+      Stop(done);
+    };
+    if (!last.child) return next();
+    const Child child = *last.child;
+    std::visit(
+        [this, &next, &child](const auto& running) {
+          running->Stop(
+              [this, next = std::move(next), child] { loop_.Post(next); });
+        },
+        child);
+  }
+
+  /// Returns the running child of type `Kind`, or null.
+  template <typename Kind>
+  std::shared_ptr<Kind> Find() const {
+    for (const auto& entry : children_) {
+      if (!entry->child) continue;
+      if (auto* found = std::get_if<std::shared_ptr<Kind>>(&*entry->child)) {
+        return *found;
+      }
+    }
+    return nullptr;
+  }
+
+  /// Returns the names of all children, in the order of their start.
+  std::vector<std::string> ListNames() const {
+    std::vector<std::string> names;
+    for (const auto& entry : children_) names.push_back(entry->spec.name);
+    return names;
+  }
+
+  /// Makes the child called `name` fail, as an operator or a test may ask.
+  /// Returns false if there is no such child or it isn't running.
+  bool FailChild(const std::string& name, const LastReason& reason) {
+    for (const auto& entry : children_) {
+      if (entry->spec.name != name || !entry->child) continue;
+      HandleFailure(name, entry->incarnation, reason);
+      return true;
+    }
+    return false;
+  }
+
+ private:
+  /// Delay before another try when a restarted child fails to start.
+  static constexpr Duration kRestartDelay = std::chrono::milliseconds(100);
+
+  struct Entry {
+    explicit Entry(ChildSpec child_spec)
+        : spec(std::move(child_spec)), tracker(spec.policy, spec.intensity) {}
+
+    ChildSpec spec;
+    RestartTracker tracker;
+    std::optional<Child> child;
+    unsigned incarnation = 0;
+    LoopTimerPtr restart_timer;
+  };
+
+  bool StartChild(Entry& entry, LastReason& reason) {
+    const unsigned incarnation = ++entry.incarnation;
+    entry.child =
+        entry.spec.create([this, alive = alive_, name = entry.spec.name,
+                           incarnation](const LastReason& why) {
+          loop_.Post([this, alive, name, incarnation, why] {
+            if (*alive) HandleFailure(name, incarnation, why);
+          });
+        });
+    const bool started = std::visit(
+        [&reason](auto& child) { return child->Start(reason); }, *entry.child);
+    if (!started) entry.child.reset();
+    return started;
+  }
+
+  static void StopChild(Entry& entry, std::function<void()> done) {
+    entry.restart_timer.reset();
+    if (!entry.child) return done();
+    const Child child = *std::exchange(entry.child, std::nullopt);
+    std::visit(
+        [&done, &child](const auto& running) {
+          running->Stop([done = std::move(done), child] { done(); });
+        },
+        child);
+  }
+
+  Entry* FindEntry(const std::string& name, unsigned incarnation) {
+    for (const auto& entry : children_) {
+      if (entry->spec.name == name && entry->incarnation == incarnation) {
+        return entry.get();
+      }
+    }
+    return nullptr;
+  }
+
+  void HandleFailure(const std::string& name, unsigned incarnation,
+                     const LastReason& reason) {
+    Entry* entry = FindEntry(name, incarnation);
+    if (entry == nullptr) return;
+    StopChild(*entry, [] {});
+    const RestartDecision decision = entry->tracker.RecordFailure(loop_.Now());
+    observer_(name, decision, reason);
+    switch (decision) {
+      case RestartDecision::kRestart:
+        return Restart(*entry);
+      case RestartDecision::kLeaveStopped:
+        return;
+      case RestartDecision::kEscalate:
+        return Escalate(name, reason);
+    }
+  }
+
+  void Restart(Entry& entry) {
+    LastReason reason;
+    if (StartChild(entry, reason)) return;
+    entry.restart_timer = loop_.Schedule(
+        kRestartDelay,
+        [this, name = entry.spec.name, incarnation = entry.incarnation,
+         reason] { HandleFailure(name, incarnation, reason); });
+  }
+
+  void Escalate(const std::string& name, const LastReason& reason) {
+    LastReason escalated;
+    escalated.Set(ResultCode::kRestartLimitReached,
+                  "child \"" + name +
+                      "\" failed too often; last reason: " + reason.message());
+    escalate_(escalated);
+  }
+
+  EventLoop& loop_;
+  Observer observer_;
+  FailureHandler escalate_;
+  std::vector<std::unique_ptr<Entry>> children_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_RUNTIME_SUPERVISOR_H_
--- /dev/null
+++ b/source/standins/standin_options.h
@@ -0,0 +1,32 @@
+#ifndef WISTERIAYOKE_STANDINS_STANDIN_OPTIONS_H_
+#define WISTERIAYOKE_STANDINS_STANDIN_OPTIONS_H_
+
+#include <optional>
+#include <string>
+
+#include "base/last_reason.h"
+#include "base/time_types.h"
+#include "decisions/layer_range.h"
+#include "decisions/table_spec.h"
+
+namespace wisteriayoke {
+
+/// Command line of the stand-ins.
+struct StandinOptions {
+  Endpoint listen;
+  LayerRange layers{0, 1};
+  unsigned slots = 8;
+  Duration token_time = std::chrono::milliseconds(5);
+};
+
+/// Parses the command line of `program`. Fails with kUsage or kFieldInvalid.
+std::optional<StandinOptions> ParseStandinOptions(const char* program, int argc,
+                                                  const char** argv,
+                                                  LastReason& reason);
+
+/// Prints `reason` for `program` and returns the exit status.
+int ExplainStandinFailure(const char* program, const LastReason& reason);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_STANDINS_STANDIN_OPTIONS_H_
--- /dev/null
+++ b/source/supervisor/context/daemon_context.h
@@ -0,0 +1,35 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_DAEMON_CONTEXT_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_DAEMON_CONTEXT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "decisions/table_set.h"
+#include "decisions/upstream_book.h"
+#include "runtime/event_loop.h"
+#include "supervisor/context/settings.h"
+
+namespace wisteriayoke {
+
+/// State that outlives the restart of any child. The root owns it and hands it
+/// to the children that it makes.
+struct DaemonState {
+  TableVersion version;  ///< Version of the tables in force.
+  TableSetPtr tables;    ///< Null until the first tables are in force.
+  UpstreamBook upstreams;
+  bool draining = false;
+  std::uint64_t requests_started = 0;
+
+  bool ready() const { return tables != nullptr && !draining; }
+};
+
+/// What every child of the tree is made from.
+struct DaemonContext {
+  EventLoop& loop;
+  const Settings& settings;
+  DaemonState& state;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_DAEMON_CONTEXT_H_
--- /dev/null
+++ b/source/supervisor/context/easylogging_implementation.cc
@@ -0,0 +1,2 @@
+// Compiles easylogging++'s implementation, which Debian ships as a source file.
+#include <easylogging++.cc>
--- /dev/null
+++ b/source/supervisor/context/log.h
@@ -0,0 +1,38 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_LOG_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_LOG_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "base/names_table.h"
+#include "base/result_code.h"
+
+namespace wisteriayoke {
+
+/// Severity of a log line.
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+inline constexpr auto kLogLevelNames = MakeNamesTable<LogLevel>({
+    {LogLevel::kDebug, "debug"},
+    {LogLevel::kInfo, "info"},
+    {LogLevel::kWarning, "warning"},
+    {LogLevel::kError, "error"},
+});
+
+/// One named value of a log line.
+struct LogField {
+  std::string_view name;
+  std::string value;
+};
+
+/// Sets up logging to standard error for the whole process.
+void ConfigureLog(LogLevel least, const std::string& process);
+
+/// Logs one event as one line of fields.
+void LogEvent(LogLevel level, std::string_view event, ResultCode code,
+              std::initializer_list<LogField> fields);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_LOG_H_
--- /dev/null
+++ b/source/supervisor/context/setting_key.cc
@@ -0,0 +1,46 @@
+#include "supervisor/context/setting_key.h"
+
+#include <array>
+
+namespace wisteriayoke {
+namespace {
+
+using enum SettingKey;
+using enum SettingType;
+
+constexpr auto kTable = std::to_array<SettingInfo>({
+    {kDaemonName, "daemon", "name", kText, "", false,
+     "Name of this daemon, unique among all daemons."},
+    {kDataCentre, "daemon", "data_centre", kText, "", false,
+     "Data centre of this instance."},
+    {kDrainDeadline, "daemon", "drain_deadline_ms", kMilliseconds, "30000",
+     false, "Longest time that a planned stop waits for requests in flight."},
+    {kLogLevel, "daemon", "log_level", kText, "info", false,
+     "Least level that is logged: debug, info, warning or error."},
+    {kFrontAddress, "front", "address", kEndpoint, "", false,
+     "Where callers and the balancer connect."},
+    {kMaxConnections, "front", "max_connections", kCount, "4096", false,
+     "Most caller connections at a time."},
+    {kMaxHeaderBytes, "front", "max_header_bytes", kCount, "16384", false,
+     "Longest header of a request, in bytes."},
+    {kMaxBodyBytes, "front", "max_body_bytes", kCount, "1048576", false,
+     "Longest body of a request, in bytes."},
+    {kOperatorsAddress, "operators", "address", kEndpoint, "", false,
+     "Where the operators' tool connects."},
+    {kPeersAddress, "peers", "address", kEndpoint, "", false,
+     "Where other daemons send datagrams."},
+    {kPeerSeeds, "peers", "seeds", kEndpointList, "", true,
+     "Addresses of some other daemons, to join by."},
+    {kPlatformAddress, "platform", "address", kEndpoint, "", false,
+     "Address of the platform's table service and object store."},
+    {kHeadPollInterval, "platform", "head_poll_ms", kMilliseconds, "500", false,
+     "Time between reads of the tables' head record."},
+    {kLoadPollInterval, "upstreams", "load_poll_ms", kMilliseconds, "250",
+     false, "Time between reads of an engine's load."},
+});
+
+}  // namespace
+
+std::span<const SettingInfo> SettingTable() { return kTable; }
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/context/setting_key.h
@@ -0,0 +1,63 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_SETTING_KEY_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_SETTING_KEY_H_
+
+#include <span>
+#include <string_view>
+
+#include "base/names_table.h"
+
+namespace wisteriayoke {
+
+/// The settings of a daemon.
+enum class SettingKey {
+  kDaemonName,
+  kDataCentre,
+  kFrontAddress,
+  kOperatorsAddress,
+  kPeersAddress,
+  kPeerSeeds,
+  kPlatformAddress,
+  kHeadPollInterval,
+  kLoadPollInterval,
+  kDrainDeadline,
+  kMaxConnections,
+  kMaxHeaderBytes,
+  kMaxBodyBytes,
+  kLogLevel,
+};
+
+/// The form of a setting's value.
+enum class SettingType {
+  kText,
+  kEndpoint,
+  kEndpointList,
+  kMilliseconds,
+  kCount
+};
+
+inline constexpr auto kSettingTypeNames = MakeNamesTable<SettingType>({
+    {SettingType::kText, "text"},
+    {SettingType::kEndpoint, "IP:PORT"},
+    {SettingType::kEndpointList, "IP:PORT, ..."},
+    {SettingType::kMilliseconds, "milliseconds"},
+    {SettingType::kCount, "whole number"},
+});
+
+/// One row of the table of settings. An empty default means "required" unless
+/// `optional` is set.
+struct SettingInfo {
+  SettingKey key;
+  std::string_view section;
+  std::string_view name;
+  SettingType type;
+  std::string_view default_value;
+  bool optional;
+  std::string_view help;
+};
+
+/// Returns the table of settings, in the order of the documentation.
+std::span<const SettingInfo> SettingTable();
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_SETTING_KEY_H_
--- /dev/null
+++ b/source/supervisor/context/settings.h
@@ -0,0 +1,47 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_SETTINGS_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_SETTINGS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/last_reason.h"
+#include "base/time_types.h"
+#include "decisions/table_spec.h"
+#include "supervisor/context/setting_key.h"
+
+namespace wisteriayoke {
+
+/// The checked settings of one daemon, read from INI text.
+class Settings {
+ public:
+  /// Parses and checks `ini`. Fails with kSettingUnknown (with the line and the
+  /// nearest known name), kSettingInvalid or kSettingMissing.
+  static std::optional<Settings> Create(const std::string& ini,
+                                        LastReason& reason);
+
+  /// Reads the file at `path`; fails with kFileUnreadable or as `Create`.
+  static std::optional<Settings> Load(const std::string& path,
+                                      LastReason& reason);
+
+  const std::string& Text(SettingKey key) const { return values_.at(key); }
+  std::uint64_t Count(SettingKey key) const;
+  Duration Milliseconds(SettingKey key) const;
+  Endpoint EndpointOf(SettingKey key) const;
+  std::vector<Endpoint> EndpointsOf(SettingKey key) const;
+
+  /// Returns all settings in force as INI text.
+  std::string Print() const;
+
+ private:
+  Settings() = default;
+
+  std::map<SettingKey, std::string> values_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_SETTINGS_H_
--- /dev/null
+++ b/source/supervisor/front/front_end.cc
@@ -0,0 +1,133 @@
+#include "supervisor/front/front_end.h"
+
+#include <utility>
+
+#include "supervisor/front/caller_answer.h"
+#include "supervisor/front/model_session.h"
+#include "supervisor/front/service_session.h"
+#include "wire/completion_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+constexpr auto kWorkspaceField = "Wisteriayoke-Workspace";
+
+HttpServerLimits LimitsOf(const Settings& settings) {
+  HttpServerLimits limits;
+  limits.connections = settings.Count(SettingKey::kMaxConnections);
+  limits.message.header_bytes =
+      static_cast<std::uint32_t>(settings.Count(SettingKey::kMaxHeaderBytes));
+  limits.message.body_bytes = settings.Count(SettingKey::kMaxBodyBytes);
+  return limits;
+}
+
+HttpResponse BuildProbeAnswer(bool good, std::string_view text) {
+  return {
+      {good ? kStatusOk : kStatusUnavailable, {{"Content-Type", "text/plain"}}},
+      std::string(text) + "\n"};
+}
+
+}  // namespace
+
+FrontEnd::FrontEnd(DaemonContext context, FailureHandler on_failure)
+    : context_(context), on_failure_(std::move(on_failure)) {}
+
+bool FrontEnd::Start(LastReason& reason) {
+  server_ = HttpServer::Create(
+      context_.loop, context_.settings.EndpointOf(SettingKey::kFrontAddress),
+      LimitsOf(context_.settings),
+      [weak = weak_from_this()](HttpRequest request, const CallerPtr& caller) {
+        if (const auto self = weak.lock()) {
+          return self->Handle(std::move(request), caller);
+        }
+        caller->Respond(BuildErrorAnswer({}, ResultCode::kDraining,
+                                         "the front end is restarting"));
+      },
+      [](const LastReason& why) {
+        return BuildErrorAnswer({}, why.code(), why.message());
+      },
+      reason);
+  return server_ != nullptr;
+}
+
+void FrontEnd::Stop(std::function<void()> done) {
+  server_->StopAccepting();
+  server_->Drain(std::move(done));
+}
+
+void FrontEnd::CutSessions() { server_->CutSessions(); }
+
+void FrontEnd::Handle(HttpRequest request, const CallerPtr& caller) {
+  if (HandleProbe(PathOf(request.target), caller)) return;
+  RouteRequest(std::move(request), caller);
+}
+
+bool FrontEnd::HandleProbe(std::string_view path, const CallerPtr& caller) {
+  if (path == "/livez") {
+    caller->Respond(BuildProbeAnswer(true, "alive"));
+    return true;
+  }
+  if (path == "/readyz") {
+    const bool ready = context_.state.ready();
+    caller->Respond(BuildProbeAnswer(ready, ready ? "ready" : "not ready"));
+    return true;
+  }
+  return false;
+}
+
+RequestId FrontEnd::NextRequestId() {
+  const std::uint64_t number = ++context_.state.requests_started;
+  return RequestId(
+      context_.settings.Text(SettingKey::kDaemonName) + "-" +
+      std::to_string(context_.loop.Now().time_since_epoch().count()) + "-" +
+      std::to_string(number));
+}
+
+void FrontEnd::RouteRequest(HttpRequest request, const CallerPtr& caller) {
+  const RequestId id = NextRequestId();
+  const auto refuse = [&id, &caller](ResultCode code, std::string_view why) {
+    caller->Respond(BuildErrorAnswer(id, code, why));
+  };
+  const DaemonState& state = context_.state;
+  if (!state.tables) {
+    return refuse(ResultCode::kNotReady, "no tables are in force yet");
+  }
+  if (state.draining) {
+    return refuse(ResultCode::kDraining, "this daemon is stopping");
+  }
+  const WorkspaceName workspace(
+      std::string(FindField(request.fields, kWorkspaceField)));
+  if (state.tables->FindWorkspace(workspace) == nullptr) {
+    return refuse(ResultCode::kUnknownWorkspace,
+                  "no workspace \"" + workspace.text() + "\"");
+  }
+  const Route* route = state.tables->FindRoute(PathOf(request.target));
+  if (route == nullptr) {
+    return refuse(ResultCode::kUnknownRoute,
+                  "no route matches " + request.target);
+  }
+  if (route->kind == RouteKind::kModel) {
+    return StartModelSession(*route, request, id, caller);
+  }
+  std::make_shared<ServiceSession>(context_, state.tables, *route, id,
+                                   std::move(request), caller)
+      ->Start();
+}
+
+void FrontEnd::StartModelSession(const Route& route, const HttpRequest& request,
+                                 const RequestId& id, const CallerPtr& caller) {
+  const bool chat = PathOf(request.target).ends_with("/chat/completions");
+  LastReason reason;
+  auto completion = ParseCompletion(request.body, chat, reason);
+  if (!completion) {
+    return caller->Respond(
+        BuildErrorAnswer(id, reason.code(), reason.message()));
+  }
+  std::make_shared<ModelSession>(context_, context_.state.tables, route, id,
+                                 std::move(*completion), caller)
+      ->Start();
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/front/front_end.h
@@ -0,0 +1,43 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_FRONT_FRONT_END_H_
+#define WISTERIAYOKE_SUPERVISOR_FRONT_FRONT_END_H_
+
+#include <functional>
+#include <memory>
+
+#include "runtime/http_server.h"
+#include "runtime/supervisor.h"
+#include "supervisor/context/daemon_context.h"
+
+namespace wisteriayoke {
+
+/// Accepts callers' requests, matches them with a route and starts a session
+/// for each. A child of the root; sessions outlive its restart.
+class FrontEnd : public std::enable_shared_from_this<FrontEnd> {
+ public:
+  FrontEnd(DaemonContext context, FailureHandler on_failure);
+
+  bool Start(LastReason& reason);
+  /// Accepts no more and calls `done` when all requests are answered.
+  void Stop(std::function<void()> done);
+
+  /// Closes all connections at once.
+  void CutSessions();
+
+ private:
+  using CallerPtr = std::shared_ptr<HttpServerSession>;
+
+  void Handle(HttpRequest request, const CallerPtr& caller);
+  bool HandleProbe(std::string_view path, const CallerPtr& caller);
+  void RouteRequest(HttpRequest request, const CallerPtr& caller);
+  void StartModelSession(const Route& route, const HttpRequest& request,
+                         const RequestId& id, const CallerPtr& caller);
+  RequestId NextRequestId();
+
+  DaemonContext context_;
+  FailureHandler on_failure_;
+  std::shared_ptr<HttpServer> server_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_FRONT_FRONT_END_H_
--- /dev/null
+++ b/source/supervisor/front/model_session.h
@@ -0,0 +1,66 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_FRONT_MODEL_SESSION_H_
+#define WISTERIAYOKE_SUPERVISOR_FRONT_MODEL_SESSION_H_
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "decisions/model_request.h"
+#include "runtime/http_client_call.h"
+#include "runtime/http_server_session.h"
+#include "supervisor/context/daemon_context.h"
+#include "wire/completion_codec.h"
+#include "wire/engine_codec.h"
+
+namespace wisteriayoke {
+
+/// Carries out the decisions of one `ModelRequest`: calls the engines and
+/// answers the caller. It keeps itself alive through the caller's session and
+/// the calls in progress.
+class ModelSession : public std::enable_shared_from_this<ModelSession> {
+ public:
+  /// Serves `request` under `tables`, from the pool of `route`.
+  ModelSession(DaemonContext context, TableSetPtr tables, const Route& route,
+               RequestId id, CompletionRequest request,
+               std::shared_ptr<HttpServerSession> caller);
+
+  void Start();
+
+ private:
+  void Feed(const ModelRequestEvent& event);
+  void ChooseAndFeedChain(const std::set<UpstreamName>& excluded);
+  void StartCall(const StartAttempt& action);
+  void CancelCall();
+  void SendToken(const DeliverToken& action);
+  void Complete(const CompleteAnswer& action);
+  void Fail(const FailAnswer& action);
+
+  void HandleCall(AttemptNumber attempt, CallEvent event);
+  void HandleHead(AttemptNumber attempt, const CallHead& head);
+  void HandlePiece(AttemptNumber attempt, const std::string& data);
+  void HandleLine(AttemptNumber attempt, std::string_view line);
+  void HandleEngineFailure(const EngineFailure& failure);
+  void Break(AttemptNumber attempt, const UpstreamName& culprit,
+             ResultCode code);
+  void ReleaseChain(const UpstreamName& culprit);
+  void StartStreamOnce();
+
+  DaemonContext context_;
+  TableSetPtr tables_;
+  const Route& route_;
+  const Pool& pool_;
+  RequestId id_;
+  CompletionRequest request_;
+  std::shared_ptr<HttpServerSession> caller_;
+  ModelRequest decider_;
+  Chain chain_;
+  std::shared_ptr<HttpClientCall> call_;
+  LoopTimerPtr deadline_timer_;
+  std::string line_buffer_;
+  std::string text_;
+  bool stream_started_ = false;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_FRONT_MODEL_SESSION_H_
--- /dev/null
+++ b/source/supervisor/root/root_supervisor.h
@@ -0,0 +1,55 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_ROOT_ROOT_SUPERVISOR_H_
+#define WISTERIAYOKE_SUPERVISOR_ROOT_ROOT_SUPERVISOR_H_
+
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include "runtime/supervisor.h"
+#include "supervisor/context/daemon_context.h"
+#include "supervisor/front/front_end.h"
+#include "supervisor/platform/platform_client.h"
+#include "supervisor/tables/table_keeper.h"
+#include "supervisor/upstreams/upstreams_supervisor.h"
+
+namespace wisteriayoke {
+
+/// The root of a daemon's supervisor tree. Owns the state that outlives its
+/// children and carries out a planned stop.
+class RootSupervisor {
+ public:
+  /// Called once when the tree has ended, with kOk after a planned stop.
+  using EndHandler = std::function<void(const LastReason&)>;
+
+  RootSupervisor(EventLoop& loop, const Settings& settings, EndHandler on_end);
+
+  /// Starts all children in order. Fails with the reason of the first that
+  /// doesn't start.
+  bool Start(LastReason& reason);
+
+  /// Stops the daemon: no new requests, those in flight finish. A second call
+  /// or the deadline cuts what is left.
+  void RequestStop();
+
+ private:
+  using Child = std::variant<
+      std::shared_ptr<PlatformClient>, std::shared_ptr<TableKeeper>,
+      std::shared_ptr<UpstreamsSupervisor>, std::shared_ptr<FrontEnd>>;
+
+  DaemonContext Context() { return {loop_, settings_, state_}; }
+  PlatformFinder MakePlatformFinder();
+  void HandleTablesChanged();
+  void CutRequests();
+  void End(const LastReason& reason);
+
+  EventLoop& loop_;
+  const Settings& settings_;
+  EndHandler on_end_;
+  DaemonState state_;
+  Supervisor<Child> children_;
+  LoopTimerPtr drain_timer_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_ROOT_ROOT_SUPERVISOR_H_
--- /dev/null
+++ b/source/supervisor/upstreams/pool_supervisor.cc
@@ -0,0 +1,34 @@
+#include "supervisor/upstreams/pool_supervisor.h"
+
+#include <utility>
+
+#include "supervisor/context/child_log.h"
+
+namespace wisteriayoke {
+
+PoolSupervisor::PoolSupervisor(DaemonContext context, Pool pool,
+                               FailureHandler on_failure)
+    : context_(context),
+      pool_(std::move(pool)),
+      children_(context.loop, LogChildFailure, std::move(on_failure)) {}
+
+bool PoolSupervisor::Start(LastReason& reason) {
+  for (const auto& upstream : pool_.upstreams) {
+    const bool added = children_.Add(
+        {.name = upstream.name.text(),
+         .create =
+             [context = context_, upstream](FailureHandler on_failure) {
+               return Child(std::make_shared<UpstreamMonitor>(
+                   context, upstream, std::move(on_failure)));
+             }},
+        reason);
+    if (!added) return false;
+  }
+  return true;
+}
+
+void PoolSupervisor::Stop(std::function<void()> done) {
+  children_.Stop(std::move(done));
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/upstreams/upstream_monitor.cc
@@ -0,0 +1,49 @@
+#include "supervisor/upstreams/upstream_monitor.h"
+
+#include <utility>
+
+namespace wisteriayoke {
+namespace {
+
+constexpr Duration kLoadTimeout = std::chrono::milliseconds(500);
+constexpr int kStatusLeaving = 503;
+
+}  // namespace
+
+UpstreamMonitor::UpstreamMonitor(DaemonContext context, UpstreamSpec spec,
+                                 FailureHandler on_failure)
+    : context_(context),
+      spec_(std::move(spec)),
+      on_failure_(std::move(on_failure)) {}
+
+bool UpstreamMonitor::Start(LastReason& /*reason*/) {
+  Poll();
+  return true;
+}
+
+void UpstreamMonitor::Stop(const std::function<void()>& done) {
+  stopped_ = true;
+  poll_timer_.reset();
+  done();
+}
+
+void UpstreamMonitor::Poll() {
+  FetchWhole(context_.loop, spec_.endpoint,
+             {.method = "GET", .target = "/health"},
+             {.idle_timeout = kLoadTimeout},
+             [self = shared_from_this()](const FetchResult& result) {
+               if (!self->stopped_) self->HandleLoad(result);
+             });
+}
+
+void UpstreamMonitor::HandleLoad(const FetchResult& result) {
+  if (result.code == ResultCode::kOk) {
+    context_.state.upstreams.SetLeaving(
+        spec_.name, result.response.head.status == kStatusLeaving);
+  }
+  poll_timer_ = context_.loop.Schedule(
+      context_.settings.Milliseconds(SettingKey::kLoadPollInterval),
+      [this] { Poll(); });
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/upstreams/upstreams_supervisor.h
@@ -0,0 +1,36 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_UPSTREAMS_UPSTREAMS_SUPERVISOR_H_
+#define WISTERIAYOKE_SUPERVISOR_UPSTREAMS_UPSTREAMS_SUPERVISOR_H_
+
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include "runtime/supervisor.h"
+#include "supervisor/context/daemon_context.h"
+#include "supervisor/upstreams/pool_supervisor.h"
+
+namespace wisteriayoke {
+
+/// Supervises one supervisor for each pool and follows the tables in force. A
+/// child of the root.
+class UpstreamsSupervisor {
+ public:
+  UpstreamsSupervisor(DaemonContext context, FailureHandler on_failure);
+
+  bool Start(LastReason& reason);
+  void Stop(std::function<void()> done);
+
+  /// Replaces the children by those that the tables in force ask for. Fails
+  /// with the reason of a child that doesn't start.
+  bool FollowTables(LastReason& reason);
+
+ private:
+  using Child = std::variant<std::shared_ptr<PoolSupervisor>>;
+
+  DaemonContext context_;
+  Supervisor<Child> children_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_UPSTREAMS_UPSTREAMS_SUPERVISOR_H_
--- /dev/null
+++ b/source/wire/digest.h
@@ -0,0 +1,14 @@
+#ifndef WISTERIAYOKE_WIRE_DIGEST_H_
+#define WISTERIAYOKE_WIRE_DIGEST_H_
+
+#include <string>
+#include <string_view>
+
+namespace wisteriayoke {
+
+/// Returns the SHA-256 digest of `content` in hexadecimal.
+std::string ComputeDigest(std::string_view content);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_WIRE_DIGEST_H_
--- /dev/null
+++ b/source/wire/engine_codec.cc
@@ -0,0 +1,152 @@
+#include "wire/engine_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base/overloaded.h"
+#include "wire/table_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+using Json = nlohmann::json;
+
+Json RangesToJson(const std::vector<LayerRange>& ranges) {
+  Json list = Json::array();
+  for (const auto& range : ranges) list.push_back({range.first, range.end});
+  return list;
+}
+
+std::vector<LayerRange> RangesFromJson(const Json& list) {
+  std::vector<LayerRange> ranges;
+  for (const auto& range : list) {
+    ranges.push_back(
+        {range.at(0).get<std::uint32_t>(), range.at(1).get<std::uint32_t>()});
+  }
+  return ranges;
+}
+
+Json EndpointsToJson(const std::vector<Endpoint>& endpoints) {
+  Json list = Json::array();
+  for (const auto& endpoint : endpoints) list.push_back(endpoint.ToString());
+  return list;
+}
+
+std::vector<Endpoint> EndpointsFromJson(const Json& list) {
+  std::vector<Endpoint> endpoints;
+  LastReason ignored;
+  for (const auto& text : list) {
+    const auto endpoint = ParseEndpoint(text.get<std::string>(), ignored);
+    if (endpoint) endpoints.push_back(*endpoint);
+  }
+  return endpoints;
+}
+
+/// Runs `read` on the parsed text and turns JSON errors into a reason.
+template <typename Message, typename Reader>
+std::optional<Message> ParseWith(std::string_view json, LastReason& reason,
+                                 Reader read) {
+  try {
+    return read(Json::parse(json));
+  } catch (const Json::exception& error) {
+    reason.Set(ResultCode::kMalformedJson, error.what());
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string EncodeGenerate(const GenerateRequest& request) {
+  return Json{{"request", request.request.text()},
+              {"attempt", request.attempt},
+              {"model", request.model},
+              {"prompt", request.prompt},
+              {"max_tokens", request.max_tokens},
+              {"first_token", request.first_token},
+              {"prefix", request.prefix},
+              {"next_stages", EndpointsToJson(request.next_stages)}}
+      .dump();
+}
+
+std::optional<GenerateRequest> ParseGenerate(std::string_view json,
+                                             LastReason& reason) {
+  return ParseWith<GenerateRequest>(json, reason, [](const Json& body) {
+    GenerateRequest request;
+    request.request = RequestId(body.at("request").get<std::string>());
+    request.attempt = body.at("attempt").get<AttemptNumber>();
+    request.model = body.value("model", "");
+    request.prompt = body.at("prompt").get<std::string>();
+    request.max_tokens = body.at("max_tokens").get<std::uint32_t>();
+    request.first_token = body.value("first_token", TokenIndex{0});
+    request.prefix = body.value("prefix", std::vector<std::string>{});
+    request.next_stages = EndpointsFromJson(body.at("next_stages"));
+    return request;
+  });
+}
+
+std::string EncodeForward(const ForwardRequest& request) {
+  return Json{{"request", request.request.text()},
+              {"attempt", request.attempt},
+              {"index", request.index},
+              {"passed", RangesToJson(request.passed)},
+              {"next_stages", EndpointsToJson(request.next_stages)}}
+      .dump();
+}
+
+std::optional<ForwardRequest> ParseForward(std::string_view json,
+                                           LastReason& reason) {
+  return ParseWith<ForwardRequest>(json, reason, [](const Json& body) {
+    ForwardRequest request;
+    request.request = RequestId(body.at("request").get<std::string>());
+    request.attempt = body.at("attempt").get<AttemptNumber>();
+    request.index = body.at("index").get<TokenIndex>();
+    request.passed = RangesFromJson(body.at("passed"));
+    request.next_stages = EndpointsFromJson(body.at("next_stages"));
+    return request;
+  });
+}
+
+std::string EncodeEngineLine(const EngineLine& line) {
+  Json json = {{"request", line.request.text()}};
+  std::visit(Overloaded{
+                 [&json](const TokenArrived& token) {
+                   json["attempt"] = token.attempt;
+                   json["index"] = token.index;
+                   json["text"] = token.text;
+                   json["passed"] = RangesToJson(token.passed);
+                 },
+                 [&json](const StreamEnded& end) {
+                   json["attempt"] = end.attempt;
+                   json["finish_reason"] = end.finish_reason;
+                 },
+                 [&json](const EngineFailure& failure) {
+                   json["attempt"] = failure.attempt;
+                   json["culprit"] = failure.culprit;
+                   json["failure"] = failure.message;
+                 },
+             },
+             line.content);
+  return json.dump() + "\n";
+}
+
+std::optional<EngineLine> ParseEngineLine(std::string_view json,
+                                          LastReason& reason) {
+  return ParseWith<EngineLine>(json, reason, [](const Json& body) {
+    EngineLine line;
+    line.request = RequestId(body.at("request").get<std::string>());
+    const auto attempt = body.at("attempt").get<AttemptNumber>();
+    if (body.contains("failure")) {
+      line.content = EngineFailure{attempt, body.value("culprit", ""),
+                                   body.at("failure").get<std::string>()};
+    } else if (body.contains("finish_reason")) {
+      line.content =
+          StreamEnded{attempt, body.at("finish_reason").get<std::string>()};
+    } else {
+      line.content = TokenArrived{attempt, body.at("index").get<TokenIndex>(),
+                                  body.at("text").get<std::string>(),
+                                  RangesFromJson(body.at("passed"))};
+    }
+    return line;
+  });
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/wire/engine_codec.h
@@ -0,0 +1,67 @@
+#ifndef WISTERIAYOKE_WIRE_ENGINE_CODEC_H_
+#define WISTERIAYOKE_WIRE_ENGINE_CODEC_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/last_reason.h"
+#include "decisions/chain.h"
+#include "decisions/model_request.h"
+
+namespace wisteriayoke {
+
+/// Asks the first engine of a chain to generate tokens. The engine passes each
+/// token along the chain and streams the results back.
+struct GenerateRequest {
+  RequestId request;
+  AttemptNumber attempt = 0;
+  std::string model;
+  std::string prompt;
+  std::uint32_t max_tokens = 0;
+  TokenIndex first_token = 0;
+  std::vector<std::string> prefix;  ///< Tokens before `first_token`.
+  std::vector<Endpoint> next_stages;
+};
+
+/// Asks the next engine of a chain to run its layers for one token.
+struct ForwardRequest {
+  RequestId request;
+  AttemptNumber attempt = 0;
+  TokenIndex index = 0;
+  std::vector<LayerRange> passed;
+  std::vector<Endpoint> next_stages;
+};
+
+/// An engine could not go on; `culprit` is the address of the failed stage.
+struct EngineFailure {
+  AttemptNumber attempt = 0;
+  std::string culprit;
+  std::string message;
+};
+
+/// One line of an engine's answer, and the request that it names.
+struct EngineLine {
+  RequestId request;
+  std::variant<TokenArrived, StreamEnded, EngineFailure> content;
+};
+
+std::string EncodeGenerate(const GenerateRequest& request);
+std::optional<GenerateRequest> ParseGenerate(std::string_view json,
+                                             LastReason& reason);
+
+std::string EncodeForward(const ForwardRequest& request);
+std::optional<ForwardRequest> ParseForward(std::string_view json,
+                                           LastReason& reason);
+
+/// Returns the line with its end of line.
+std::string EncodeEngineLine(const EngineLine& line);
+std::optional<EngineLine> ParseEngineLine(std::string_view json,
+                                          LastReason& reason);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_WIRE_ENGINE_CODEC_H_
--- /dev/null
+++ b/source/wire/http_encode.h
@@ -0,0 +1,28 @@
+#ifndef WISTERIAYOKE_WIRE_HTTP_ENCODE_H_
+#define WISTERIAYOKE_WIRE_HTTP_ENCODE_H_
+
+#include <string>
+#include <string_view>
+
+#include "wire/http_message.h"
+
+namespace wisteriayoke {
+
+/// Returns the bytes of a whole request to the process at `host`.
+std::string EncodeRequest(const HttpRequest& request, std::string_view host);
+
+/// Returns the bytes of a whole response with its length.
+std::string EncodeResponse(const HttpResponse& response, bool keep_alive);
+
+/// Returns the bytes of the head of a chunked response.
+std::string EncodeChunkedHead(const HttpResponseHead& head, bool keep_alive);
+
+/// Returns `data` as one chunk; `data` must not be empty.
+std::string EncodeChunk(std::string_view data);
+
+/// Returns the chunk that ends a chunked body.
+std::string EncodeLastChunk();
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_WIRE_HTTP_ENCODE_H_
--- /dev/null
+++ b/source/wire/http_response_parser.cc
@@ -0,0 +1,77 @@
+#include "wire/http_response_parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+namespace wisteriayoke {
+namespace {
+
+namespace http = boost::beast::http;
+
+}  // namespace
+
+struct HttpResponseParser::State {
+  http::response_parser<http::string_body> parser;
+};
+
+HttpResponseParser::HttpResponseParser(HttpLimits limits)
+    : state_(std::make_unique<State>()) {
+  state_->parser.header_limit(limits.header_bytes);
+  state_->parser.body_limit(limits.body_bytes);
+  state_->parser.eager(true);
+}
+
+HttpResponseParser::~HttpResponseParser() = default;
+
+bool HttpResponseParser::Push(std::string_view data, LastReason& reason) {
+  input_.append(data);
+  while (!input_.empty() && !done()) {
+    boost::system::error_code error;
+    const std::size_t used = state_->parser.put(
+        boost::asio::const_buffer(input_.data(), input_.size()), error);
+    input_.erase(0, used);
+    if (error == http::error::need_more || (!error && used == 0)) return true;
+    if (error) {
+      reason.Set(ResultCode::kMalformedHttp,
+                 "the response is not HTTP/1.1: " + error.message());
+      return false;
+    }
+  }
+  return true;
+}
+
+bool HttpResponseParser::PushEnd(LastReason& reason) {
+  if (done()) return true;
+  boost::system::error_code error;
+  if (state_->parser.got_some()) state_->parser.put_eof(error);
+  if (done() && !error) return true;
+  reason.Set(ResultCode::kConnectionBroken,
+             "the connection ended before the response did");
+  return false;
+}
+
+bool HttpResponseParser::head_done() const {
+  return state_->parser.is_header_done();
+}
+
+bool HttpResponseParser::done() const { return state_->parser.is_done(); }
+
+HttpResponseHead HttpResponseParser::Head() const {
+  const auto& message = state_->parser.get();
+  HttpResponseHead head;
+  head.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    head.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return head;
+}
+
+std::string HttpResponseParser::TakeBody() {
+  return std::exchange(state_->parser.get().body(), {});
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/wire/http_parser_test.cc
@@ -0,0 +1,64 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "wire/http_encode.h"
+#include "wire/http_request_parser.h"
+#include "wire/http_response_parser.h"
+
+namespace wisteriayoke {
+
+TEST_CASE("a request is parsed from pieces of one byte") {
+  const std::string bytes = EncodeRequest(
+      {.method = "POST", .target = "/x", .body = "hello"}, "127.0.0.1:1");
+  HttpRequestParser parser({});
+  LastReason reason;
+  std::optional<HttpRequest> request;
+  for (const char byte : bytes) {
+    REQUIRE_FALSE(request.has_value());
+    parser.Push({&byte, 1});
+    request = parser.Next(reason);
+  }
+  REQUIRE(request.has_value());
+  CHECK(request->body == "hello");
+  CHECK(request->target == "/x");
+}
+
+TEST_CASE("input over a limit is refused with its code") {
+  HttpRequestParser parser({.header_bytes = 64, .body_bytes = 4});
+  LastReason reason;
+  SUBCASE("body") {
+    parser.Push("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n");
+    CHECK_FALSE(parser.Next(reason).has_value());
+    CHECK(reason.code() == ResultCode::kBodyTooLarge);
+  }
+  SUBCASE("header") {
+    parser.Push("GET / HTTP/1.1\r\nA: " + std::string(100, 'a'));
+    CHECK_FALSE(parser.Next(reason).has_value());
+    CHECK(reason.code() == ResultCode::kHeaderTooLarge);
+  }
+  SUBCASE("not HTTP") {
+    parser.Push("hello there\r\n\r\n");
+    CHECK_FALSE(parser.Next(reason).has_value());
+    CHECK(reason.code() == ResultCode::kMalformedHttp);
+  }
+}
+
+TEST_CASE("a chunked response hands out its pieces and needs its last chunk") {
+  HttpResponseParser parser({});
+  LastReason reason;
+  REQUIRE(parser.Push(EncodeChunkedHead({200, {}}, false), reason));
+  REQUIRE(parser.Push(EncodeChunk("one"), reason));
+  CHECK(parser.TakeBody() == "one");
+  SUBCASE("with the last chunk it is whole") {
+    REQUIRE(parser.Push(EncodeChunk("two") + EncodeLastChunk(), reason));
+    CHECK(parser.TakeBody() == "two");
+    CHECK(parser.done());
+  }
+  SUBCASE("without it the end of the connection is an error") {
+    CHECK_FALSE(parser.PushEnd(reason));
+    CHECK(reason.code() == ResultCode::kConnectionBroken);
+  }
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/wire/table_codec_test.cc
@@ -0,0 +1,38 @@
+#include "wire/table_codec.h"
+
+#include <doctest/doctest.h>
+
+namespace wisteriayoke {
+
+TEST_CASE("tables survive a round trip") {
+  LastReason reason;
+  const auto spec = ParseTableSpec(
+      R"({"workspaces":[{"name":"w","weight":3}],
+          "routes":[{"name":"r","prefix":"/","pool":"p","deadline_ms":5}],
+          "pools":[{"name":"p","layers":4,"upstreams":[
+            {"name":"u","address":"127.0.0.1:80","end_layer":4}]}]})",
+      reason);
+  REQUIRE(spec.has_value());
+  const std::string text = FormatTableSpec(*spec);
+  const auto again = ParseTableSpec(text, reason);
+  REQUIRE(again.has_value());
+  CHECK(FormatTableSpec(*again) == text);
+  CHECK(again->pools[0].upstreams[0].endpoint.port == 80);
+}
+
+TEST_CASE("an unknown field is refused by name") {
+  LastReason reason;
+  CHECK_FALSE(ParseTableSpec(R"({"routes":[{"nam":"r"}]})", reason));
+  CHECK(reason.code() == ResultCode::kTableInvalid);
+  CHECK(reason.message().find("\"nam\"") != std::string::npos);
+}
+
+TEST_CASE("an address must be an IP number and a port") {
+  LastReason reason;
+  CHECK(ParseEndpoint("127.0.0.1:80", reason).has_value());
+  CHECK_FALSE(ParseEndpoint("localhost:80", reason).has_value());
+  CHECK_FALSE(ParseEndpoint("127.0.0.1:99999", reason).has_value());
+  CHECK_FALSE(ParseEndpoint("127.0.0.1", reason).has_value());
+}
+
+}  // namespace wisteriayoke
