--- a/source/daemon/wisteriayoked_main.cc
+++ b/source/daemon/wisteriayoked_main.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "base/invariant.h"
 #include "base/last_reason.h"
 #include "runtime/event_loop.h"
 #include "supervisor/context/log.h"
@@ -72,12 +73,17 @@
     end = reason;
     loop.Stop();
   });
+  SetInvariantHandler([&root](ResultCode code, const std::string& state) {
+    root.timeline().Record(LogLevel::kError, EventKind::kInvariantBroken, code,
+                           {{"state", state}});
+  });
   if (!root.Start(end)) return Explain(end);
   loop.WatchStopSignals([&root](int) { root.RequestStop(); });
-  LogEvent(LogLevel::kInfo, "started", ResultCode::kOk,
-           {{"front", settings.Text(SettingKey::kFrontAddress)}});
+  root.timeline().Record(LogLevel::kInfo, EventKind::kStarted, ResultCode::kOk,
+                         {{"front", settings.Text(SettingKey::kFrontAddress)}});
   loop.Run();
-  LogEvent(LogLevel::kInfo, "ended", end.code(), {{"reason", end.message()}});
+  root.timeline().Record(LogLevel::kInfo, EventKind::kEnded, end.code(),
+                         {{"reason", end.message()}});
   return ExitStatusOf(end.code());
 }
 
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -8,6 +8,7 @@
 #include "decisions/upstream_book.h"
 #include "runtime/event_loop.h"
 #include "supervisor/context/settings.h"
+#include "supervisor/context/timeline.h"
 
 namespace wisteriayoke {
 
@@ -17,6 +18,7 @@
   TableVersion version;  ///< Version of the tables in force.
   TableSetPtr tables;    ///< Null until the first tables are in force.
   UpstreamBook upstreams;
+  Timeline timeline;
   bool draining = false;
   std::uint64_t requests_started = 0;
 
--- /dev/null
+++ b/source/supervisor/context/event_kind.h
@@ -0,0 +1,35 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_EVENT_KIND_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_EVENT_KIND_H_
+
+#include "base/names_table.h"
+
+namespace wisteriayoke {
+
+/// What happened, in the log and in the time line.
+enum class EventKind {
+  kStarted,
+  kStopRequested,
+  kEnded,
+  kChildFailed,
+  kTablesInForce,
+  kTablesRefused,
+  kRequestFailed,
+  kAttemptBroke,
+  kInvariantBroken,
+};
+
+inline constexpr auto kEventKindNames = MakeNamesTable<EventKind>({
+    {EventKind::kStarted, "started"},
+    {EventKind::kStopRequested, "stop-requested"},
+    {EventKind::kEnded, "ended"},
+    {EventKind::kChildFailed, "child-failed"},
+    {EventKind::kTablesInForce, "tables-in-force"},
+    {EventKind::kTablesRefused, "tables-refused"},
+    {EventKind::kRequestFailed, "request-failed"},
+    {EventKind::kAttemptBroke, "attempt-broke"},
+    {EventKind::kInvariantBroken, "invariant-broken"},
+});
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_EVENT_KIND_H_
--- /dev/null
+++ b/source/supervisor/context/timeline.h
@@ -0,0 +1,59 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_TIMELINE_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_TIMELINE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "base/result_code.h"
+#include "supervisor/context/event_kind.h"
+#include "supervisor/context/log.h"
+
+namespace wisteriayoke {
+
+/// Time of a hybrid logical clock: wall time, then a counter that orders the
+/// events of one microsecond and those caused by a message from a fast clock.
+struct HybridTime {
+  std::uint64_t wall_us = 0;
+  std::uint32_t counter = 0;
+
+  friend auto operator<=>(const HybridTime&, const HybridTime&) = default;
+};
+
+/// One event of one daemon.
+struct TimelineEvent {
+  HybridTime time;
+  EventKind kind = EventKind::kStarted;
+  ResultCode code = ResultCode::kOk;
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+/// Keeps the latest events of a daemon in memory and logs each, since the
+/// instances have no disks. Not part of any decision.
+class Timeline {
+ public:
+  /// Most events that are kept; the oldest go first.
+  static constexpr std::size_t kCapacity = 2000;
+
+  /// Adds an event, stamped with the hybrid clock, and logs it.
+  void Record(LogLevel level, EventKind kind, ResultCode code,
+              std::initializer_list<LogField> fields);
+
+  /// Moves the clock past `seen`, the time in a message from a peer.
+  void Witness(const HybridTime& seen);
+
+  /// Returns the time for an outgoing message.
+  HybridTime Tick();
+
+  const std::deque<TimelineEvent>& events() const { return events_; }
+
+ private:
+  HybridTime last_;
+  std::deque<TimelineEvent> events_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_TIMELINE_H_
--- a/source/supervisor/front/model_session.cc
+++ b/source/supervisor/front/model_session.cc
@@ -154,10 +154,11 @@
 void ModelSession::Break(AttemptNumber attempt, const UpstreamName& culprit,
                          ResultCode code) {
   if (!call_) return;
-  LogEvent(LogLevel::kWarning, "attempt-broke", code,
-           {{"request", id_.text()},
-            {"attempt", std::to_string(attempt)},
-            {"culprit", culprit.text()}});
+  context_.state.timeline.Record(LogLevel::kWarning, EventKind::kAttemptBroke,
+                                 code,
+                                 {{"request", id_.text()},
+                                  {"attempt", std::to_string(attempt)},
+                                  {"culprit", culprit.text()}});
   ReleaseChain(culprit);
   Feed(AttemptBroke{attempt, culprit, code});
 }
@@ -227,8 +228,9 @@
 
 void ModelSession::Fail(const FailAnswer& action) {
   deadline_timer_.reset();
-  LogEvent(LogLevel::kWarning, "request-failed", action.code,
-           {{"request", id_.text()}, {"reason", action.message}});
+  context_.state.timeline.Record(
+      LogLevel::kWarning, EventKind::kRequestFailed, action.code,
+      {{"request", id_.text()}, {"reason", action.message}});
   if (!stream_started_) {
     return caller_->Respond(BuildErrorAnswer(id_, action.code, action.message));
   }
--- a/source/supervisor/front/service_session.cc
+++ b/source/supervisor/front/service_session.cc
@@ -100,8 +100,9 @@
 }
 
 void ServiceSession::Fail(const FailCall& action) {
-  LogEvent(LogLevel::kWarning, "request-failed", action.code,
-           {{"request", id_.text()}, {"reason", action.message}});
+  context_.state.timeline.Record(
+      LogLevel::kWarning, EventKind::kRequestFailed, action.code,
+      {{"request", id_.text()}, {"reason", action.message}});
   caller_->Respond(BuildErrorAnswer(id_, action.code, action.message));
 }
 
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "supervisor/context/child_log.h"
+#include "supervisor/context/child_record.h"
 #include "supervisor/context/log.h"
 
 namespace wisteriayoke {
@@ -12,7 +12,7 @@
     : loop_(loop),
       settings_(settings),
       on_end_(std::move(on_end)),
-      children_(loop, LogChildFailure,
+      children_(loop, MakeChildObserver(state_.timeline),
                 [this](const LastReason& reason) { End(reason); }) {}
 
 PlatformFinder RootSupervisor::MakePlatformFinder() {
@@ -65,7 +65,8 @@
 void RootSupervisor::RequestStop() {
   if (state_.draining) return CutRequests();
   state_.draining = true;
-  LogEvent(LogLevel::kInfo, "stop-requested", ResultCode::kOk, {});
+  state_.timeline.Record(LogLevel::kInfo, EventKind::kStopRequested,
+                         ResultCode::kOk, {});
   drain_timer_ =
       loop_.Schedule(settings_.Milliseconds(SettingKey::kDrainDeadline),
                      [this] { CutRequests(); });
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -31,6 +31,8 @@
   /// or the deadline cuts what is left.
   void RequestStop();
 
+  Timeline& timeline() { return state_.timeline; }
+
  private:
   using Child = std::variant<
       std::shared_ptr<PlatformClient>, std::shared_ptr<TableKeeper>,
--- a/source/supervisor/tables/table_keeper.cc
+++ b/source/supervisor/tables/table_keeper.cc
@@ -66,8 +66,8 @@
   LastReason reason;
   const auto version = ParseTableHead(reply.value, reason);
   if (version) return Feed(HeadSeen{*version});
-  LogEvent(LogLevel::kError, "table-head-refused", reason.code(),
-           {{"reason", reason.message()}});
+  context_.state.timeline.Record(LogLevel::kError, EventKind::kTablesRefused,
+                                 reason.code(), {{"reason", reason.message()}});
 }
 
 void TableKeeper::Fetch(const std::string& hash) {
@@ -88,8 +88,8 @@
   } else if (const auto tables = BuildTables(reply.value, reason)) {
     return Feed(ContentArrived{hash, tables});
   }
-  LogEvent(LogLevel::kError, "table-content-refused", reason.code(),
-           {{"reason", reason.message()}});
+  context_.state.timeline.Record(LogLevel::kError, EventKind::kTablesRefused,
+                                 reason.code(), {{"reason", reason.message()}});
 }
 
 void TableKeeper::Feed(const TableEvent& event) {
@@ -107,9 +107,10 @@
   state.version = action.version;
   state.tables = action.tables;
   state.upstreams.Retain(*action.tables);
-  LogEvent(LogLevel::kInfo, "tables-in-force", ResultCode::kOk,
-           {{"version", std::to_string(action.version.number)},
-            {"hash", action.version.hash}});
+  state.timeline.Record(LogLevel::kInfo, EventKind::kTablesInForce,
+                        ResultCode::kOk,
+                        {{"version", std::to_string(action.version.number)},
+                         {"hash", action.version.hash}});
   on_change_();
 }
 
--- a/source/supervisor/upstreams/pool_supervisor.cc
+++ b/source/supervisor/upstreams/pool_supervisor.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "supervisor/context/child_log.h"
+#include "supervisor/context/child_record.h"
 
 namespace wisteriayoke {
 
@@ -10,7 +10,8 @@
                                FailureHandler on_failure)
     : context_(context),
       pool_(std::move(pool)),
-      children_(context.loop, LogChildFailure, std::move(on_failure)) {}
+      children_(context.loop, MakeChildObserver(context.state.timeline),
+                std::move(on_failure)) {}
 
 bool PoolSupervisor::Start(LastReason& reason) {
   for (const auto& upstream : pool_.upstreams) {
--- a/source/supervisor/upstreams/upstreams_supervisor.cc
+++ b/source/supervisor/upstreams/upstreams_supervisor.cc
@@ -2,14 +2,15 @@
 
 #include <utility>
 
-#include "supervisor/context/child_log.h"
+#include "supervisor/context/child_record.h"
 
 namespace wisteriayoke {
 
 UpstreamsSupervisor::UpstreamsSupervisor(DaemonContext context,
                                          FailureHandler on_failure)
     : context_(context),
-      children_(context.loop, LogChildFailure, std::move(on_failure)) {}
+      children_(context.loop, MakeChildObserver(context.state.timeline),
+                std::move(on_failure)) {}
 
 bool UpstreamsSupervisor::Start(LastReason& reason) {
   return FollowTables(reason);
