--- a/source/base/result_code.cc
+++ b/source/base/result_code.cc
@@ -63,6 +63,8 @@
      "Allow a longer deadline or send the request again."},
     {kInProgress, "in-progress", 409, kUnknown,
      "Resend later with the same Idempotency-Key."},
+    {kAnswerNotKept, "answer-not-kept", 409, kUnknown,
+     "Look the work up at the service; it ran, its answer was too long."},
     {kTableInvalid, "table-invalid", 422, kNotRun,
      "Correct the entry that the message names."},
     {kTableConflict, "table-conflict", 409, kNotRun,
--- a/source/base/result_code.h
+++ b/source/base/result_code.h
@@ -41,6 +41,7 @@
   kUpstreamFailed = 303,
   kDeadlineExceeded = 304,
   kInProgress = 305,
+  kAnswerNotKept = 306,
   kTableInvalid = 401,
   kTableConflict = 402,
   kTableStale = 403,
--- a/source/decisions/service_request.h
+++ b/source/decisions/service_request.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_DECISIONS_SERVICE_REQUEST_H_
 #define WISTERIAYOKE_DECISIONS_SERVICE_REQUEST_H_
 
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -8,6 +9,7 @@
 
 #include "base/ids.h"
 #include "base/result_code.h"
+#include "decisions/ledger_claim.h"
 
 namespace wisteriayoke {
 
@@ -22,9 +24,11 @@
 /// No upstream can serve the request now.
 struct UpstreamUnavailable {};
 
-/// The call ended with a whole answer from the service.
+/// The call ended with a whole answer from the service. `answer` is what the
+/// ledger keeps of it; empty for idempotent calls.
 struct CallAnswered {
   AttemptNumber attempt = 0;
+  std::string answer;
 };
 
 /// The call broke. `sent` tells whether any byte reached the connection.
@@ -36,7 +40,7 @@
 
 using ServiceRequestEvent =
     std::variant<ServiceAdmitted, UpstreamChosen, UpstreamUnavailable,
-                 CallAnswered, CallBroke>;
+                 CallAnswered, CallBroke, LedgerEvent>;
 
 /// Choose an upstream that is not in `excluded`.
 struct RequestUpstream {
@@ -59,27 +63,47 @@
 };
 
 using ServiceRequestAction =
-    std::variant<RequestUpstream, SendCall, ReturnAnswer, FailCall>;
+    std::variant<RequestUpstream, SendCall, ReturnAnswer, FailCall, ReadLedger,
+                 WriteLedger, WakeClaim, ReplayAnswer>;
 
 /// Decides the course of one call to a plain service.
 ///
-/// A call that is not idempotent is sent again only if no byte of it was sent.
+/// An idempotent call is sent again to another upstream after a failure. Any
+/// other call is claimed in the ledger first and sent again only if no byte of
+/// it was sent and its deadline hasn't passed.
 class ServiceRequest {
  public:
-  explicit ServiceRequest(bool idempotent) : idempotent_(idempotent) {}
+  /// Makes the decider of an idempotent call.
+  static ServiceRequest ForIdempotent();
+
+  /// Makes the decider of a call that runs at most once. It isn't sent at or
+  /// after `send_deadline`.
+  static ServiceRequest ForOnce(LedgerRequest request, LedgerLimits limits,
+                                TimePoint send_deadline);
 
   /// Handles one event and returns what to do, in order.
-  std::vector<ServiceRequestAction> Handle(const ServiceRequestEvent& event);
+  std::vector<ServiceRequestAction> Handle(const ServiceRequestEvent& event,
+                                           const ClockReading& now);
 
   bool finished() const { return finished_; }
 
  private:
   using Actions = std::vector<ServiceRequestAction>;
 
-  Actions HandleBreak(const CallBroke& event);
+  ServiceRequest() = default;
+
+  Actions HandleAdmitted(const ClockReading& now);
+  Actions HandleChosen(const UpstreamChosen& event, const ClockReading& now);
+  Actions HandleAnswer(const CallAnswered& event, const ClockReading& now);
+  Actions HandleBreak(const CallBroke& event, const ClockReading& now);
+  Actions FailUnsent(ResultCode code, std::string message,
+                     const ClockReading& now);
+  Actions FeedLedger(const LedgerEvent& event, const ClockReading& now);
+  Actions Translate(const std::vector<LedgerAction>& actions);
   Actions Fail(ResultCode code, std::string message);
 
-  bool idempotent_;
+  std::optional<LedgerClaim> claim_;
+  TimePoint send_deadline_;
   bool finished_ = false;
   AttemptNumber attempt_ = 0;
   UpstreamName current_;
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -27,6 +27,7 @@
   Timeline timeline;
   bool draining = false;
   std::uint64_t requests_started = 0;
+  std::size_t open_claims = 0;  ///< Ledger claims whose outcome is pending.
 
   bool ready() const { return tables != nullptr && !draining; }
 };
--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -15,6 +15,7 @@
   kTablesRefused,
   kRequestFailed,
   kAttemptBroke,
+  kStoreBreaker,
   kInvariantBroken,
 };
 
@@ -27,6 +28,7 @@
     {EventKind::kTablesRefused, "tables-refused"},
     {EventKind::kRequestFailed, "request-failed"},
     {EventKind::kAttemptBroke, "attempt-broke"},
+    {EventKind::kStoreBreaker, "store-breaker"},
     {EventKind::kInvariantBroken, "invariant-broken"},
 });
 
--- a/source/supervisor/context/setting_key.cc
+++ b/source/supervisor/context/setting_key.cc
@@ -17,6 +17,8 @@
      false, "Longest time that a planned stop waits for requests in flight."},
     {kLogLevel, "daemon", "log_level", kText, "info", false,
      "Least level that is logged: debug, info, warning or error."},
+    {kClockError, "daemon", "clock_error_ms", kMilliseconds, "60000", false,
+     "Most that this instance's clock differs from the true time."},
     {kFrontAddress, "front", "address", kEndpoint, "", false,
      "Where callers and the balancer connect."},
     {kMaxConnections, "front", "max_connections", kCount, "4096", false,
@@ -41,6 +43,14 @@
      "Address of the platform's table service and object store."},
     {kHeadPollInterval, "platform", "head_poll_ms", kMilliseconds, "500", false,
      "Time between reads of the tables' head record."},
+    {kLedgerClaimTimeout, "ledger", "claim_timeout_ms", kMilliseconds, "2000",
+     false, "Longest wait for the claim of a call that runs at most once."},
+    {kLedgerResendHorizon, "ledger", "resend_horizon_ms", kMilliseconds,
+     "86400000", false,
+     "Longest age of a timed idempotency key that is accepted; the same on all "
+     "daemons."},
+    {kLedgerAnswerBytes, "ledger", "answer_bytes", kCount, "65536", false,
+     "Longest answer that is kept for a resend, in bytes."},
     {kLoadPollInterval, "upstreams", "load_poll_ms", kMilliseconds, "250",
      false, "Time between reads of an engine's load."},
 });
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -27,6 +27,10 @@
   kIdleTimeout,
   kWriteTimeout,
   kLogLevel,
+  kClockError,
+  kLedgerClaimTimeout,
+  kLedgerResendHorizon,
+  kLedgerAnswerBytes,
 };
 
 /// The form of a setting's value.
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -12,6 +12,8 @@
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
+/// How often a stop looks whether all outcomes are recorded.
+constexpr Duration kClaimsCheckInterval = std::chrono::milliseconds(10);
 constexpr auto kWorkspaceField = "Wisteriayoke-Workspace";
 
 HttpServerLimits LimitsOf(const Settings& settings) {
@@ -34,8 +36,11 @@
 
 }  // namespace
 
-FrontEnd::FrontEnd(DaemonContext context, FailureHandler on_failure)
-    : context_(context), on_failure_(std::move(on_failure)) {}
+FrontEnd::FrontEnd(DaemonContext context, PlatformFinder platform,
+                   FailureHandler on_failure)
+    : context_(context),
+      platform_(std::move(platform)),
+      on_failure_(std::move(on_failure)) {}
 
 bool FrontEnd::Start(LastReason& reason) {
   server_ = HttpServer::Create(
@@ -57,10 +62,22 @@
 
 void FrontEnd::Stop(std::function<void()> done) {
   server_->StopAccepting();
-  server_->Drain(std::move(done));
+  server_->Drain([self = shared_from_this(), done = std::move(done)] {
+    self->WaitForClaims(done);
+  });
 }
 
-void FrontEnd::CutSessions() { server_->CutSessions(); }
+void FrontEnd::WaitForClaims(std::function<void()> done) {
+  if (cut_ || context_.state.open_claims == 0) return done();
+  claims_timer_ = context_.loop.Schedule(
+      kClaimsCheckInterval,
+      [this, done = std::move(done)] { WaitForClaims(done); });
+}
+
+void FrontEnd::CutSessions() {
+  cut_ = true;
+  server_->CutSessions();
+}
 
 void FrontEnd::Handle(HttpRequest request, const CallerPtr& caller) {
   if (HandleProbe(PathOf(request.target), caller)) return;
@@ -114,9 +131,19 @@
   if (route->kind == RouteKind::kModel) {
     return StartModelSession(*route, request, id, caller);
   }
-  std::make_shared<ServiceSession>(context_, state.tables, *route, id,
-                                   std::move(request), caller)
-      ->Start();
+  StartServiceSession(*route, std::move(request), id, caller);
+}
+
+void FrontEnd::StartServiceSession(const Route& route, HttpRequest request,
+                                   const RequestId& id,
+                                   const CallerPtr& caller) {
+  const WorkspaceName workspace(
+      std::string(FindField(request.fields, kWorkspaceField)));
+  const auto session =
+      ServiceSession::Create(context_, platform_,
+                             {context_.state.tables, route, workspace, id,
+                              std::move(request), caller});
+  if (session) session->Start();
 }
 
 void FrontEnd::StartModelSession(const Route& route, const HttpRequest& request,
--- a/source/supervisor/front/front_end.h
+++ b/source/supervisor/front/front_end.h
@@ -7,6 +7,7 @@
 #include "runtime/http_server.h"
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/platform/platform_client.h"
 
 namespace wisteriayoke {
 
@@ -14,10 +15,12 @@
 /// for each. A child of the root; sessions outlive its restart.
 class FrontEnd : public std::enable_shared_from_this<FrontEnd> {
  public:
-  FrontEnd(DaemonContext context, FailureHandler on_failure);
+  FrontEnd(DaemonContext context, PlatformFinder platform,
+           FailureHandler on_failure);
 
   bool Start(LastReason& reason);
-  /// Accepts no more and calls `done` when all requests are answered.
+  /// Accepts no more and calls `done` when all requests are answered and the
+  /// outcomes of all calls that run at most once are recorded.
   void Stop(std::function<void()> done);
 
   /// Closes all connections at once.
@@ -31,11 +34,17 @@
   void RouteRequest(HttpRequest request, const CallerPtr& caller);
   void StartModelSession(const Route& route, const HttpRequest& request,
                          const RequestId& id, const CallerPtr& caller);
+  void StartServiceSession(const Route& route, HttpRequest request,
+                           const RequestId& id, const CallerPtr& caller);
+  void WaitForClaims(std::function<void()> done);
   RequestId NextRequestId();
 
   DaemonContext context_;
+  PlatformFinder platform_;
   FailureHandler on_failure_;
   std::shared_ptr<HttpServer> server_;
+  LoopTimerPtr claims_timer_;
+  bool cut_ = false;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/front/service_session.cc
+++ b/source/supervisor/front/service_session.cc
@@ -1,43 +1,149 @@
 #include "supervisor/front/service_session.h"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "base/overloaded.h"
 #include "supervisor/context/log.h"
 #include "supervisor/front/caller_answer.h"
+#include "wire/ledger_codec.h"
 
 namespace wisteriayoke {
+namespace {
 
-ServiceSession::ServiceSession(DaemonContext context, TableSetPtr tables,
-                               const Route& route, RequestId id,
-                               HttpRequest request,
-                               std::shared_ptr<HttpServerSession> caller)
+constexpr std::string_view kKeyField = "Idempotency-Key";
+constexpr std::string_view kSendField = "Wisteriayoke-Send";
+constexpr std::string_view kReplayedField = "Wisteriayoke-Replayed";
+/// What an owner may need beside the route's deadline until its outcome is
+/// recorded.
+constexpr WallTime kRecordingTime = std::chrono::seconds(5);
+constexpr Duration kLeastCallTime = std::chrono::milliseconds(1);
+
+/// Reads the caller's count of its sends of the key; 0 if it gave none.
+std::optional<std::uint32_t> ReadSendNumber(const HttpFields& fields,
+                                            LastReason& reason) {
+  const std::string_view text = FindField(fields, kSendField);
+  std::uint32_t number = 0;
+  if (text.empty()) return number;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec == std::errc() && parsed.ptr == end && number > 0) {
+    return number;
+  }
+  reason.Set(ResultCode::kFieldInvalid,
+             "Wisteriayoke-Send must be 1 for the first send of a key, 2 for "
+             "the second, and so on");
+  return std::nullopt;
+}
+
+/// Reads the caller's key, or makes one if there is none.
+std::optional<IdempotencyKey> ReadKey(const HttpFields& fields, WallTime now,
+                                      LastReason& reason) {
+  const std::string_view text = FindField(fields, kKeyField);
+  if (!text.empty()) return IdempotencyKey::Create(std::string(text), reason);
+  return IdempotencyKey::Create(MakeTimedKey(now), reason);
+}
+
+std::optional<LedgerRequest> MakeLedgerRequest(
+    const DaemonContext& context, const ServiceSession::Input& input,
+    LastReason& reason) {
+  const HttpFields& fields = input.request.fields;
+  const WallTime now = ReadClocks(context.loop).wall;
+  auto key = ReadKey(fields, now, reason);
+  if (!key) return std::nullopt;
+  const auto send_number = ReadSendNumber(fields, reason);
+  if (!send_number) return std::nullopt;
+  const auto deadline =
+      std::chrono::duration_cast<WallTime>(input.route.deadline);
+  return LedgerRequest{
+      .key = std::move(*key),
+      .claim = MakeClaimId(),
+      .daemon = DaemonName(context.settings.Text(SettingKey::kDaemonName)),
+      .request = input.id,
+      .digest = ComputeRequestDigest(input.request),
+      .send_number = *send_number,
+      .finish_limit = 2 * deadline + kRecordingTime};
+}
+
+}  // namespace
+
+std::shared_ptr<ServiceSession> ServiceSession::Create(
+    DaemonContext context, const PlatformFinder& platform, Input input) {
+  if (input.route.idempotent) {
+    return std::make_shared<ServiceSession>(context, std::move(input),
+                                            ServiceRequest::ForIdempotent(),
+                                            std::nullopt);
+  }
+  LastReason reason;
+  auto request = MakeLedgerRequest(context, input, reason);
+  if (!request) {
+    input.caller->Respond(
+        BuildErrorAnswer(input.id, reason.code(), reason.message()));
+    return nullptr;
+  }
+  LedgerStore ledger(
+      platform,
+      LedgerRecordName(input.workspace, input.route.name, request->key));
+  auto decider = ServiceRequest::ForOnce(
+      std::move(*request), LedgerLimitsOf(context.settings),
+      context.loop.Now() + input.route.deadline);
+  return std::make_shared<ServiceSession>(
+      context, std::move(input), std::move(decider), std::move(ledger));
+}
+
+ServiceSession::ServiceSession(DaemonContext context, Input input,
+                               ServiceRequest decider,
+                               std::optional<LedgerStore> ledger)
     : context_(context),
-      tables_(std::move(tables)),
-      route_(route),
-      pool_(*tables_->FindPool(route.pool)),
-      id_(std::move(id)),
-      request_(std::move(request)),
-      caller_(std::move(caller)),
-      decider_(route.idempotent) {}
+      input_(std::move(input)),
+      pool_(*input_.tables->FindPool(input_.route.pool)),
+      decider_(std::move(decider)),
+      ledger_(std::move(ledger)),
+      deadline_(context.loop.Now() + input_.route.deadline) {
+  if (ledger_) ++context_.state.open_claims;
+}
+
+ServiceSession::~ServiceSession() {
+  if (ledger_) --context_.state.open_claims;
+}
 
 void ServiceSession::Start() { Feed(ServiceAdmitted{}); }
 
 void ServiceSession::Feed(const ServiceRequestEvent& event) {
   const auto self = shared_from_this();
-  for (const auto& action : decider_.Handle(event)) {
-    std::visit(Overloaded{
-                   [this](const RequestUpstream& next) {
-                     ChooseAndFeedUpstream(next.excluded);
-                   },
-                   [this](const SendCall& send) { StartCall(send); },
-                   [this](const ReturnAnswer&) { ReturnToCaller(); },
-                   [this](const FailCall& failure) { Fail(failure); },
-               },
-               action);
+  for (const auto& action : decider_.Handle(event, ReadClocks(context_.loop))) {
+    Carry(action);
   }
 }
 
+void ServiceSession::Carry(const ServiceRequestAction& action) {
+  const auto feed_ledger = [self = shared_from_this()](LedgerEvent event) {
+    self->Feed(std::move(event));
+  };
+  std::visit(
+      Overloaded{
+          [this](const RequestUpstream& next) {
+            ChooseAndFeedUpstream(next.excluded);
+          },
+          [this](const SendCall& send) { StartCall(send); },
+          [this](const ReturnAnswer&) { ReturnToCaller(answer_, false); },
+          [this](const FailCall& failure) { Fail(failure); },
+          [&](const ReadLedger& read) { ledger_->Read(read, feed_ledger); },
+          [&](const WriteLedger& write) { ledger_->Write(write, feed_ledger); },
+          [this](const WakeClaim& wake) { Wake(wake.delay); },
+          [this](const ReplayAnswer& replay) { Replay(replay); },
+      },
+      action);
+}
+
+void ServiceSession::Wake(Duration delay) {
+  wake_timer_ = context_.loop.Schedule(delay, [self = shared_from_this()] {
+    const LoopTimerPtr running = std::move(self->wake_timer_);
+    self->Feed(LedgerEvent(ClaimWoken{}));
+  });
+}
+
 void ServiceSession::ChooseAndFeedUpstream(
     const std::set<UpstreamName>& excluded) {
   const UpstreamBook& book = context_.state.upstreams;
@@ -63,15 +169,17 @@
 
 void ServiceSession::StartCall(const SendCall& action) {
   context_.state.upstreams.RecordStart(action.upstream);
-  HttpRequest request{.method = request_.method,
-                      .target = request_.target,
-                      .fields = {{"Wisteriayoke-Request", id_.text()}},
-                      .body = request_.body};
-  for (const auto& field : request_.fields) {
+  HttpRequest request{.method = input_.request.method,
+                      .target = input_.request.target,
+                      .fields = {{"Wisteriayoke-Request", input_.id.text()}},
+                      .body = input_.request.body};
+  for (const auto& field : input_.request.fields) {
     if (!IsHopByHop(field.name)) request.fields.push_back(field);
   }
+  const Duration left =
+      std::max(deadline_ - context_.loop.Now(), kLeastCallTime);
   FetchWhole(context_.loop, FindUpstream(action.upstream)->endpoint,
-             std::move(request), {.idle_timeout = route_.deadline},
+             std::move(request), {.idle_timeout = left},
              [self = shared_from_this(), action](FetchResult result) {
                self->HandleResult(action, std::move(result));
              });
@@ -85,25 +193,37 @@
   }
   book.RecordSuccess(call.upstream);
   answer_ = std::move(result.response);
-  Feed(CallAnswered{call.attempt});
+  Feed(CallAnswered{call.attempt, ledger_ ? EncodeKeptAnswer(answer_) : ""});
 }
 
-void ServiceSession::ReturnToCaller() {
+void ServiceSession::ReturnToCaller(const HttpResponse& answer, bool replayed) {
   HttpResponse response;
-  response.head.status = answer_.head.status;
-  AddOutcomeFields(id_, ResultCode::kOk, response.head.fields);
-  for (const auto& field : answer_.head.fields) {
+  response.head.status = answer.head.status;
+  AddOutcomeFields(input_.id, ResultCode::kOk, response.head.fields);
+  if (replayed) {
+    response.head.fields.push_back({std::string(kReplayedField), "true"});
+  }
+  for (const auto& field : answer.head.fields) {
     if (!IsHopByHop(field.name)) response.head.fields.push_back(field);
   }
-  response.body = std::move(answer_.body);
-  caller_->Respond(response);
+  response.body = answer.body;
+  input_.caller->Respond(response);
+}
+
+void ServiceSession::Replay(const ReplayAnswer& action) {
+  LastReason reason;
+  const auto kept = ParseKeptAnswer(action.answer, reason);
+  if (kept) return ReturnToCaller(*kept, true);
+  Fail({ResultCode::kAnswerNotKept,
+        "the request ran; its kept answer is damaged: " + reason.message()});
 }
 
 void ServiceSession::Fail(const FailCall& action) {
   context_.state.timeline.Record(
       LogLevel::kWarning, EventKind::kRequestFailed, action.code,
-      {{"request", id_.text()}, {"reason", action.message}});
-  caller_->Respond(BuildErrorAnswer(id_, action.code, action.message));
+      {{"request", input_.id.text()}, {"reason", action.message}});
+  input_.caller->Respond(
+      BuildErrorAnswer(input_.id, action.code, action.message));
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/front/service_session.h
+++ b/source/supervisor/front/service_session.h
@@ -2,44 +2,68 @@
 #define WISTERIAYOKE_SUPERVISOR_FRONT_SERVICE_SESSION_H_
 
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 
 #include "decisions/service_request.h"
 #include "runtime/http_client_call.h"
 #include "runtime/http_server_session.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/front/ledger_store.h"
 
 namespace wisteriayoke {
 
-/// Carries out the decisions of one `ServiceRequest`: calls the service and
-/// answers the caller. It keeps itself alive through its call.
+/// Carries out the decisions of one `ServiceRequest`: writes the ledger, calls
+/// the service and answers the caller. It keeps itself alive through its store
+/// operations, calls and timers, also after the caller has left, so that the
+/// outcome is recorded.
 class ServiceSession : public std::enable_shared_from_this<ServiceSession> {
  public:
-  /// Serves `request` under `tables`, from the pool of `route`.
-  ServiceSession(DaemonContext context, TableSetPtr tables, const Route& route,
-                 RequestId id, HttpRequest request,
-                 std::shared_ptr<HttpServerSession> caller);
+  /// What a session is made from.
+  struct Input {
+    TableSetPtr tables;
+    const Route& route;
+    WorkspaceName workspace;
+    RequestId id;
+    HttpRequest request;
+    std::shared_ptr<HttpServerSession> caller;
+  };
+
+  /// Makes a session, or answers the caller and returns null if the request's
+  /// Idempotency-Key or send number is invalid.
+  static std::shared_ptr<ServiceSession> Create(DaemonContext context,
+                                                const PlatformFinder& platform,
+                                                Input input);
 
   void Start();
 
+  ServiceSession(DaemonContext context, Input input, ServiceRequest decider,
+                 std::optional<LedgerStore> ledger);
+  ~ServiceSession();
+  ServiceSession(const ServiceSession&) = delete;
+  ServiceSession& operator=(const ServiceSession&) = delete;
+
  private:
   void Feed(const ServiceRequestEvent& event);
+  void Carry(const ServiceRequestAction& action);
   void ChooseAndFeedUpstream(const std::set<UpstreamName>& excluded);
   void StartCall(const SendCall& action);
   void HandleResult(const SendCall& call, FetchResult result);
-  void ReturnToCaller();
+  void ReturnToCaller(const HttpResponse& answer, bool replayed);
+  void Replay(const ReplayAnswer& action);
   void Fail(const FailCall& action);
+  void Wake(Duration delay);
   const UpstreamSpec* FindUpstream(const UpstreamName& name) const;
 
   DaemonContext context_;
-  TableSetPtr tables_;
-  const Route& route_;
+  Input input_;
   const Pool& pool_;
-  RequestId id_;
-  HttpRequest request_;
-  std::shared_ptr<HttpServerSession> caller_;
   ServiceRequest decider_;
+  std::optional<LedgerStore> ledger_;
+  TimePoint deadline_;
   HttpResponse answer_;
+  LoopTimerPtr wake_timer_;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/platform/platform_client.cc
+++ b/source/supervisor/platform/platform_client.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1000);
+constexpr std::size_t kMaxRunningCalls = 64;
+constexpr std::size_t kMaxWaitingCalls = 256;
 constexpr std::string_view kVersionField = "Record-Version";
 constexpr std::string_view kExpectedField = "Expected-Version";
 
@@ -33,11 +35,13 @@
 
 StoreReply ToReply(const FetchResult& result) {
   if (result.code != ResultCode::kOk) {
-    return {.code = ResultCode::kStoreUnreachable};
+    return {.code = ResultCode::kStoreUnreachable, .sent = result.sent};
   }
   const HttpResponse& response = result.response;
-  return {CodeOfStatus(response.head.status), response.body,
-          ParseVersion(FindField(response.head.fields, kVersionField))};
+  const ResultCode code = CodeOfStatus(response.head.status);
+  return {code, response.body,
+          ParseVersion(FindField(response.head.fields, kVersionField)),
+          code == ResultCode::kStoreUnreachable};
 }
 
 }  // namespace
@@ -70,11 +74,68 @@
 }
 
 void PlatformClient::Send(HttpRequest request, Done done) {
-  FetchWhole(context_.loop, endpoint_, std::move(request),
-             {.idle_timeout = kStoreTimeout},
-             [done = std::move(done)](const FetchResult& result) {
-               done(ToReply(result));
-             });
+  if (running_ < kMaxRunningCalls) {
+    return StartCall(std::move(request), std::move(done));
+  }
+  if (waiting_.size() >= kMaxWaitingCalls) {
+    return FailUnsent(done, ResultCode::kStoreRateLimited);
+  }
+  waiting_.push_back(
+      {std::move(request), std::move(done), context_.loop.Now()});
+}
+
+void PlatformClient::StartCall(HttpRequest request, Done done) {
+  if (!breaker_.TryStart(context_.loop.Now())) {
+    return FailUnsent(done, ResultCode::kStoreUnreachable);
+  }
+  ++running_;
+  FetchWhole(
+      context_.loop, endpoint_, std::move(request),
+      {.idle_timeout = kStoreTimeout},
+      [self = shared_from_this(), done = std::move(done)](
+          const FetchResult& result) { self->HandleResult(result, done); });
+}
+
+void PlatformClient::HandleResult(const FetchResult& result, const Done& done) {
+  --running_;
+  StoreReply reply = ToReply(result);
+  RecordOutcome(reply);
+  done(std::move(reply));
+  StartWaiting();
+}
+
+void PlatformClient::RecordOutcome(const StoreReply& reply) {
+  const BreakerState before = breaker_.state();
+  if (reply.code == ResultCode::kStoreUnreachable) {
+    breaker_.RecordFailure(context_.loop.Now());
+  } else {
+    breaker_.RecordSuccess();
+  }
+  const bool opened = before == BreakerState::kClosed &&
+                      breaker_.state() == BreakerState::kOpen;
+  const bool closed = before != BreakerState::kClosed &&
+                      breaker_.state() == BreakerState::kClosed;
+  if (!opened && !closed) return;
+  context_.state.timeline.Record(
+      opened ? LogLevel::kWarning : LogLevel::kInfo, EventKind::kStoreBreaker,
+      reply.code,
+      {{"state", std::string(kBreakerStateNames.NameOf(breaker_.state()))}});
+}
+
+void PlatformClient::StartWaiting() {
+  while (!waiting_.empty() && running_ < kMaxRunningCalls) {
+    WaitingCall next = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (context_.loop.Now() - next.queued_at >= kStoreTimeout) {
+      FailUnsent(next.done, ResultCode::kStoreUnreachable);
+    } else {
+      StartCall(std::move(next.request), std::move(next.done));
+    }
+  }
+}
+
+void PlatformClient::FailUnsent(const Done& done, ResultCode code) {
+  context_.loop.Post([done, code] { done({.code = code}); });
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/platform/platform_client.h
+++ b/source/supervisor/platform/platform_client.h
@@ -2,11 +2,13 @@
 #define WISTERIAYOKE_SUPERVISOR_PLATFORM_PLATFORM_CLIENT_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "base/result_code.h"
+#include "decisions/circuit_breaker.h"
 #include "runtime/http_client_call.h"
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
@@ -16,15 +18,18 @@
 /// What the platform's table service or object store answered.
 struct StoreReply {
   /// kOk, kObjectMissing (no such record), kStoreConflict (the record has
-  /// another version), kStoreRateLimited, or kStoreUnreachable (a write may
-  /// have taken effect).
+  /// another version), kStoreRateLimited (nothing took effect), or
+  /// kStoreUnreachable.
   ResultCode code = ResultCode::kOk;
   std::string value;          ///< Value read, or the value in conflict.
   std::uint64_t version = 0;  ///< Version of the record; 0 if it is absent.
+  /// Whether an unanswered write may have taken effect or may yet do so.
+  bool sent = false;
 };
 
 /// Speaks with the platform's table service and object store. A child of the
-/// root.
+/// root. Runs a bounded number of calls at a time, queues a bounded number
+/// more, and fails calls at once while the store is down.
 class PlatformClient : public std::enable_shared_from_this<PlatformClient> {
  public:
   using Done = std::function<void(StoreReply)>;
@@ -45,11 +50,26 @@
   void ReadObject(const std::string& hash, Done done);
 
  private:
+  /// A call that waits for its turn.
+  struct WaitingCall {
+    HttpRequest request;
+    Done done;
+    TimePoint queued_at;
+  };
+
   void Send(HttpRequest request, Done done);
+  void StartCall(HttpRequest request, Done done);
+  void HandleResult(const FetchResult& result, const Done& done);
+  void RecordOutcome(const StoreReply& reply);
+  void StartWaiting();
+  void FailUnsent(const Done& done, ResultCode code);
 
   DaemonContext context_;
   FailureHandler on_failure_;
   Endpoint endpoint_;
+  CircuitBreaker breaker_{BreakerLimits{}};
+  std::size_t running_ = 0;
+  std::deque<WaitingCall> waiting_;
 };
 
 /// Finds the running platform client; it returns null while there is none.
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -48,7 +48,8 @@
                         .create =
                             [this](FailureHandler on_failure) {
                               return Child(std::make_shared<FrontEnd>(
-                                  Context(), std::move(on_failure)));
+                                  Context(), MakePlatformFinder(),
+                                  std::move(on_failure)));
                             }},
                        reason);
 }
