--- a/source/base/result_code.cc
+++ b/source/base/result_code.cc
@@ -121,6 +121,8 @@
      "Report this defect with the time line."},
     {kAnswerMisdirected, "answer-misdirected", 500, kUnknown,
      "Report this defect with the time line."},
+    {kVersionForked, "version-forked", 500, kUnknown,
+     "Set the tables again; two contents had one version number."},
 });
 
 constexpr int kCodesInGroup = 100;
--- a/source/base/result_code.h
+++ b/source/base/result_code.h
@@ -71,6 +71,7 @@
   kDispatchedTwice = 904,
   kNotRunAfterDispatch = 905,
   kAnswerMisdirected = 906,
+  kVersionForked = 907,
 };
 
 /// One row of the table of result codes.
--- /dev/null
+++ b/source/decisions/membership.cc
@@ -0,0 +1,252 @@
+#include "decisions/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "base/overloaded.h"
+
+namespace wisteriayoke {
+
+Membership::Membership(Member self, std::vector<Endpoint> seeds,
+                       std::uint64_t seed)
+    : self_(std::move(self)),
+      seeds_(std::move(seeds)),
+      random_(seed),
+      members_(seed + 1) {}
+
+std::vector<PeerAction> Membership::Handle(const PeerEvent& event,
+                                           TimePoint now) {
+  now_ = now;
+  std::visit(
+      Overloaded{
+          [this](const PeerTick&) { HandleTick(); },
+          [this](const PeerMessageArrived& arrived) { HandleMessage(arrived); },
+          [this](const SeedsChanged& changed) { seeds_ = changed.seeds; },
+          [this](const RumourPosted& posted) {
+            const auto novelty = gossip_.AddRumour(posted.rumour, now_);
+            if (novelty == RumourNovelty::kNew) TellAtOnce({});
+          },
+          [this](const LoadsCounted& counted) { HandleLoads(counted); },
+          [this](const HeadChanged& changed) { head_ = changed.head; },
+          [this](const LeaveRequested&) { HandleLeave(); },
+      },
+      event);
+  return std::exchange(actions_, {});
+}
+
+std::optional<Endpoint> Membership::SampleMember() {
+  const std::vector<Member> sample = members_.Sample(1);
+  if (sample.empty()) return std::nullopt;
+  return sample.front().endpoint;
+}
+
+void Membership::HandleTick() {
+  ExpireSuspects();
+  std::erase_if(relays_, [this](const auto& item) {
+    return now_ - item.second.started >= kPeriod;
+  });
+  if (probe_ && now_ - probe_->started < kPeriod) return ContinueProbe();
+  if (probe_ && !probe_->answered) Suspect(probe_->target);
+  gossip_.Expire(now_);
+  members_.Expire(now_);
+  StartProbe();
+}
+
+void Membership::ContinueProbe() {
+  if (probe_->answered || probe_->indirect) return;
+  if (now_ - probe_->started < kProbeTimeout) return;
+  probe_->indirect = true;
+  const Endpoint& target = probe_->target.endpoint;
+  for (const auto& helper : members_.Sample(kIndirectProbes, target)) {
+    Send(helper.endpoint, PingRequest{probe_->sequence, target});
+  }
+}
+
+void Membership::StartProbe() {
+  const Member* target = members_.NextToProbe();
+  // Without a target the period is an empty probe, which counts as answered.
+  probe_ = Probe{.target = target == nullptr ? Member{} : *target,
+                 .sequence = next_sequence_++,
+                 .started = now_,
+                 .answered = target == nullptr};
+  if (target != nullptr) {
+    Send(probe_->target.endpoint, Ping{probe_->sequence});
+  }
+  if (target == nullptr || ++periods_ % kContactPeriods == 0) ContactAbsent();
+}
+
+void Membership::ContactAbsent() {
+  std::vector<Endpoint> contacts;
+  for (const auto& seed : seeds_) {
+    const Member* member = members_.FindAt(seed);
+    const bool present = member != nullptr && member->present();
+    if (!present && seed != self_.endpoint) contacts.push_back(seed);
+  }
+  if (const Member* dead = members_.SampleDead()) {
+    contacts.push_back(dead->endpoint);
+  }
+  if (contacts.empty()) return;
+  const bool alone = members_.CountPresent() == 0;
+  const Endpoint to = contacts[random_() % contacts.size()];
+  if (!alone) return Send(to, Ping{next_sequence_++, false});
+  for (const auto& contact : contacts) {
+    Send(contact, Ping{next_sequence_++, true});
+  }
+}
+
+Duration Membership::SuspicionTime() const {
+  return kPeriod * std::bit_width(group_size() - 1);
+}
+
+void Membership::Suspect(const Member& member) {
+  const Member* known = members_.Find(member.name);
+  if (known == nullptr || known->status != MemberStatus::kAlive) return;
+  Member record = *known;
+  record.status = MemberStatus::kSuspect;
+  Learn(record);
+}
+
+void Membership::ExpireSuspects() {
+  std::vector<Member> dead;
+  for (const auto& [name, deadline] : suspects_) {
+    if (now_ < deadline) continue;
+    if (const Member* known = members_.Find(name)) dead.push_back(*known);
+  }
+  for (auto& member : dead) {
+    member.status = MemberStatus::kDead;
+    Learn(member);
+  }
+}
+
+void Membership::Learn(const Member& record) {
+  if (record.name == self_.name) return Refute(record);
+  if (!members_.Merge(record, now_)) return;
+  suspects_.erase(record.name);
+  if (record.status == MemberStatus::kSuspect) {
+    suspects_[record.name] = now_ + SuspicionTime();
+  }
+  gossip_.AddMember(record);
+  actions_.emplace_back(MemberChanged{record});
+}
+
+void Membership::Refute(const Member& record) {
+  if (self_.status == MemberStatus::kLeft) return;
+  if (record.incarnation < self_.incarnation) return;
+  if (record.incarnation == self_.incarnation &&
+      record.status == MemberStatus::kAlive) {
+    return;
+  }
+  self_.incarnation = record.incarnation + 1;
+  gossip_.AddMember(self_);
+  TellAtOnce({});
+}
+
+void Membership::HandleMessage(const PeerMessageArrived& event) {
+  const PeerMessage& message = event.message;
+  if (message.sender.name == self_.name) return;
+  Learn(message.sender);
+  for (const auto& member : message.members) Learn(member);
+  if (message.head.number > 0) {
+    actions_.emplace_back(HeadHeard{message.head, event.from});
+  }
+  for (const auto& rumour : message.rumours) HandleRumour(rumour, event.from);
+  std::visit(Overloaded{
+                 [&](const Ping& ping) { HandlePing(ping, event.from); },
+                 [&](const PingRequest& request) {
+                   HandleRequest(request, event.from);
+                 },
+                 [&](const Ack& ack) { HandleAck(ack); },
+                 [](const Notice&) {},
+             },
+             message.content);
+}
+
+void Membership::HandlePing(const Ping& ping, const Endpoint& from) {
+  Send(from, Ack{ping.sequence});
+  if (ping.joining) SendMemberList(from);
+}
+
+void Membership::HandleRequest(const PingRequest& request,
+                               const Endpoint& from) {
+  const std::uint32_t sequence = next_sequence_++;
+  relays_[sequence] = {from, request.sequence, now_};
+  Send(request.target, Ping{sequence});
+}
+
+void Membership::HandleAck(const Ack& ack) {
+  if (probe_ && probe_->sequence == ack.sequence) probe_->answered = true;
+  const auto relay = relays_.find(ack.sequence);
+  if (relay == relays_.end()) return;
+  Send(relay->second.requester, Ack{relay->second.sequence});
+  relays_.erase(relay);
+}
+
+void Membership::HandleRumour(const Rumour& rumour, const Endpoint& teller) {
+  if (std::holds_alternative<LoadRumour>(rumour)) {
+    actions_.emplace_back(RumourHeard{rumour, teller});
+    return;
+  }
+  const RumourNovelty novelty = gossip_.AddRumour(rumour, now_);
+  if (novelty == RumourNovelty::kKnown) return;
+  actions_.emplace_back(RumourHeard{rumour, teller});
+  if (novelty == RumourNovelty::kNew) TellAtOnce(teller);
+}
+
+void Membership::HandleLoads(const LoadsCounted& event) {
+  const std::size_t total = event.loads.size();
+  PeerMessage message = Envelope(Notice{});
+  const std::size_t count = std::min(kLoadsInMessage, total);
+  for (std::size_t i = 0; i < count; ++i) {
+    message.rumours.emplace_back(event.loads[(next_load_ + i) % total]);
+  }
+  if (total > 0) next_load_ = (next_load_ + count) % total;
+  if (message.rumours.empty()) return;
+  for (const auto& peer : members_.Neighbours(self_.name, kLoadNeighbours)) {
+    actions_.emplace_back(SendPeerMessage{peer.endpoint, message});
+  }
+}
+
+void Membership::HandleLeave() {
+  self_.status = MemberStatus::kLeft;
+  gossip_.AddMember(self_);
+  TellAtOnce({});
+}
+
+void Membership::TellAtOnce(const Endpoint& excluded) {
+  for (const auto& peer : members_.Sample(kFanout, excluded)) {
+    Send(peer.endpoint, Notice{});
+  }
+}
+
+void Membership::SendMemberList(const Endpoint& to) {
+  const std::vector<Member> all = members_.ListPresent();
+  for (std::size_t i = 0; i < all.size(); i += kRecordsInList) {
+    PeerMessage message = Envelope(Notice{});
+    const std::size_t end = std::min(i + kRecordsInList, all.size());
+    message.members.assign(all.begin() + static_cast<std::ptrdiff_t>(i),
+                           all.begin() + static_cast<std::ptrdiff_t>(end));
+    actions_.emplace_back(SendPeerMessage{to, std::move(message)});
+  }
+}
+
+PeerMessage Membership::Envelope(PeerContent content) const {
+  return {.sender = self_, .head = head_, .content = std::move(content)};
+}
+
+void Membership::Send(const Endpoint& to, PeerContent content) {
+  PeerMessage message = Envelope(std::move(content));
+  message.members = gossip_.TakeMembers(group_size());
+  for (const auto& member : members_.Sample(kRandomRecords, to)) {
+    message.members.push_back(member);
+  }
+  // One that is wrongly held for absent must hear of it to refute it.
+  const Member* receiver = members_.FindAt(to);
+  if (receiver != nullptr && receiver->status != MemberStatus::kAlive) {
+    message.members.push_back(*receiver);
+  }
+  message.rumours = gossip_.TakeRumours(group_size(), now_);
+  actions_.emplace_back(SendPeerMessage{to, std::move(message)});
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/decisions/peer_message.h
@@ -0,0 +1,57 @@
+#ifndef WISTERIAYOKE_DECISIONS_PEER_MESSAGE_H_
+#define WISTERIAYOKE_DECISIONS_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "decisions/member.h"
+#include "decisions/rumour.h"
+
+namespace wisteriayoke {
+
+/// Asks for an `Ack` with the same sequence number.
+struct Ping {
+  std::uint32_t sequence = 0;
+  bool joining = false;  ///< Asks for the list of members as well.
+
+  friend bool operator==(const Ping&, const Ping&) = default;
+};
+
+/// Asks the receiver to ping `target` and to pass its answer on.
+struct PingRequest {
+  std::uint32_t sequence = 0;
+  Endpoint target;
+
+  friend bool operator==(const PingRequest&, const PingRequest&) = default;
+};
+
+/// Answers a ping, or tells that a requested ping was answered.
+struct Ack {
+  std::uint32_t sequence = 0;
+
+  friend bool operator==(const Ack&, const Ack&) = default;
+};
+
+/// Carries members and rumours alone.
+struct Notice {
+  friend bool operator==(const Notice&, const Notice&) = default;
+};
+
+using PeerContent = std::variant<Ping, PingRequest, Ack, Notice>;
+
+/// One datagram between daemons. Whatever its content, it tells of its sender,
+/// of the tables that the sender has in force, and of some news.
+struct PeerMessage {
+  Member sender;
+  TableVersion head;  ///< Tables in force at the sender.
+  PeerContent content;
+  std::vector<Member> members;
+  std::vector<Rumour> rumours;
+  std::uint64_t clock_us = 0;  ///< The sender's hybrid clock.
+  std::uint32_t clock_counter = 0;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_DECISIONS_PEER_MESSAGE_H_
--- a/source/decisions/table_follower.cc
+++ b/source/decisions/table_follower.cc
@@ -1,27 +1,167 @@
 #include "decisions/table_follower.h"
 
+#include <algorithm>
+
+#include "base/invariant.h"
+#include "base/overloaded.h"
+
 namespace wisteriayoke {
+namespace {
+
+TableSource OtherSource(TableSource source) {
+  return source == TableSource::kStore ? TableSource::kPeer
+                                       : TableSource::kStore;
+}
+
+void ReportFork(const TableVersion& known, const TableVersion& seen) {
+  ReportBrokenInvariant(ResultCode::kVersionForked,
+                        "version " + std::to_string(known.number) +
+                            " has the hashes " + known.hash + " and " +
+                            seen.hash);
+}
+
+}  // namespace
 
 std::vector<TableAction> TableFollower::Handle(const TableEvent& event) {
-  if (const auto* head = std::get_if<HeadSeen>(&event)) {
-    return HandleHead(*head);
-  }
-  return HandleContent(std::get<ContentArrived>(event));
+  return std::visit(
+      Overloaded{
+          [this](const HeadSeen& head) { return HandleHead(head); },
+          [this](const ContentArrived& content) {
+            return HandleContent(content);
+          },
+          [this](const FetchFailed& failure) { return HandleFailure(failure); },
+          [this](const ContentRefused& refusal) {
+            return HandleRefusal(refusal);
+          },
+          [this](const RetryDue& retry) { return HandleRetry(retry); },
+          [this](const ListenOver&) {
+            return least_ > 0 ? EndColdStart() : std::vector<TableAction>{};
+          },
+          [this](const ColdStartOver&) {
+            least_ = 0;
+            return EndColdStart();
+          },
+      },
+      event);
 }
 
 std::vector<TableAction> TableFollower::HandleHead(const HeadSeen& event) {
-  if (event.version.number <= in_force_.number) return {};
-  if (wanted_ && event.version.number < wanted_->number) return {};
-  wanted_ = event.version;
-  return {FetchContent{event.version.hash}};
+  const TableVersion& version = event.version;
+  std::vector<TableAction> actions;
+  if (IsForked(version)) return actions;
+  if (cold_ && event.source == TableSource::kPeer) {
+    least_ = std::max(least_, version.number);
+  }
+  if (IsWorthFetching(version)) {
+    AddCandidate(event);
+    if (!cold_) actions.emplace_back(PassOnHead{version});
+    actions.emplace_back(FetchContent{version.hash, event.source});
+  }
+  return actions;
+}
+
+bool TableFollower::IsWorthFetching(const TableVersion& version) const {
+  if (version.number <= in_force_.number) return false;
+  if (version.number < least_) return false;
+  if (refused_.contains(version.hash)) return false;
+  if (candidates_.contains(version.number)) return false;
+  // Otherwise two heads that push each other out would be passed on for ever.
+  return candidates_.size() < kMaxCandidates ||
+         version.number > candidates_.begin()->first;
+}
+
+bool TableFollower::IsForked(const TableVersion& version) const {
+  if (version.number == 0) return false;
+  TableVersion known;
+  const auto candidate = candidates_.find(version.number);
+  if (version.number == in_force_.number) known = in_force_;
+  if (candidate != candidates_.end()) {
+    known = {version.number, candidate->second.hash};
+  }
+  if (known.number == 0 || known.hash == version.hash) return false;
+  ReportFork(known, version);
+  return true;
+}
+
+void TableFollower::AddCandidate(const HeadSeen& event) {
+  candidates_[event.version.number] = {.hash = event.version.hash,
+                                       .next_source = event.source};
+  if (candidates_.size() > kMaxCandidates) {
+    candidates_.erase(candidates_.begin());
+  }
+}
+
+TableFollower::Candidate* TableFollower::FindCandidate(
+    const std::string& hash) {
+  for (auto& [number, candidate] : candidates_) {
+    if (candidate.hash == hash && !candidate.arrived) return &candidate;
+  }
+  return nullptr;
 }
 
 std::vector<TableAction> TableFollower::HandleContent(
     const ContentArrived& event) {
-  if (!wanted_ || wanted_->hash != event.hash) return {};
-  in_force_ = *wanted_;
-  wanted_.reset();
-  return {PutInForce{in_force_, event.tables}};
+  for (auto& [number, candidate] : candidates_) {
+    if (candidate.hash == event.hash) candidate.arrived = event.tables;
+  }
+  if (cold_) return {};
+  return PutArrivedInForce();
+}
+
+std::vector<TableAction> TableFollower::PutArrivedInForce() {
+  for (auto it = candidates_.rbegin(); it != candidates_.rend(); ++it) {
+    if (!it->second.arrived) continue;
+    const TableVersion version{it->first, it->second.hash};
+    if (version.number <= in_force_.number) {
+      ReportBrokenInvariant(ResultCode::kVersionReverted,
+                            "version " + std::to_string(version.number) +
+                                " after " + std::to_string(in_force_.number));
+      return {};
+    }
+    in_force_ = version;
+    PutInForce action{version, it->second.arrived};
+    candidates_.erase(candidates_.begin(), it.base());
+    return {std::move(action)};
+  }
+  return {};
+}
+
+std::vector<TableAction> TableFollower::HandleFailure(
+    const FetchFailed& event) {
+  Candidate* candidate = FindCandidate(event.hash);
+  if (candidate == nullptr) return {};
+  candidate->next_source = OtherSource(candidate->next_source);
+  const Duration delay = candidate->retry_delay;
+  candidate->retry_delay = std::min(2 * delay, kLastRetryDelay);
+  return {RetryFetch{event.hash, delay}};
+}
+
+std::vector<TableAction> TableFollower::HandleRefusal(
+    const ContentRefused& event) {
+  refused_.insert(event.hash);
+  std::erase_if(candidates_, [&event](const auto& item) {
+    return item.second.hash == event.hash;
+  });
+  return {};
+}
+
+std::vector<TableAction> TableFollower::HandleRetry(const RetryDue& event) {
+  const Candidate* candidate = FindCandidate(event.hash);
+  if (candidate == nullptr) return {};
+  return {FetchContent{event.hash, candidate->next_source}};
+}
+
+std::vector<TableAction> TableFollower::EndColdStart() {
+  cold_ = false;
+  candidates_.erase(candidates_.begin(), candidates_.lower_bound(least_));
+  std::vector<TableAction> actions;
+  for (const auto& [number, candidate] : candidates_) {
+    actions.emplace_back(PassOnHead{{number, candidate.hash}});
+  }
+  for (auto& action : PutArrivedInForce()) {
+    actions.push_back(std::move(action));
+  }
+  return actions;
 }
 
 }  // namespace wisteriayoke
--- a/source/decisions/upstream_book.h
+++ b/source/decisions/upstream_book.h
@@ -74,6 +74,10 @@
   /// Takes in what the upstream said about the requests that it runs.
   void RecordReport(const UpstreamName& name, std::uint32_t in_flight);
 
+  const std::map<UpstreamName, UpstreamState>& states() const {
+    return states_;
+  }
+
   UpstreamHealth HealthOf(const UpstreamName& name, TimePoint now) const;
 
   /// Returns the state of `name`; a default one if nothing is known.
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -18,8 +18,9 @@
 /// State that outlives the restart of any child. The root owns it and hands it
 /// to the children that it makes.
 struct DaemonState {
-  TableVersion version;  ///< Version of the tables in force.
-  TableSetPtr tables;    ///< Null until the first tables are in force.
+  TableVersion version;       ///< Version of the tables in force.
+  TableSetPtr tables;         ///< Null until the first tables are in force.
+  std::string table_content;  ///< Their text, as peers may fetch it.
   UpstreamBook upstreams;
   PeerLoads peer_loads;    ///< In-flight counts told by other daemons.
   RumourExchange rumours;  ///< What daemons tell one another.
--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -17,6 +17,8 @@
   kAttemptBroke,
   kStoreBreaker,
   kInvariantBroken,
+  kMemberChanged,
+  kDatagramDropped,
 };
 
 inline constexpr auto kEventKindNames = MakeNamesTable<EventKind>({
@@ -30,6 +32,8 @@
     {EventKind::kAttemptBroke, "attempt-broke"},
     {EventKind::kStoreBreaker, "store-breaker"},
     {EventKind::kInvariantBroken, "invariant-broken"},
+    {EventKind::kMemberChanged, "member-changed"},
+    {EventKind::kDatagramDropped, "datagram-dropped"},
 });
 
 }  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/peers/peer_link.cc
@@ -0,0 +1,208 @@
+#include "supervisor/peers/peer_link.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "base/overloaded.h"
+#include "supervisor/context/log.h"
+#include "wire/datagram_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr Duration kLoadInterval = std::chrono::milliseconds(300);
+constexpr std::size_t kMaxContentConnections = 32;
+constexpr std::string_view kContentPrefix = "/tables/";
+
+/// Returns an incarnation above that of any former run on this instance.
+std::uint64_t FirstIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+Member MakeSelf(const Settings& settings) {
+  return {DaemonName(settings.Text(SettingKey::kDaemonName)),
+          settings.EndpointOf(SettingKey::kPeersAddress), FirstIncarnation(),
+          MemberStatus::kAlive};
+}
+
+}  // namespace
+
+PeerLink::PeerLink(DaemonContext context, FailureHandler on_failure)
+    : context_(context),
+      on_failure_(std::move(on_failure)),
+      membership_(MakeSelf(context.settings),
+                  context.settings.EndpointsOf(SettingKey::kPeerSeeds),
+                  std::random_device{}()) {}
+
+bool PeerLink::Start(LastReason& reason) {
+  if (!Listen(reason)) return false;
+  carrier_ = context_.state.rumours.Carry(
+      [this](const Rumour& rumour) { Feed(RumourPosted{rumour}); });
+  Feed(HeadChanged{context_.state.version});
+  Tick();
+  ShareLoads();
+  return true;
+}
+
+bool PeerLink::Listen(LastReason& reason) {
+  const Endpoint local =
+      context_.settings.EndpointOf(SettingKey::kPeersAddress);
+  udp_ = UdpEndpoint::Create(
+      context_.loop, local,
+      [weak = weak_from_this()](std::string_view data, const Endpoint& from) {
+        if (const auto self = weak.lock()) self->HandleDatagram(data, from);
+      },
+      reason);
+  if (!udp_) return false;
+  server_ = HttpServer::Create(
+      context_.loop, local, {.connections = kMaxContentConnections},
+      [weak = weak_from_this()](
+          const HttpRequest& request,
+          const std::shared_ptr<HttpServerSession>& session) {
+        const auto self = weak.lock();
+        if (!self) return session->Abort();
+        session->Respond(self->ServeContent(request));
+      },
+      [](const LastReason&) {
+        return HttpResponse{{400, {}}, ""};
+      },
+      reason);
+  return server_ != nullptr;
+}
+
+void PeerLink::Stop(const std::function<void()>& done) {
+  Feed(LeaveRequested{});
+  stopped_ = true;
+  tick_timer_.reset();
+  load_timer_.reset();
+  carrier_.reset();
+  if (udp_) udp_->Close();
+  if (server_) {
+    server_->StopAccepting();
+    server_->CutSessions();
+  }
+  done();
+}
+
+void PeerLink::Tick() {
+  Feed(PeerTick{});
+  context_.state.peer_loads.Expire(context_.loop.Now());
+  tick_timer_ =
+      context_.loop.Schedule(Membership::kTickInterval, [this] { Tick(); });
+}
+
+void PeerLink::ShareLoads() {
+  LoadsCounted counted;
+  const DaemonName& self = membership_.self().name;
+  for (const auto& [upstream, state] : context_.state.upstreams.states()) {
+    if (state.in_flight == 0) continue;
+    counted.loads.push_back({self, upstream, state.in_flight});
+  }
+  Feed(counted);
+  load_timer_ = context_.loop.Schedule(kLoadInterval, [this] { ShareLoads(); });
+}
+
+void PeerLink::HandleDatagram(std::string_view data, const Endpoint& from) {
+  LastReason reason;
+  const auto message = ParseDatagram(data, reason);
+  if (!message) {
+    context_.state.timeline.Record(
+        LogLevel::kWarning, EventKind::kDatagramDropped, reason.code(),
+        {{"from", from.ToString()}, {"reason", reason.message()}});
+    return;
+  }
+  context_.state.timeline.Witness({message->clock_us, message->clock_counter});
+  Feed(PeerMessageArrived{*message, from});
+}
+
+void PeerLink::Feed(const PeerEvent& event) {
+  if (stopped_) return;
+  for (const auto& action : membership_.Handle(event, context_.loop.Now())) {
+    std::visit(Overloaded{
+                   [this](const SendPeerMessage& send) { SendMessage(send); },
+                   [this](const MemberChanged& changed) {
+                     HandleMember(changed.member);
+                   },
+                   [this](const RumourHeard& heard) { HandleRumour(heard); },
+                   [this](const HeadHeard& heard) {
+                     HandleHead(heard.head, heard.teller);
+                   },
+               },
+               action);
+  }
+}
+
+void PeerLink::SendMessage(const SendPeerMessage& action) {
+  PeerMessage message = action.message;
+  const HybridTime time = context_.state.timeline.Tick();
+  message.clock_us = time.wall_us;
+  message.clock_counter = time.counter;
+  LastReason reason;
+  const auto data = EncodeDatagram(std::move(message), reason);
+  if (data) return udp_->Send(*data, action.to);
+  context_.state.timeline.Record(LogLevel::kError, EventKind::kDatagramDropped,
+                                 reason.code(), {{"reason", reason.message()}});
+}
+
+void PeerLink::HandleMember(const Member& member) {
+  if (!member.present()) context_.state.peer_loads.Drop(member.name);
+  context_.state.timeline.Record(
+      LogLevel::kInfo, EventKind::kMemberChanged, ResultCode::kOk,
+      {{"member", member.name.text()},
+       {"status", std::string(kMemberStatusNames.NameOf(member.status))},
+       {"incarnation", std::to_string(member.incarnation)}});
+}
+
+void PeerLink::HandleRumour(const RumourHeard& heard) {
+  if (const auto* load = std::get_if<LoadRumour>(&heard.rumour)) {
+    context_.state.peer_loads.Record(*load, context_.loop.Now());
+  }
+  if (const auto* head = std::get_if<TableHeadRumour>(&heard.rumour)) {
+    return HandleHead(head->version, heard.teller);
+  }
+  context_.state.rumours.Deliver(heard.rumour);
+}
+
+void PeerLink::HandleHead(const TableVersion& head, const Endpoint& teller) {
+  const TableVersion& in_force = context_.state.version;
+  if (head.number < in_force.number || head == in_force) return;
+  if (head.number >= told_.number) {
+    told_ = head;
+    teller_ = teller;
+  }
+  context_.state.rumours.Deliver(TableHeadRumour{head});
+}
+
+void PeerLink::SetListedPeers(const std::vector<Endpoint>& listed) {
+  SeedsChanged changed{context_.settings.EndpointsOf(SettingKey::kPeerSeeds)};
+  changed.seeds.insert(changed.seeds.end(), listed.begin(), listed.end());
+  Feed(changed);
+}
+
+void PeerLink::TellHead(const TableVersion& head) { Feed(HeadChanged{head}); }
+
+std::optional<Endpoint> PeerLink::ChooseHolder(const std::string& hash) {
+  if (told_.hash == hash && teller_) return std::exchange(teller_, {});
+  return membership_.SampleMember();
+}
+
+std::vector<Member> PeerLink::ListMembers() const {
+  std::vector<Member> members = membership_.members().ListPresent();
+  members.push_back(membership_.self());
+  return members;
+}
+
+HttpResponse PeerLink::ServeContent(const HttpRequest& request) const {
+  const DaemonState& state = context_.state;
+  const bool asked_for =
+      state.version.number > 0 &&
+      request.target == std::string(kContentPrefix) + state.version.hash;
+  if (!asked_for) return {{404, {}}, ""};
+  return {{200, {{"Content-Type", "application/json"}}}, state.table_content};
+}
+
+}  // namespace wisteriayoke
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -19,6 +19,10 @@
   return [this] { return children_.Find<PlatformClient>(); };
 }
 
+PeerFinder RootSupervisor::MakePeerFinder() {
+  return [this] { return children_.Find<PeerLink>(); };
+}
+
 bool RootSupervisor::Start(LastReason& reason) {
   return children_.Add({.name = "platform",
                         .create =
@@ -27,15 +31,23 @@
                                   Context(), std::move(on_failure)));
                             }},
                        reason) &&
-         children_.Add({.name = "tables",
+         children_.Add({.name = "peers",
                         .create =
                             [this](FailureHandler on_failure) {
-                              return Child(std::make_shared<TableKeeper>(
-                                  Context(), MakePlatformFinder(),
-                                  [this] { HandleTablesChanged(); },
-                                  std::move(on_failure)));
+                              return Child(std::make_shared<PeerLink>(
+                                  Context(), std::move(on_failure)));
                             }},
                        reason) &&
+         children_.Add(
+             {.name = "tables",
+              .create =
+                  [this](FailureHandler on_failure) {
+                    return Child(std::make_shared<TableKeeper>(
+                        Context(), MakePlatformFinder(), MakePeerFinder(),
+                        [this] { HandleTablesChanged(); },
+                        std::move(on_failure)));
+                  }},
+             reason) &&
          children_.Add(
              {.name = "upstreams",
               .create =
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -8,6 +8,7 @@
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/front_end.h"
+#include "supervisor/peers/peer_link.h"
 #include "supervisor/platform/platform_client.h"
 #include "supervisor/tables/table_keeper.h"
 #include "supervisor/upstreams/upstreams_supervisor.h"
@@ -34,12 +35,15 @@
   Timeline& timeline() { return state_.timeline; }
 
  private:
-  using Child = std::variant<
-      std::shared_ptr<PlatformClient>, std::shared_ptr<TableKeeper>,
-      std::shared_ptr<UpstreamsSupervisor>, std::shared_ptr<FrontEnd>>;
+  using Child =
+      std::variant<std::shared_ptr<PlatformClient>, std::shared_ptr<PeerLink>,
+                   std::shared_ptr<TableKeeper>,
+                   std::shared_ptr<UpstreamsSupervisor>,
+                   std::shared_ptr<FrontEnd>>;
 
   DaemonContext Context() { return {loop_, settings_, state_}; }
   PlatformFinder MakePlatformFinder();
+  PeerFinder MakePeerFinder();
   void HandleTablesChanged();
   void CutRequests();
   void End(const LastReason& reason);
--- a/source/supervisor/tables/table_keeper.cc
+++ b/source/supervisor/tables/table_keeper.cc
@@ -11,6 +11,12 @@
 namespace {
 
 constexpr auto kHeadKey = "tables/head";
+constexpr int kStatusOk = 200;
+constexpr Duration kPeerTimeout = std::chrono::milliseconds(300);
+/// How long a daemon that starts without tables listens to its peers.
+constexpr Duration kListenTime = std::chrono::milliseconds(300);
+/// When it goes on although no peer has spoken.
+constexpr Duration kColdStartTime = std::chrono::milliseconds(1000);
 
 TableSetPtr BuildTables(const std::string& content, LastReason& reason) {
   auto spec = ParseTableSpec(content, reason);
@@ -23,25 +29,44 @@
 }  // namespace
 
 TableKeeper::TableKeeper(DaemonContext context, PlatformFinder platform,
-                         ChangeHandler on_change, FailureHandler on_failure)
+                         PeerFinder peers, ChangeHandler on_change,
+                         FailureHandler on_failure)
     : context_(context),
       platform_(std::move(platform)),
+      peers_(std::move(peers)),
       on_change_(std::move(on_change)),
       on_failure_(std::move(on_failure)),
       follower_(context.state.version),
       jitter_(std::random_device{}()) {}
 
 bool TableKeeper::Start(LastReason& /*reason*/) {
+  heads_ = context_.state.rumours.Subscribe([this](const Rumour& rumour) {
+    if (const auto* head = std::get_if<TableHeadRumour>(&rumour)) {
+      Feed(HeadSeen{head->version, TableSource::kPeer});
+    }
+  });
+  ScheduleColdStart();
   PollHead();
   return true;
 }
 
 void TableKeeper::Stop(const std::function<void()>& done) {
   stopped_ = true;
+  heads_.reset();
   poll_timer_.reset();
+  listen_timer_.reset();
+  cold_timer_.reset();
+  retry_timers_.clear();
   done();
 }
 
+void TableKeeper::ScheduleColdStart() {
+  listen_timer_ =
+      context_.loop.Schedule(kListenTime, [this] { Feed(ListenOver{}); });
+  cold_timer_ =
+      context_.loop.Schedule(kColdStartTime, [this] { Feed(ColdStartOver{}); });
+}
+
 void TableKeeper::PollHead() {
   ScheduleNextPoll();
   const auto platform = platform_();
@@ -65,29 +90,71 @@
   if (reply.code != ResultCode::kOk) return;
   LastReason reason;
   const auto version = ParseTableHead(reply.value, reason);
-  if (version) return Feed(HeadSeen{*version});
-  context_.state.timeline.Record(LogLevel::kError, EventKind::kTablesRefused,
-                                 reason.code(), {{"reason", reason.message()}});
+  if (version) return Feed(HeadSeen{*version, TableSource::kStore});
+  RecordRefusal(reason);
 }
 
-void TableKeeper::Fetch(const std::string& hash) {
+void TableKeeper::Fetch(const FetchContent& fetch) {
+  if (fetch.source == TableSource::kStore) return FetchFromStore(fetch.hash);
+  FetchFromPeer(fetch.hash);
+}
+
+void TableKeeper::FetchFromStore(const std::string& hash) {
   const auto platform = platform_();
-  if (!platform) return;
+  if (!platform) return FailFetch(hash);
   platform->ReadObject(
       hash, [self = shared_from_this(), hash](const StoreReply& reply) {
-        if (!self->stopped_) self->HandleContent(hash, reply);
+        if (self->stopped_) return;
+        if (reply.code != ResultCode::kOk) return self->FailFetch(hash);
+        self->HandleContent(hash, reply.value);
       });
 }
 
+void TableKeeper::FetchFromPeer(const std::string& hash) {
+  const auto peers = peers_();
+  const auto holder = peers ? peers->ChooseHolder(hash) : std::nullopt;
+  if (!holder) return FailFetch(hash);
+  FetchWhole(context_.loop, *holder,
+             {.method = "GET", .target = "/tables/" + hash},
+             {.connect_timeout = kPeerTimeout, .idle_timeout = kPeerTimeout},
+             [self = shared_from_this(), hash](const FetchResult& result) {
+               if (self->stopped_) return;
+               const bool good = result.code == ResultCode::kOk &&
+                                 result.response.head.status == kStatusOk;
+               if (!good) return self->FailFetch(hash);
+               self->HandleContent(hash, result.response.body);
+             });
+}
+
+void TableKeeper::FailFetch(const std::string& hash) {
+  // On a later turn, since the action that asked is still being carried out.
+  context_.loop.Post([self = shared_from_this(), hash] {
+    if (!self->stopped_) self->Feed(FetchFailed{hash});
+  });
+}
+
+void TableKeeper::ScheduleRetry(const RetryFetch& retry) {
+  retry_timers_[retry.hash] = context_.loop.Schedule(
+      retry.delay, [this, hash = retry.hash] { Feed(RetryDue{hash}); });
+}
+
 void TableKeeper::HandleContent(const std::string& hash,
-                                const StoreReply& reply) {
-  if (reply.code != ResultCode::kOk) return;
+                                const std::string& content) {
   LastReason reason;
-  if (ComputeDigest(reply.value) != hash) {
+  if (ComputeDigest(content) != hash) {
     reason.Set(ResultCode::kTableHashMismatch, "content of " + hash);
-  } else if (const auto tables = BuildTables(reply.value, reason)) {
+    RecordRefusal(reason);
+    return Feed(FetchFailed{hash});
+  }
+  if (const auto tables = BuildTables(content, reason)) {
+    contents_[hash] = content;
     return Feed(ContentArrived{hash, tables});
   }
+  RecordRefusal(reason);
+  Feed(ContentRefused{hash});
+}
+
+void TableKeeper::RecordRefusal(const LastReason& reason) {
   context_.state.timeline.Record(LogLevel::kError, EventKind::kTablesRefused,
                                  reason.code(), {{"reason", reason.message()}});
 }
@@ -95,7 +162,11 @@
 void TableKeeper::Feed(const TableEvent& event) {
   for (const auto& action : follower_.Handle(event)) {
     std::visit(Overloaded{
-                   [this](const FetchContent& fetch) { Fetch(fetch.hash); },
+                   [this](const FetchContent& fetch) { Fetch(fetch); },
+                   [this](const RetryFetch& retry) { ScheduleRetry(retry); },
+                   [this](const PassOnHead& pass) {
+                     context_.state.rumours.Post(TableHeadRumour{pass.version});
+                   },
                    [this](const PutInForce& put) { PutTablesInForce(put); },
                },
                action);
@@ -106,11 +177,15 @@
   DaemonState& state = context_.state;
   state.version = action.version;
   state.tables = action.tables;
+  state.table_content = std::move(contents_[action.version.hash]);
+  contents_.clear();
+  retry_timers_.erase(action.version.hash);
   state.upstreams.Retain(*action.tables);
   state.timeline.Record(LogLevel::kInfo, EventKind::kTablesInForce,
                         ResultCode::kOk,
                         {{"version", std::to_string(action.version.number)},
                          {"hash", action.version.hash}});
+  if (const auto peers = peers_()) peers->TellHead(action.version);
   on_change_();
 }
 
--- a/source/supervisor/tables/table_keeper.h
+++ b/source/supervisor/tables/table_keeper.h
@@ -2,23 +2,26 @@
 #define WISTERIAYOKE_SUPERVISOR_TABLES_TABLE_KEEPER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
 
 #include "decisions/table_follower.h"
+#include "supervisor/peers/peer_link.h"
 #include "supervisor/platform/platform_client.h"
 
 namespace wisteriayoke {
 
-/// Keeps the tables in force current: polls the head record and fetches the
-/// content that it names. A child of the root.
+/// Keeps the tables in force current: polls the head record, hears the peers'
+/// heads and fetches the content that they name from the store or from a peer.
+/// A child of the root.
 class TableKeeper : public std::enable_shared_from_this<TableKeeper> {
  public:
   /// Called after other tables were put in force.
   using ChangeHandler = std::function<void()>;
 
-  TableKeeper(DaemonContext context, PlatformFinder platform,
+  TableKeeper(DaemonContext context, PlatformFinder platform, PeerFinder peers,
               ChangeHandler on_change, FailureHandler on_failure);
 
   bool Start(LastReason& reason);
@@ -28,18 +31,30 @@
   void PollHead();
   void ScheduleNextPoll();
   void HandleHead(const StoreReply& reply);
-  void Fetch(const std::string& hash);
-  void HandleContent(const std::string& hash, const StoreReply& reply);
+  void Fetch(const FetchContent& fetch);
+  void FetchFromStore(const std::string& hash);
+  void FetchFromPeer(const std::string& hash);
+  void HandleContent(const std::string& hash, const std::string& content);
+  void FailFetch(const std::string& hash);
+  void ScheduleRetry(const RetryFetch& retry);
+  void ScheduleColdStart();
+  void RecordRefusal(const LastReason& reason);
   void Feed(const TableEvent& event);
   void PutTablesInForce(const PutInForce& action);
 
   DaemonContext context_;
   PlatformFinder platform_;
+  PeerFinder peers_;
   ChangeHandler on_change_;
   FailureHandler on_failure_;
   TableFollower follower_;
   std::minstd_rand jitter_;
+  RumourExchange::Subscription heads_;
   LoopTimerPtr poll_timer_;
+  LoopTimerPtr listen_timer_;
+  LoopTimerPtr cold_timer_;
+  std::map<std::string, LoopTimerPtr> retry_timers_;  ///< By digest.
+  std::map<std::string, std::string> contents_;       ///< Arrived, by digest.
   bool stopped_ = false;
 };
 
--- /dev/null
+++ b/tests/decisions/group_driver.h
@@ -0,0 +1,156 @@
+#ifndef WISTERIAYOKE_TESTS_DECISIONS_GROUP_DRIVER_H_
+#define WISTERIAYOKE_TESTS_DECISIONS_GROUP_DRIVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "decisions/membership.h"
+
+namespace wisteriayoke {
+
+/// Runs deciders of membership in virtual time, joined by a network that
+/// delays, reorders, loses and cuts. For tests alone.
+class GroupDriver {
+ public:
+  /// Sees each message as it is sent.
+  using Observer = std::function<void(std::size_t from, const PeerMessage&)>;
+  /// Sees each action of a daemon that isn't a message.
+  using Handler = std::function<void(std::size_t daemon, const PeerAction&)>;
+
+  /// Makes `count` daemons, of which the first is the others' seed.
+  GroupDriver(std::size_t count, std::uint64_t seed) : random_(seed) {
+    for (std::size_t i = 0; i < count; ++i) {
+      nodes_.push_back({});
+      Start(i);
+    }
+  }
+
+  static DaemonName NameOf(std::size_t i) {
+    return DaemonName("daemon" + std::to_string(i));
+  }
+  static Endpoint EndpointOf(std::size_t i) {
+    return {"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250),
+            static_cast<std::uint16_t>(7000 + i)};
+  }
+
+  /// Starts daemon `i`, anew if it ran before.
+  void Start(std::size_t i) {
+    Node& node = nodes_[i];
+    const auto incarnation =
+        static_cast<std::uint64_t>(now_.time_since_epoch().count() + 1);
+    node.membership = std::make_unique<Membership>(
+        Member{NameOf(i), EndpointOf(i), incarnation, MemberStatus::kAlive},
+        std::vector<Endpoint>{EndpointOf(0), EndpointOf(1)}, random_());
+    node.running = true;
+    node.paused = false;
+    const unsigned life = ++node.life;
+    const Duration phase(static_cast<Duration::rep>(random_() % 30000));
+    ScheduleTick(i, life, now_ + phase);
+  }
+
+  void Crash(std::size_t i) { nodes_[i].running = false; }
+  void SetPaused(std::size_t i, bool paused) { nodes_[i].paused = paused; }
+  /// Daemons with different sides don't hear each other.
+  void SetSide(std::size_t i, unsigned side) { nodes_[i].side = side; }
+  void SetLoss(unsigned percent) { loss_percent_ = percent; }
+  void set_observer(Observer observer) { observer_ = std::move(observer); }
+  void set_handler(Handler handler) { handler_ = std::move(handler); }
+
+  bool running(std::size_t i) const { return nodes_[i].running; }
+  std::size_t size() const { return nodes_.size(); }
+  TimePoint now() const { return now_; }
+  const Membership& membership(std::size_t i) const {
+    return *nodes_[i].membership;
+  }
+
+  /// Tells whether `a` holds `b` for a present member.
+  bool Sees(std::size_t a, std::size_t b) const {
+    const Member* member = membership(a).members().Find(NameOf(b));
+    return member != nullptr && member->present();
+  }
+
+  void Feed(std::size_t i, const PeerEvent& event) {
+    Node& node = nodes_[i];
+    if (!node.running || node.paused) return;
+    for (const auto& action : node.membership->Handle(event, now_)) {
+      if (const auto* send = std::get_if<SendPeerMessage>(&action)) {
+        Send(i, *send);
+      } else if (handler_) {
+        handler_(i, action);
+      }
+    }
+  }
+
+  void RunFor(Duration time) {
+    const TimePoint end = now_ + time;
+    while (!events_.empty() && events_.top().time <= end) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.time;
+      event.call();
+    }
+    now_ = end;
+  }
+
+ private:
+  struct Node {
+    std::unique_ptr<Membership> membership;
+    bool running = false;
+    bool paused = false;
+    unsigned side = 0;
+    unsigned life = 0;
+  };
+  struct Event {
+    TimePoint time;
+    std::uint64_t order = 0;
+    std::function<void()> call;
+  };
+  struct Later {
+    bool operator()(const Event& a, const Event& b) const {
+      return std::tie(a.time, a.order) > std::tie(b.time, b.order);
+    }
+  };
+
+  void Schedule(TimePoint time, std::function<void()> call) {
+    events_.push({time, next_order_++, std::move(call)});
+  }
+
+  void ScheduleTick(std::size_t i, unsigned life, TimePoint time) {
+    Schedule(time, [this, i, life] {
+      if (nodes_[i].life != life) return;
+      Feed(i, PeerTick{});
+      ScheduleTick(i, life, now_ + Membership::kTickInterval);
+    });
+  }
+
+  void Send(std::size_t from, const SendPeerMessage& send) {
+    if (observer_) observer_(from, send.message);
+    if (random_() % 100 < loss_percent_) return;
+    for (std::size_t to = 0; to < nodes_.size(); ++to) {
+      if (EndpointOf(to) != send.to) continue;
+      if (nodes_[to].side != nodes_[from].side) return;
+      const Duration delay(static_cast<Duration::rep>(250 + random_() % 2000));
+      Schedule(now_ + delay, [this, from, to, message = send.message] {
+        Feed(to, PeerMessageArrived{message, EndpointOf(from)});
+      });
+    }
+  }
+
+  std::vector<Node> nodes_;
+  std::priority_queue<Event, std::vector<Event>, Later> events_;
+  std::mt19937_64 random_;
+  std::uint64_t next_order_ = 0;
+  unsigned loss_percent_ = 0;
+  TimePoint now_{};
+  Observer observer_;
+  Handler handler_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_TESTS_DECISIONS_GROUP_DRIVER_H_
--- /dev/null
+++ b/tests/wire/datagram_codec_test.cc
@@ -0,0 +1,72 @@
+#include "wire/datagram_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+namespace wisteriayoke {
+namespace {
+
+PeerMessage MakeMessage() {
+  PeerMessage message;
+  message.sender = {DaemonName("daemon1"), {"127.0.0.1", 7002}, 12, {}};
+  message.head = {3, "hash"};
+  message.content = PingRequest{9, {"127.0.0.2", 7002}};
+  message.members = {
+      {DaemonName("daemon2"), {"127.0.0.2", 7002}, 4, MemberStatus::kSuspect}};
+  message.rumours = {TableHeadRumour{{4, "next"}},
+                     LeavingRumour{UpstreamName("engine1"), Duration(5)},
+                     SuspectRumour{"print", UpstreamName("e"), Duration(6)},
+                     LoadRumour{DaemonName("d"), UpstreamName("e"), 7}};
+  message.clock_us = 11;
+  return message;
+}
+
+}  // namespace
+
+TEST_CASE("a datagram comes back as it was sent") {
+  LastReason reason;
+  const PeerMessage sent = MakeMessage();
+  const auto data = EncodeDatagram(sent, reason);
+  REQUIRE(data.has_value());
+  const auto message = ParseDatagram(*data, reason);
+  REQUIRE(message.has_value());
+  CHECK(message->sender == sent.sender);
+  CHECK(message->head == sent.head);
+  CHECK(message->content == sent.content);
+  CHECK(message->members == sent.members);
+  CHECK(message->rumours == sent.rumours);
+  CHECK(message->clock_us == sent.clock_us);
+}
+
+TEST_CASE("cut, foreign and random datagrams are refused with their code") {
+  LastReason reason;
+  const std::string data = *EncodeDatagram(MakeMessage(), reason);
+  for (std::size_t size = 0; size < data.size(); ++size) {
+    reason.Clear();
+    CHECK_FALSE(ParseDatagram(data.substr(0, size), reason).has_value());
+    CHECK(reason.code() == ResultCode::kMalformedDatagram);
+  }
+  CHECK_FALSE(ParseDatagram(data + "x", reason).has_value());
+  std::mt19937 random(20260);
+  for (int i = 0; i < 20000; ++i) {
+    std::string wrong = data;
+    wrong[random() % wrong.size()] = static_cast<char>(random());
+    ParseDatagram(wrong, reason);
+  }
+  std::string foreign = data;
+  foreign[3] = static_cast<char>(foreign[3] + 1);
+  CHECK_FALSE(ParseDatagram(foreign, reason).has_value());
+}
+
+TEST_CASE("a message that is too long loses its last news") {
+  LastReason reason;
+  PeerMessage message = MakeMessage();
+  message.rumours.assign(100, TableHeadRumour{{4, std::string(64, 'a')}});
+  const auto data = EncodeDatagram(message, reason);
+  REQUIRE(data.has_value());
+  CHECK(data->size() <= kMaxDatagramBytes);
+  CHECK_FALSE(ParseDatagram(*data, reason)->rumours.empty());
+}
+
+}  // namespace wisteriayoke
