--- a/source/base/result_code.cc
+++ b/source/base/result_code.cc
@@ -65,6 +65,8 @@
      "Resend later with the same Idempotency-Key."},
     {kAnswerNotKept, "answer-not-kept", 409, kUnknown,
      "Look the work up at the service; it ran, its answer was too long."},
+    {kQuarantinedAfterRun, "quarantined-after-run", 502, kUnknown,
+     "Do not resend; the request crashed upstreams that ran it."},
     {kTableInvalid, "table-invalid", 422, kNotRun,
      "Correct the entry that the message names."},
     {kTableConflict, "table-conflict", 409, kNotRun,
--- a/source/base/result_code.h
+++ b/source/base/result_code.h
@@ -42,6 +42,7 @@
   kDeadlineExceeded = 304,
   kInProgress = 305,
   kAnswerNotKept = 306,
+  kQuarantinedAfterRun = 307,
   kTableInvalid = 401,
   kTableConflict = 402,
   kTableStale = 403,
--- a/source/decisions/model_request.cc
+++ b/source/decisions/model_request.cc
@@ -51,6 +51,9 @@
           [this](const TokenArrived& token) { return HandleToken(token); },
           [this](const StreamEnded& end) { return HandleEnd(end); },
           [this](const AttemptBroke& broke) { return HandleBreak(broke); },
+          [this](const AttemptPreempted& preempted) {
+            return HandlePreempted(preempted);
+          },
           [this](const CallerLeft&) {
             return Fail(ResultCode::kCancelled, "the caller left");
           },
@@ -165,6 +168,15 @@
   return RetryWithout(event.culprit, event.code);
 }
 
+ModelRequest::Actions ModelRequest::HandlePreempted(
+    const AttemptPreempted& event) {
+  if (!IsCurrent(event.attempt)) return {};
+  may_have_run_ = true;
+  running_ = false;
+  KeepHolders({});
+  return {CancelAttempt{attempt_, {}, ResultCode::kOk, false}, AskForChain()};
+}
+
 /// Keeps the engines that hold the KV cache of every delivered token. An
 /// attempt without a token changes nothing at the earlier holders.
 void ModelRequest::KeepHolders(const UpstreamName& culprit) {
@@ -181,7 +193,11 @@
   may_have_run_ = may_have_run_ || MayHaveRun(code);
   if (fruitless_attempts_ >= kMaxFruitlessAttempts ||
       attempt_ >= kMaxAttempts) {
-    return Fail(CodeOfFailure(), "all attempts of the request broke");
+    running_ = false;
+    Actions actions{CancelAttempt{attempt_, culprit, code, true}};
+    actions.push_back(
+        Fail(CodeOfFailure(), "all attempts of the request broke").back());
+    return actions;
   }
   running_ = false;
   KeepHolders(culprit);
--- a/source/decisions/model_request.h
+++ b/source/decisions/model_request.h
@@ -63,6 +63,11 @@
   ResultCode code = ResultCode::kConnectionBroken;
 };
 
+/// The attempt must stop, though nothing is wrong with it.
+struct AttemptPreempted {
+  AttemptNumber attempt = 0;
+};
+
 /// The caller closed its connection.
 struct CallerLeft {};
 
@@ -72,7 +77,7 @@
 using ModelRequestEvent =
     std::variant<ModelAdmitted, ChainChosen, ChainUnavailable, ChainReserved,
                  ChainWaitOver, RequestRefused, TokenArrived, StreamEnded,
-                 AttemptBroke, CallerLeft, DeadlinePassed>;
+                 AttemptBroke, AttemptPreempted, CallerLeft, DeadlinePassed>;
 
 /// Choose a chain that avoids `excluded` and prefers `warm` engines, which hold
 /// the request's KV cache.
@@ -147,6 +152,8 @@
   std::vector<ModelRequestAction> Handle(const ModelRequestEvent& event);
 
   bool finished() const { return finished_; }
+  /// Tells whether an engine may have run any of the request.
+  bool may_have_run() const { return running_ || may_have_run_; }
   TokenIndex delivered_tokens() const {
     return static_cast<TokenIndex>(delivered_.size());
   }
@@ -159,6 +166,7 @@
   Actions HandleToken(const TokenArrived& event);
   Actions HandleEnd(const StreamEnded& event);
   Actions HandleBreak(const AttemptBroke& event);
+  Actions HandlePreempted(const AttemptPreempted& event);
   Actions RetryWithout(const UpstreamName& culprit, ResultCode code);
   Actions Deliver(const TokenArrived& event);
   Actions Fail(ResultCode code, std::string message);
--- a/source/decisions/quarantine.h
+++ b/source/decisions/quarantine.h
@@ -77,6 +77,7 @@
   /// Tokens past the point of the crash after which a suspect is cleared.
   static constexpr TokenIndex kTrialTokens = 8;
 
+  Quarantine() = default;
   Quarantine(DaemonName self, QuarantineLimits limits)
       : self_(std::move(self)), limits_(limits) {}
 
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -6,6 +6,7 @@
 
 #include "decisions/chain_speeds.h"
 #include "decisions/peer_loads.h"
+#include "decisions/quarantine.h"
 #include "decisions/table_set.h"
 #include "decisions/upstream_book.h"
 #include "runtime/event_loop.h"
@@ -25,6 +26,7 @@
   PeerLoads peer_loads;    ///< In-flight counts told by other daemons.
   RumourExchange rumours;  ///< What daemons tell one another.
   ChainSpeeds speeds;
+  Quarantine quarantine;
   Timeline timeline;
   bool draining = false;
   std::uint64_t requests_started = 0;
--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -19,6 +19,9 @@
   kInvariantBroken,
   kMemberChanged,
   kDatagramDropped,
+  kUpstreamCrashed,
+  kTrialStarted,
+  kRequestQuarantined,
 };
 
 inline constexpr auto kEventKindNames = MakeNamesTable<EventKind>({
@@ -34,6 +37,9 @@
     {EventKind::kInvariantBroken, "invariant-broken"},
     {EventKind::kMemberChanged, "member-changed"},
     {EventKind::kDatagramDropped, "datagram-dropped"},
+    {EventKind::kUpstreamCrashed, "upstream-crashed"},
+    {EventKind::kTrialStarted, "trial-started"},
+    {EventKind::kRequestQuarantined, "request-quarantined"},
 });
 
 }  // namespace wisteriayoke
--- a/source/supervisor/context/setting_key.cc
+++ b/source/supervisor/context/setting_key.cc
@@ -53,6 +53,8 @@
      "Longest answer that is kept for a resend, in bytes."},
     {kLoadPollInterval, "upstreams", "load_poll_ms", kMilliseconds, "250",
      false, "Time between reads of an engine's load."},
+    {kSuspectLifetime, "quarantine", "lifetime_ms", kMilliseconds, "3600000",
+     false, "Time until a request that crashed upstreams is forgotten."},
 });
 
 }  // namespace
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -19,6 +19,7 @@
   kPlatformAddress,
   kHeadPollInterval,
   kLoadPollInterval,
+  kSuspectLifetime,
   kDrainDeadline,
   kMaxConnections,
   kMaxHeaderBytes,
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -6,6 +6,7 @@
 #include "supervisor/front/model_session.h"
 #include "supervisor/front/service_session.h"
 #include "wire/completion_codec.h"
+#include "wire/digest.h"
 
 namespace wisteriayoke {
 namespace {
@@ -57,7 +58,24 @@
         return BuildErrorAnswer({}, why.code(), why.message());
       },
       reason);
-  return server_ != nullptr;
+  if (!server_) return false;
+  FollowSuspects();
+  return true;
+}
+
+/// Hands what peers tell of suspects to the quarantine.
+void FrontEnd::FollowSuspects() {
+  rumours_ = context_.state.rumours.Subscribe(
+      [context = context_](const Rumour& rumour) {
+        Quarantine& quarantine = context.state.quarantine;
+        const TimePoint now = context.loop.Now();
+        if (const auto* suspect = std::get_if<SuspectRumour>(&rumour)) {
+          quarantine.Learn(*suspect, now);
+        }
+        if (const auto* trial = std::get_if<TrialRumour>(&rumour)) {
+          quarantine.Learn(*trial, now);
+        }
+      });
 }
 
 void FrontEnd::Stop(std::function<void()> done) {
@@ -155,8 +173,12 @@
     return caller->Respond(
         BuildErrorAnswer(id, reason.code(), reason.message()));
   }
+  const std::string workspace(FindField(request.fields, kWorkspaceField));
+  std::string fingerprint =
+      ComputeDigest(workspace + "\n" + route.name.text() + "\n" + request.body);
   std::make_shared<ModelSession>(context_, context_.state.tables, route, id,
-                                 std::move(*completion), caller)
+                                 std::move(fingerprint), std::move(*completion),
+                                 caller)
       ->Start();
 }
 
--- a/source/supervisor/front/front_end.h
+++ b/source/supervisor/front/front_end.h
@@ -38,6 +38,7 @@
                            const RequestId& id, const CallerPtr& caller);
   void WaitForClaims(std::function<void()> done);
   RequestId NextRequestId();
+  void FollowSuspects();
 
   DaemonContext context_;
   PlatformFinder platform_;
@@ -45,6 +46,7 @@
   std::shared_ptr<HttpServer> server_;
   LoopTimerPtr claims_timer_;
   bool cut_ = false;
+  RumourExchange::Subscription rumours_;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/front/model_session.h
+++ b/source/supervisor/front/model_session.h
@@ -2,6 +2,8 @@
 #define WISTERIAYOKE_SUPERVISOR_FRONT_MODEL_SESSION_H_
 
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,6 +12,7 @@
 #include "runtime/http_client_call.h"
 #include "runtime/http_server_session.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/front/suspect_guard.h"
 #include "wire/completion_codec.h"
 #include "wire/engine_codec.h"
 
@@ -20,9 +23,10 @@
 /// the calls in progress.
 class ModelSession : public std::enable_shared_from_this<ModelSession> {
  public:
-  /// Serves `request` under `tables`, from the pool of `route`.
+  /// Serves `request` under `tables`, from the pool of `route`. Requests of the
+  /// same content have the same `fingerprint`.
   ModelSession(DaemonContext context, TableSetPtr tables, const Route& route,
-               RequestId id, CompletionRequest request,
+               RequestId id, std::string fingerprint, CompletionRequest request,
                std::shared_ptr<HttpServerSession> caller);
 
   void Start();
@@ -30,6 +34,9 @@
  private:
   void Feed(const ModelRequestEvent& event);
   void ChooseAndFeedChain(const RequestChain& request);
+  std::optional<Chain> Choose(const RequestChain& request,
+                              const std::set<UpstreamName>& avoided,
+                              bool idle_only) const;
   void StartCall(const StartAttempt& action);
   void WaitForChainAgain(const WaitForChain& action);
   void CancelCall(const CancelAttempt& action);
@@ -60,6 +67,8 @@
   CompletionRequest request_;
   std::shared_ptr<HttpServerSession> caller_;
   ModelRequest decider_;
+  SuspectGuard guard_;
+  bool attempt_delivered_ = false;
   Chain chain_;
   std::shared_ptr<HttpClientCall> call_;
   TimePoint deadline_;
--- /dev/null
+++ b/source/supervisor/front/suspect_guard.cc
@@ -0,0 +1,75 @@
+#include "supervisor/front/suspect_guard.h"
+
+#include <utility>
+
+namespace wisteriayoke {
+
+SuspectGuard::SuspectGuard(DaemonContext context, std::string fingerprint,
+                           RequestId request)
+    : context_(context),
+      fingerprint_(std::move(fingerprint)),
+      request_(std::move(request)) {}
+
+TrialDecision SuspectGuard::Advance(const TrialChainChooser& choose) {
+  DaemonState& state = context_.state;
+  TrialDecision decision = state.quarantine.Advance(
+      fingerprint_, request_, choose, context_.loop.Now());
+  Post(decision.rumours);
+  if (decision.trial) {
+    state.timeline.Record(
+        LogLevel::kInfo, EventKind::kTrialStarted, ResultCode::kOk,
+        {{"request", request_.text()},
+         {"fingerprint", fingerprint_},
+         {"upstream", decision.chain.front().upstream.text()}});
+  }
+  if (decision.step == TrialStep::kRefuse) {
+    state.timeline.Record(
+        LogLevel::kWarning, EventKind::kRequestQuarantined,
+        ResultCode::kQuarantined,
+        {{"request", request_.text()}, {"fingerprint", fingerprint_}});
+  }
+  return decision;
+}
+
+void SuspectGuard::HandleBreak(const UpstreamName& culprit, ResultCode code,
+                               TokenIndex delivered) {
+  if (!IsCrash(culprit, code)) return End();
+  DaemonState& state = context_.state;
+  state.timeline.Record(LogLevel::kWarning, EventKind::kUpstreamCrashed, code,
+                        {{"request", request_.text()},
+                         {"fingerprint", fingerprint_},
+                         {"upstream", culprit.text()}});
+  Post(state.quarantine.RecordCrash(fingerprint_, request_, culprit, delivered,
+                                    context_.loop.Now()));
+}
+
+/// A connection that broke in the middle of an answer is a crash, unless the
+/// upstream had said that it is leaving.
+bool SuspectGuard::IsCrash(const UpstreamName& culprit, ResultCode code) const {
+  return code == ResultCode::kConnectionBroken && !culprit.empty() &&
+         context_.state.upstreams.HealthOf(culprit, context_.loop.Now()) !=
+             UpstreamHealth::kLeaving;
+}
+
+bool SuspectGuard::HandleToken(TokenIndex delivered) {
+  Quarantine& quarantine = context_.state.quarantine;
+  const TimePoint now = context_.loop.Now();
+  Post(quarantine.RecordToken(fingerprint_, request_, delivered, now));
+  return quarantine.MustStop(fingerprint_, request_, now);
+}
+
+void SuspectGuard::HandleAnswered() {
+  Post(context_.state.quarantine.RecordAnswered(fingerprint_, request_,
+                                                context_.loop.Now()));
+}
+
+void SuspectGuard::End() {
+  Post(context_.state.quarantine.EndTrial(fingerprint_, request_,
+                                          context_.loop.Now()));
+}
+
+void SuspectGuard::Post(const std::vector<Rumour>& rumours) {
+  for (const auto& rumour : rumours) context_.state.rumours.Post(rumour);
+}
+
+}  // namespace wisteriayoke
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -13,7 +13,11 @@
       settings_(settings),
       on_end_(std::move(on_end)),
       children_(loop, MakeChildObserver(state_.timeline),
-                [this](const LastReason& reason) { End(reason); }) {}
+                [this](const LastReason& reason) { End(reason); }) {
+  state_.quarantine = Quarantine(
+      DaemonName(settings.Text(SettingKey::kDaemonName)),
+      {.lifetime = settings.Milliseconds(SettingKey::kSuspectLifetime)});
+}
 
 PlatformFinder RootSupervisor::MakePlatformFinder() {
   return [this] { return children_.Find<PlatformClient>(); };
