--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -77,6 +77,13 @@
 
 void HttpServer::StopAccepting() {
   asio::error_code ignored;
+  acceptor_.non_blocking(true, ignored);
+  // A caller whose connection waits in the kernel gets an answer.
+  for (asio::error_code error; !error;) {
+    asio::ip::tcp::socket socket(loop_.context());
+    acceptor_.accept(socket, error);
+    if (!error) AddSession(std::move(socket));
+  }
   acceptor_.close(ignored);
 }
 
@@ -100,7 +107,7 @@
 
 void HttpServer::CutSessions() {
   for (const auto& weak : std::vector(sessions_)) {
-    if (const auto session = weak.lock()) session->Abort();
+    if (const auto session = weak.lock()) session->Cut();
   }
 }
 
--- a/source/runtime/http_server.h
+++ b/source/runtime/http_server.h
@@ -21,14 +21,15 @@
       HttpServerSession::Handler handler,
       HttpServerSession::ErrorHandler error_handler, LastReason& reason);
 
-  /// Closes the listening socket; sessions go on.
+  /// Accepts the connections that wait, then closes the listening socket;
+  /// sessions go on.
   void StopAccepting();
 
   /// Closes each session as soon as its current request is answered, then
   /// calls `done`.
   void Drain(std::function<void()> done);
 
-  /// Closes all sessions at once; returns how many had an open request.
+  /// Cuts the open requests and closes all sessions.
   void CutSessions();
 
   std::size_t CountSessions();
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -70,6 +70,7 @@
   if (!request) return ArmReadTimer();
   read_timer_.reset();
   answering_ = true;
+  fresh_ = false;
   early_bytes_ = 0;
   keep_alive_ = request->keep_alive;
   handler_(std::move(*request), shared_from_this());
@@ -109,8 +110,7 @@
 
 void HttpServerSession::FinishAnswer() {
   answering_ = false;
-  on_closed_ = nullptr;
-  on_writable_ = nullptr;
+  DropHandlers();
   if (!keep_alive_) close_when_idle_ = true;
   if (close_when_idle_) return;
   loop_.Post([self = shared_from_this()] {
@@ -175,19 +175,38 @@
 void HttpServerSession::BreakStream() {
   if (closed_) return;
   answering_ = false;
-  on_closed_ = nullptr;
-  on_writable_ = nullptr;
+  DropHandlers();
   close_when_idle_ = true;
   if (writing_.empty()) Close();
 }
 
 void HttpServerSession::Abort() { Close(); }
 
+void HttpServerSession::Cut() {
+  if (closed_) return;
+  close_timer_ = loop_.Schedule(kCutTime, [this] { Close(); });
+  const auto handler = std::exchange(on_cut_, nullptr);
+  if (answering_ && handler) handler();
+  if (closed_) return;
+  if (answering_) return Close();
+  CloseWhenIdle();
+}
+
 void HttpServerSession::CloseWhenIdle() {
   close_when_idle_ = true;
+  if (!writing_.empty() || !IsDone()) return;
   asio::error_code ignored;
-  const bool unread = socket_.available(ignored) > 0;
-  if (writing_.empty() && IsDone() && !unread) Close();
+  if (socket_.available(ignored) > 0) return;
+  if (!fresh_) return Close();
+  close_timer_ = loop_.Schedule(kFreshTime, [this] {
+    if (!answering_ && !parser_.InMessage()) Close();
+  });
+}
+
+void HttpServerSession::DropHandlers() {
+  on_closed_ = nullptr;
+  on_cut_ = nullptr;
+  on_writable_ = nullptr;
 }
 
 void HttpServerSession::ArmReadTimer() {
@@ -211,11 +230,12 @@
   closed_ = true;
   read_timer_.reset();
   write_timer_.reset();
+  close_timer_.reset();
   asio::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
-  on_writable_ = nullptr;
   const auto handler = std::exchange(on_closed_, nullptr);
+  DropHandlers();
   if (answering_ && handler) handler();
 }
 
--- a/source/runtime/http_server_session.h
+++ b/source/runtime/http_server_session.h
@@ -71,6 +71,10 @@
   /// Closes the connection at once.
   void Abort();
 
+  /// Ends the current request for good: calls the handler of `set_on_cut`, so
+  /// that the request can still be answered, and closes shortly after.
+  void Cut();
+
   /// Closes the connection once the current request, if any, is answered.
   void CloseWhenIdle();
 
@@ -79,6 +83,11 @@
     on_closed_ = std::move(handler);
   }
 
+  /// Sets what to call if the request must end before its answer is whole.
+  void set_on_cut(std::function<void()> handler) {
+    on_cut_ = std::move(handler);
+  }
+
   /// Sets what to call when a source that paused may go on.
   void set_on_writable(std::function<void()> handler) {
     on_writable_ = std::move(handler);
@@ -96,6 +105,10 @@
 
  private:
   static constexpr std::size_t kReadBytes = 16 * 1024;
+  /// Time that a new connection has for its first bytes in spite of a drain.
+  static constexpr Duration kFreshTime = std::chrono::milliseconds(200);
+  /// Time that the last bytes of a cut answer have to leave.
+  static constexpr Duration kCutTime = std::chrono::milliseconds(500);
   /// How long a refused caller may go on sending before it is cut; closing
   /// sooner would discard the answer on its way.
   static constexpr Duration kLingerTime = std::chrono::seconds(1);
@@ -119,6 +132,7 @@
     return pending_output_.size() + writing_.size() - written_;
   }
   void FinishAnswer();
+  void DropHandlers();
   void ArmReadTimer();
   void Close();
 
@@ -133,10 +147,13 @@
   std::string writing_;
   std::size_t written_ = 0;  ///< Bytes of `writing_` that were written.
   std::function<void()> on_closed_;
+  std::function<void()> on_cut_;
   std::function<void()> on_writable_;
   LoopTimerPtr read_timer_;
   LoopTimerPtr write_timer_;
+  LoopTimerPtr close_timer_;
   std::size_t early_bytes_ = 0;
+  bool fresh_ = true;  ///< No request has come yet.
   bool answering_ = false;
   bool keep_alive_ = true;
   bool close_when_idle_ = false;
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -30,6 +30,8 @@
   Timeline timeline;
   bool draining = false;
   std::uint64_t requests_started = 0;
+  std::uint64_t requests_cut =
+      0;                        ///< By a stop, before their answer was whole.
   std::size_t open_claims = 0;  ///< Ledger claims whose outcome is pending.
 
   bool ready() const { return tables != nullptr && !draining; }
--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -22,6 +22,7 @@
   kUpstreamCrashed,
   kTrialStarted,
   kRequestQuarantined,
+  kRequestCut,
 };
 
 inline constexpr auto kEventKindNames = MakeNamesTable<EventKind>({
@@ -40,6 +41,7 @@
     {EventKind::kUpstreamCrashed, "upstream-crashed"},
     {EventKind::kTrialStarted, "trial-started"},
     {EventKind::kRequestQuarantined, "request-quarantined"},
+    {EventKind::kRequestCut, "request-cut"},
 });
 
 }  // namespace wisteriayoke
--- a/source/supervisor/context/setting_key.cc
+++ b/source/supervisor/context/setting_key.cc
@@ -13,8 +13,9 @@
      "Name of this daemon, unique among all daemons."},
     {kDataCentre, "daemon", "data_centre", kText, "", false,
      "Data centre of this instance."},
-    {kDrainDeadline, "daemon", "drain_deadline_ms", kMilliseconds, "30000",
-     false, "Longest time that a planned stop waits for requests in flight."},
+    {kDrainDeadline, "daemon", "drain_deadline_ms", kMilliseconds, "0", false,
+     "Longest time that a planned stop waits for requests in flight; 0 "
+     "waits as long as the longest deadline of a route."},
     {kLogLevel, "daemon", "log_level", kText, "info", false,
      "Least level that is logged: debug, info, warning or error."},
     {kClockError, "daemon", "clock_error_ms", kMilliseconds, "60000", false,
--- a/source/supervisor/front/model_session.cc
+++ b/source/supervisor/front/model_session.cc
@@ -6,6 +6,7 @@
 #include "decisions/chain.h"
 #include "supervisor/context/log.h"
 #include "supervisor/front/caller_answer.h"
+#include "supervisor/front/request_cut.h"
 
 namespace wisteriayoke {
 namespace {
@@ -53,6 +54,10 @@
 void ModelSession::Start() {
   caller_->set_on_closed(
       [self = shared_from_this()] { self->Feed(CallerLeft{}); });
+  caller_->set_on_cut([self = shared_from_this()] {
+    RecordCut(self->context_, self->id_);
+    self->Feed(RequestRefused{ResultCode::kShutdownCut, kCutMessage});
+  });
   caller_->set_on_writable([weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self && self->call_) self->call_->Resume();
--- a/source/supervisor/front/service_session.cc
+++ b/source/supervisor/front/service_session.cc
@@ -7,6 +7,7 @@
 #include "base/overloaded.h"
 #include "supervisor/context/log.h"
 #include "supervisor/front/caller_answer.h"
+#include "supervisor/front/request_cut.h"
 #include "wire/ledger_codec.h"
 
 namespace wisteriayoke {
@@ -108,7 +109,20 @@
   if (ledger_) --context_.state.open_claims;
 }
 
-void ServiceSession::Start() { Feed(ServiceAdmitted{}); }
+void ServiceSession::Start() {
+  input_.caller->set_on_cut([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->AnswerCut();
+  });
+  Feed(ServiceAdmitted{});
+}
+
+/// Answers a caller whose request a stop cuts; the call itself goes on for as
+/// long as the process does, so that its outcome may still be recorded.
+void ServiceSession::AnswerCut() {
+  RecordCut(context_, input_.id);
+  input_.caller->Respond(
+      BuildErrorAnswer(input_.id, ResultCode::kShutdownCut, kCutMessage));
+}
 
 void ServiceSession::Feed(const ServiceRequestEvent& event) {
   const auto self = shared_from_this();
--- a/source/supervisor/front/service_session.h
+++ b/source/supervisor/front/service_session.h
@@ -53,6 +53,7 @@
   void ReturnToCaller(const HttpResponse& answer, bool replayed);
   void Replay(const ReplayAnswer& action);
   void Fail(const FailCall& action);
+  void AnswerCut();
   void Wake(Duration delay);
   const UpstreamSpec* FindUpstream(const UpstreamName& name) const;
 
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -1,11 +1,19 @@
 #include "supervisor/root/root_supervisor.h"
 
+#include <algorithm>
+#include <string>
 #include <utility>
 
 #include "supervisor/context/child_record.h"
 #include "supervisor/context/log.h"
 
 namespace wisteriayoke {
+namespace {
+
+/// Time for the last answers to leave after the longest deadline.
+constexpr Duration kDrainMargin = std::chrono::seconds(5);
+
+}  // namespace
 
 RootSupervisor::RootSupervisor(EventLoop& loop, const Settings& settings,
                                EndHandler on_end)
@@ -84,10 +92,30 @@
   state_.draining = true;
   state_.timeline.Record(LogLevel::kInfo, EventKind::kStopRequested,
                          ResultCode::kOk, {});
-  drain_timer_ =
-      loop_.Schedule(settings_.Milliseconds(SettingKey::kDrainDeadline),
-                     [this] { CutRequests(); });
-  children_.Stop([this] { End({}); });
+  drain_timer_ = loop_.Schedule(DrainDeadline(), [this] { CutRequests(); });
+  children_.Stop([this] { EndStop(); });
+}
+
+/// Returns the longest time for which requests in flight are waited for:
+/// unless it is set, as long as any route lets them run.
+Duration RootSupervisor::DrainDeadline() const {
+  const Duration set = settings_.Milliseconds(SettingKey::kDrainDeadline);
+  if (set > Duration::zero() || !state_.tables) return set;
+  Duration longest{};
+  for (const auto& route : state_.tables->spec().routes) {
+    longest = std::max(longest, route.deadline);
+  }
+  return longest + kDrainMargin;
+}
+
+void RootSupervisor::EndStop() {
+  LastReason reason;
+  if (state_.requests_cut > 0) {
+    reason.Set(ResultCode::kShutdownCut,
+               std::to_string(state_.requests_cut) +
+                   " requests were cut; see the time line.");
+  }
+  End(reason);
 }
 
 void RootSupervisor::CutRequests() {
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -29,7 +29,7 @@
   bool Start(LastReason& reason);
 
   /// Stops the daemon: no new requests, those in flight finish. A second call
-  /// or the deadline cuts what is left.
+  /// or the deadline cuts what is left; then the stop ends with kShutdownCut.
   void RequestStop();
 
   Timeline& timeline() { return state_.timeline; }
@@ -46,6 +46,8 @@
   PeerFinder MakePeerFinder();
   void HandleTablesChanged();
   void CutRequests();
+  Duration DrainDeadline() const;
+  void EndStop();
   void End(const LastReason& reason);
 
   EventLoop& loop_;
