--- a/source/base/result_code.cc
+++ b/source/base/result_code.cc
@@ -35,6 +35,8 @@
      "Run the same release on every daemon."},
     {kIdempotencyKeyReused, "idempotency-key-reused", 422, kNotRun,
      "Use a new Idempotency-Key for another request."},
+    {kUnknownChild, "unknown-child", 404, kNotRun,
+     "Name a running child as the status lists it."},
     {kNoUpstream, "no-upstream", 503, kNotRun,
      "Retry later; check the pool's upstreams."},
     {kOverloaded, "overloaded", 429, kNotRun, "Retry after Retry-After."},
--- a/source/base/result_code.h
+++ b/source/base/result_code.h
@@ -26,6 +26,7 @@
   kTooManyConnections = 111,
   kMalformedDatagram = 112,
   kIdempotencyKeyReused = 113,
+  kUnknownChild = 114,
   kNoUpstream = 201,
   kOverloaded = 202,
   kDeadlineTooShort = 203,
--- a/source/daemon/wisteriayoked_main.cc
+++ b/source/daemon/wisteriayoked_main.cc
@@ -7,6 +7,7 @@
 
 #include "base/invariant.h"
 #include "base/last_reason.h"
+#include "base/version.h"
 #include "runtime/event_loop.h"
 #include "supervisor/context/log.h"
 #include "supervisor/context/settings.h"
@@ -15,8 +16,6 @@
 namespace wisteriayoke {
 namespace {
 
-constexpr auto kVersion = "0.1.0";
-
 /// What the command line asks for.
 struct Options {
   std::string config;
@@ -92,7 +91,7 @@
   const auto options = ParseOptions(argc, argv, reason);
   if (!options) return Explain(reason);
   if (options->version) {
-    std::printf("wisteriayoked %s\n", kVersion);
+    std::printf("wisteriayoked %s\n", std::string(kVersion).c_str());
     return 0;
   }
   const auto settings = Settings::Load(options->config, reason);
--- a/source/runtime/supervisor.h
+++ b/source/runtime/supervisor.h
@@ -2,6 +2,7 @@
 #define WISTERIAYOKE_RUNTIME_SUPERVISOR_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,13 @@
     std::function<Child(FailureHandler)> create;
   };
 
+  /// Describes one child as it is now.
+  struct ChildStatus {
+    std::string name;
+    bool running = false;
+    unsigned restarts = 0;
+  };
+
   /// Observes each failure of a child and what was decided about it.
   using Observer = std::function<void(const std::string& child, RestartDecision,
                                       const LastReason&)>;
@@ -63,16 +71,18 @@
       if ((*it)->spec.name != name) continue;
       std::unique_ptr<Entry> removed = std::move(*it);
       children_.erase(it);
-      StopChild(*removed, [] {});
+      RetireChild(*removed);
       return;
     }
   }
 
-  /// Stops all children, last started first, then calls `done`. A child can be
-  /// found until it has stopped.
+  /// Stops all children, last started first, waits for those that are still
+  /// stopping after a failure, then calls `done`. A child can be found until
+  /// it has stopped.
   void Stop(std::function<void()> done) {
-    if (children_.empty()) return done();
+    if (children_.empty()) return AwaitRetired(std::move(done));
     Entry& last = *children_.back();
+    last.stopping = true;
     last.restart_timer.reset();
     auto next = [this, alive = alive_, done = std::move(done)] {
       if (!*alive) return;
@@ -101,6 +111,44 @@
     return nullptr;
   }
 
+  /// Returns every child of type `Kind` that has not stopped yet, those that
+  /// were replaced after a failure included.
+  template <typename Kind>
+  std::vector<std::shared_ptr<Kind>> FindAll() const {
+    std::vector<std::shared_ptr<Kind>> found;
+    const auto add = [&found](const Child& child) {
+      if (auto* kind = std::get_if<std::shared_ptr<Kind>>(&child)) {
+        found.push_back(*kind);
+      }
+    };
+    for (const auto& [number, child] : retired_) add(child);
+    for (const auto& entry : children_) {
+      if (entry->child) add(*entry->child);
+    }
+    return found;
+  }
+
+  /// Returns the running child called `name` if its type is `Kind`, or null.
+  template <typename Kind>
+  std::shared_ptr<Kind> FindNamed(const std::string& name) const {
+    for (const auto& entry : children_) {
+      if (entry->spec.name != name || !entry->child) continue;
+      auto* found = std::get_if<std::shared_ptr<Kind>>(&*entry->child);
+      return found == nullptr ? nullptr : *found;
+    }
+    return nullptr;
+  }
+
+  /// Describes all children, in the order of their start.
+  std::vector<ChildStatus> Describe() const {
+    std::vector<ChildStatus> rows;
+    for (const auto& entry : children_) {
+      rows.push_back(
+          {entry->spec.name, entry->child.has_value(), entry->incarnation - 1});
+    }
+    return rows;
+  }
+
   /// Returns the names of all children, in the order of their start.
   std::vector<std::string> ListNames() const {
     std::vector<std::string> names;
@@ -131,6 +179,7 @@
     RestartTracker tracker;
     std::optional<Child> child;
     unsigned incarnation = 0;
+    bool stopping = false;
     LoopTimerPtr restart_timer;
   };
 
@@ -149,17 +198,36 @@
     return started;
   }
 
-  static void StopChild(Entry& entry, std::function<void()> done) {
+  /// Stops the child of `entry` and keeps it until it has stopped.
+  void RetireChild(Entry& entry) {
     entry.restart_timer.reset();
-    if (!entry.child) return done();
+    if (!entry.child) return;
     const Child child = *std::exchange(entry.child, std::nullopt);
+    const unsigned number = next_retired_++;
+    retired_.emplace(number, child);
     std::visit(
-        [&done, &child](const auto& running) {
-          running->Stop([done = std::move(done), child] { done(); });
+        [this, number](const auto& running) {
+          running->Stop([this, alive = alive_, number] {
+            if (*alive)
+              loop_.Post([this, alive, number] {
+                if (*alive) ForgetRetired(number);
+              });
+          });
         },
         child);
   }
 
+  void ForgetRetired(unsigned number) {
+    retired_.erase(number);
+    if (!retired_.empty() || !on_retired_) return;
+    std::exchange(on_retired_, nullptr)();
+  }
+
+  void AwaitRetired(std::function<void()> done) {
+    if (retired_.empty()) return done();
+    on_retired_ = std::move(done);
+  }
+
   Entry* FindEntry(const std::string& name, unsigned incarnation) {
     for (const auto& entry : children_) {
       if (entry->spec.name == name && entry->incarnation == incarnation) {
@@ -172,8 +240,8 @@
   void HandleFailure(const std::string& name, unsigned incarnation,
                      const LastReason& reason) {
     Entry* entry = FindEntry(name, incarnation);
-    if (entry == nullptr) return;
-    StopChild(*entry, [] {});
+    if (entry == nullptr || entry->stopping) return;
+    RetireChild(*entry);
     const RestartDecision decision = entry->tracker.RecordFailure(loop_.Now());
     observer_(name, decision, reason);
     switch (decision) {
@@ -207,6 +275,9 @@
   Observer observer_;
   FailureHandler escalate_;
   std::vector<std::unique_ptr<Entry>> children_;
+  std::map<unsigned, Child> retired_;  ///< Replaced, but not stopped yet.
+  unsigned next_retired_ = 0;
+  std::function<void()> on_retired_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -10,6 +10,7 @@
 #include "decisions/table_set.h"
 #include "decisions/upstream_book.h"
 #include "runtime/event_loop.h"
+#include "supervisor/context/metrics.h"
 #include "supervisor/context/rumour_exchange.h"
 #include "supervisor/context/settings.h"
 #include "supervisor/context/timeline.h"
@@ -27,7 +28,8 @@
   RumourExchange rumours;  ///< What daemons tell one another.
   ChainSpeeds speeds;
   Quarantine quarantine;
-  Timeline timeline;
+  Metrics metrics;
+  Timeline timeline{metrics};
   bool draining = false;
   std::uint64_t requests_started = 0;
   std::uint64_t requests_cut =
--- /dev/null
+++ b/source/supervisor/context/operators_codec.h
@@ -0,0 +1,38 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_OPERATORS_CODEC_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_OPERATORS_CODEC_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/last_reason.h"
+#include "supervisor/context/daemon_status.h"
+#include "supervisor/context/timeline.h"
+
+namespace wisteriayoke {
+
+/// The events that one daemon keeps.
+struct DaemonTimeline {
+  DaemonName daemon;
+  std::vector<TimelineEvent> events;
+};
+
+/// Returns the JSON form of a daemon's status.
+std::string EncodeDaemonStatus(const DaemonStatus& status);
+
+/// Parses a daemon's status. Fails with kMalformedJson.
+std::optional<DaemonStatus> ParseDaemonStatus(std::string_view json,
+                                              LastReason& reason);
+
+/// Returns the JSON form of a daemon's events.
+std::string EncodeDaemonTimeline(const DaemonTimeline& timeline);
+
+/// Parses a daemon's events. Events of a kind that this release doesn't know
+/// are left out. Fails with kMalformedJson.
+std::optional<DaemonTimeline> ParseDaemonTimeline(std::string_view json,
+                                                  LastReason& reason);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_OPERATORS_CODEC_H_
--- a/source/supervisor/context/timeline.cc
+++ b/source/supervisor/context/timeline.cc
@@ -32,6 +32,7 @@
   }
   events_.push_back(std::move(event));
   if (events_.size() > kCapacity) events_.pop_front();
+  metrics_.CountEvent(kind, code);
   LogEvent(level, kEventKindNames.NameOf(kind), code, fields);
 }
 
--- a/source/supervisor/context/timeline.h
+++ b/source/supervisor/context/timeline.h
@@ -10,6 +10,7 @@
 #include "base/result_code.h"
 #include "supervisor/context/event_kind.h"
 #include "supervisor/context/log.h"
+#include "supervisor/context/metrics.h"
 
 namespace wisteriayoke {
 
@@ -30,13 +31,16 @@
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
-/// Keeps the latest events of a daemon in memory and logs each, since the
-/// instances have no disks. Not part of any decision.
+/// Keeps the latest events of a daemon in memory, counts and logs each, since
+/// the instances have no disks. Not part of any decision.
 class Timeline {
  public:
   /// Most events that are kept; the oldest go first.
   static constexpr std::size_t kCapacity = 2000;
 
+  /// Counts the events in `metrics`.
+  explicit Timeline(Metrics& metrics) : metrics_(metrics) {}
+
   /// Adds an event, stamped with the hybrid clock, and logs it.
   void Record(LogLevel level, EventKind kind, ResultCode code,
               std::initializer_list<LogField> fields);
@@ -50,6 +54,7 @@
   const std::deque<TimelineEvent>& events() const { return events_; }
 
  private:
+  Metrics& metrics_;
   HybridTime last_;
   std::deque<TimelineEvent> events_;
 };
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "supervisor/context/metrics_page.h"
 #include "supervisor/front/caller_answer.h"
 #include "supervisor/front/model_session.h"
 #include "supervisor/front/service_session.h"
@@ -54,7 +55,8 @@
         caller->Respond(BuildErrorAnswer({}, ResultCode::kDraining,
                                          "the front end is restarting"));
       },
-      [](const LastReason& why) {
+      [&metrics = context_.state.metrics](const LastReason& why) {
+        metrics.CountAnswer(why.code());
         return BuildErrorAnswer({}, why.code(), why.message());
       },
       reason);
@@ -107,6 +109,10 @@
     caller->Respond(BuildProbeAnswer(true, "alive"));
     return true;
   }
+  if (path == "/metrics") {
+    caller->Respond(BuildMetricsPage(context_.state));
+    return true;
+  }
   if (path == "/readyz") {
     const bool ready = context_.state.ready();
     caller->Respond(BuildProbeAnswer(ready, ready ? "ready" : "not ready"));
@@ -125,7 +131,9 @@
 
 void FrontEnd::RouteRequest(HttpRequest request, const CallerPtr& caller) {
   const RequestId id = NextRequestId();
-  const auto refuse = [&id, &caller](ResultCode code, std::string_view why) {
+  const auto refuse = [this, &id, &caller](ResultCode code,
+                                           std::string_view why) {
+    context_.state.metrics.CountAnswer(code);
     caller->Respond(BuildErrorAnswer(id, code, why));
   };
   const DaemonState& state = context_.state;
@@ -170,6 +178,7 @@
   LastReason reason;
   auto completion = ParseCompletion(request.body, chat, reason);
   if (!completion) {
+    context_.state.metrics.CountAnswer(reason.code());
     return caller->Respond(
         BuildErrorAnswer(id, reason.code(), reason.message()));
   }
--- a/source/supervisor/front/model_session.cc
+++ b/source/supervisor/front/model_session.cc
@@ -48,6 +48,7 @@
       id_(std::move(id)),
       request_(std::move(request)),
       caller_(std::move(caller)),
+      answer_timer_(context.state.metrics, context.loop.Now()),
       decider_({pool_.layer_count, request_.max_tokens}),
       guard_(context, std::move(fingerprint), id_) {}
 
@@ -317,6 +318,7 @@
 }
 
 void ModelSession::SendToken(const DeliverToken& action) {
+  answer_timer_.NoteToken(context_.loop.Now());
   text_ += action.text;
   if (!request_.stream) return;
   StartStreamOnce();
@@ -332,6 +334,7 @@
 }
 
 void ModelSession::Complete(const CompleteAnswer& action) {
+  answer_timer_.NoteEnd(ResultCode::kOk, context_.loop.Now());
   deadline_timer_.reset();
   wait_timer_.reset();
   guard_.HandleAnswered();
@@ -361,6 +364,7 @@
 }
 
 void ModelSession::Fail(const FailAnswer& action) {
+  answer_timer_.NoteEnd(action.code, context_.loop.Now());
   deadline_timer_.reset();
   wait_timer_.reset();
   guard_.End();
--- a/source/supervisor/front/model_session.h
+++ b/source/supervisor/front/model_session.h
@@ -11,6 +11,7 @@
 #include "decisions/model_request.h"
 #include "runtime/http_client_call.h"
 #include "runtime/http_server_session.h"
+#include "supervisor/context/answer_timer.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/suspect_guard.h"
 #include "wire/completion_codec.h"
@@ -66,6 +67,7 @@
   RequestId id_;
   CompletionRequest request_;
   std::shared_ptr<HttpServerSession> caller_;
+  AnswerTimer answer_timer_;
   ModelRequest decider_;
   SuspectGuard guard_;
   bool attempt_delivered_ = false;
--- a/source/supervisor/front/service_session.cc
+++ b/source/supervisor/front/service_session.cc
@@ -79,6 +79,7 @@
   LastReason reason;
   auto request = MakeLedgerRequest(context, input, reason);
   if (!request) {
+    context.state.metrics.CountAnswer(reason.code());
     input.caller->Respond(
         BuildErrorAnswer(input.id, reason.code(), reason.message()));
     return nullptr;
@@ -99,6 +100,7 @@
     : context_(context),
       input_(std::move(input)),
       pool_(*input_.tables->FindPool(input_.route.pool)),
+      answer_timer_(context.state.metrics, context.loop.Now()),
       decider_(std::move(decider)),
       ledger_(std::move(ledger)),
       deadline_(context.loop.Now() + input_.route.deadline) {
@@ -211,6 +213,7 @@
 }
 
 void ServiceSession::ReturnToCaller(const HttpResponse& answer, bool replayed) {
+  answer_timer_.NoteEnd(ResultCode::kOk, context_.loop.Now());
   HttpResponse response;
   response.head.status = answer.head.status;
   AddOutcomeFields(input_.id, ResultCode::kOk, response.head.fields);
@@ -233,6 +236,7 @@
 }
 
 void ServiceSession::Fail(const FailCall& action) {
+  answer_timer_.NoteEnd(action.code, context_.loop.Now());
   context_.state.timeline.Record(
       LogLevel::kWarning, EventKind::kRequestFailed, action.code,
       {{"request", input_.id.text()}, {"reason", action.message}});
--- a/source/supervisor/front/service_session.h
+++ b/source/supervisor/front/service_session.h
@@ -9,6 +9,7 @@
 #include "decisions/service_request.h"
 #include "runtime/http_client_call.h"
 #include "runtime/http_server_session.h"
+#include "supervisor/context/answer_timer.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/ledger_store.h"
 
@@ -60,6 +61,7 @@
   DaemonContext context_;
   Input input_;
   const Pool& pool_;
+  AnswerTimer answer_timer_;
   ServiceRequest decider_;
   std::optional<LedgerStore> ledger_;
   TimePoint deadline_;
--- /dev/null
+++ b/source/supervisor/operators/operators_port.cc
@@ -0,0 +1,109 @@
+#include "supervisor/operators/operators_port.h"
+
+#include <utility>
+
+#include "supervisor/context/metrics_page.h"
+#include "supervisor/context/operators_codec.h"
+#include "wire/completion_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
+constexpr std::size_t kMaxConnections = 64;
+constexpr std::string_view kChildrenPrefix = "/children/";
+constexpr std::string_view kRestartSuffix = "/restart";
+
+HttpResponse BuildJson(int status, std::string body) {
+  return {{status, {{"Content-Type", "application/json"}}}, std::move(body)};
+}
+
+HttpResponse BuildError(const LastReason& reason) {
+  return BuildJson(DescribeResultCode(reason.code()).http_status,
+                   EncodeErrorBody(reason.code(), reason.message()));
+}
+
+HttpResponse BuildUnknown(std::string_view path) {
+  LastReason reason;
+  reason.Set(ResultCode::kUnknownRoute,
+             "the operators' port has no " + std::string(path));
+  return BuildError(reason);
+}
+
+}  // namespace
+
+OperatorsPort::OperatorsPort(DaemonContext context, OperatorsHooks hooks,
+                             FailureHandler on_failure)
+    : context_(context),
+      hooks_(std::move(hooks)),
+      on_failure_(std::move(on_failure)) {}
+
+bool OperatorsPort::Start(LastReason& reason) {
+  server_ = HttpServer::Create(
+      context_.loop,
+      context_.settings.EndpointOf(SettingKey::kOperatorsAddress),
+      {.connections = kMaxConnections},
+      [weak = weak_from_this()](
+          const HttpRequest& request,
+          const std::shared_ptr<HttpServerSession>& session) {
+        const auto self = weak.lock();
+        if (!self) return session->Abort();
+        session->Respond(self->Handle(request));
+      },
+      BuildError, reason);
+  return server_ != nullptr;
+}
+
+void OperatorsPort::Stop(std::function<void()> done) {
+  server_->StopAccepting();
+  server_->Drain(std::move(done));
+}
+
+void OperatorsPort::CutSessions() { server_->CutSessions(); }
+
+HttpResponse OperatorsPort::Handle(const HttpRequest& request) {
+  const std::string_view path = PathOf(request.target);
+  return request.method == "POST" ? HandlePost(path) : HandleGet(path);
+}
+
+HttpResponse OperatorsPort::HandleGet(std::string_view path) {
+  if (path == "/metrics") return BuildMetricsPage(context_.state);
+  if (path == "/timeline") return BuildJson(kStatusOk, EncodeTimeline());
+  if (path == "/status") {
+    return BuildJson(kStatusOk, EncodeDaemonStatus(hooks_.describe()));
+  }
+  return BuildUnknown(path);
+}
+
+HttpResponse OperatorsPort::HandlePost(std::string_view path) {
+  if (path == "/drain") {
+    // The answer goes out first; a second order must not cut what drains.
+    if (!context_.state.draining) context_.loop.Post(hooks_.request_stop);
+    return BuildJson(kStatusAccepted, R"({"draining":true})");
+  }
+  if (path.starts_with(kChildrenPrefix) && path.ends_with(kRestartSuffix) &&
+      path.size() > kChildrenPrefix.size() + kRestartSuffix.size()) {
+    path.remove_prefix(kChildrenPrefix.size());
+    path.remove_suffix(kRestartSuffix.size());
+    return RestartChild(path);
+  }
+  return BuildUnknown(path);
+}
+
+HttpResponse OperatorsPort::RestartChild(std::string_view path) {
+  LastReason reason;
+  if (!hooks_.restart_child(std::string(path), reason)) {
+    return BuildError(reason);
+  }
+  return BuildJson(kStatusAccepted, R"({"restarting":true})");
+}
+
+std::string OperatorsPort::EncodeTimeline() const {
+  const auto& events = context_.state.timeline.events();
+  return EncodeDaemonTimeline(
+      {DaemonName(context_.settings.Text(SettingKey::kDaemonName)),
+       {events.begin(), events.end()}});
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/operators/operators_port.h
@@ -0,0 +1,55 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_OPERATORS_OPERATORS_PORT_H_
+#define WISTERIAYOKE_SUPERVISOR_OPERATORS_OPERATORS_PORT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "runtime/http_server.h"
+#include "runtime/supervisor.h"
+#include "supervisor/context/daemon_context.h"
+#include "supervisor/context/daemon_status.h"
+
+namespace wisteriayoke {
+
+/// What the operators' port asks of the root.
+struct OperatorsHooks {
+  std::function<DaemonStatus()> describe;
+  /// Begins a planned stop.
+  std::function<void()> request_stop;
+  /// Restarts the child at a path of the tree; fails if none runs there.
+  std::function<bool(const std::string& path, LastReason&)> restart_child;
+};
+
+/// Serves the operators' tool: GET /status, /timeline and /metrics, POST
+/// /drain and /children/PATH/restart. A child of the root that starts first
+/// and stops last, so that a daemon can be watched while it drains.
+class OperatorsPort : public std::enable_shared_from_this<OperatorsPort> {
+ public:
+  OperatorsPort(DaemonContext context, OperatorsHooks hooks,
+                FailureHandler on_failure);
+
+  bool Start(LastReason& reason);
+  /// Closes at once what is idle and calls `done` when all is answered.
+  void Stop(std::function<void()> done);
+
+  /// Closes all connections at once.
+  void CutSessions();
+
+ private:
+  HttpResponse Handle(const HttpRequest& request);
+  HttpResponse HandleGet(std::string_view path);
+  HttpResponse HandlePost(std::string_view path);
+  HttpResponse RestartChild(std::string_view path);
+  std::string EncodeTimeline() const;
+
+  DaemonContext context_;
+  OperatorsHooks hooks_;
+  FailureHandler on_failure_;
+  std::shared_ptr<HttpServer> server_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_OPERATORS_OPERATORS_PORT_H_
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "supervisor/context/child_path.h"
 #include "supervisor/context/child_record.h"
 #include "supervisor/context/log.h"
 
@@ -35,8 +36,25 @@
   return [this] { return children_.Find<PeerLink>(); };
 }
 
+OperatorsHooks RootSupervisor::MakeOperatorsHooks() {
+  return {.describe = [this] { return DescribeStatus(); },
+          .request_stop = [this] { RequestStop(); },
+          .restart_child =
+              [this](const std::string& path, LastReason& reason) {
+                return RestartChild(path, reason);
+              }};
+}
+
 bool RootSupervisor::Start(LastReason& reason) {
-  return children_.Add({.name = "platform",
+  return children_.Add({.name = "operators",
+                        .create =
+                            [this](FailureHandler on_failure) {
+                              return Child(std::make_shared<OperatorsPort>(
+                                  Context(), MakeOperatorsHooks(),
+                                  std::move(on_failure)));
+                            }},
+                       reason) &&
+         children_.Add({.name = "platform",
                         .create =
                             [this](FailureHandler on_failure) {
                               return Child(std::make_shared<PlatformClient>(
@@ -119,7 +137,39 @@
 }
 
 void RootSupervisor::CutRequests() {
-  if (const auto front = children_.Find<FrontEnd>()) front->CutSessions();
+  for (const auto& front : children_.FindAll<FrontEnd>()) front->CutSessions();
+  for (const auto& port : children_.FindAll<OperatorsPort>()) {
+    port->CutSessions();
+  }
+}
+
+DaemonStatus RootSupervisor::DescribeStatus() {
+  DaemonStatus status = BuildDaemonStatus(Context());
+  for (const auto& child : children_.Describe()) {
+    status.children.push_back({child.name, child.running, child.restarts});
+  }
+  if (const auto upstreams = children_.Find<UpstreamsSupervisor>()) {
+    upstreams->DescribeChildren("upstreams/", status.children);
+  }
+  return status;
+}
+
+bool RootSupervisor::RestartChild(const std::string& path, LastReason& reason) {
+  const auto [name, rest] = SplitChildPath(path);
+  LastReason asked;
+  asked.Set(ResultCode::kCancelled, "an operator asked for a restart");
+  bool found = false;
+  if (rest.empty()) {
+    found = children_.FailChild(name, asked);
+  } else if (const auto upstreams =
+                 children_.FindNamed<UpstreamsSupervisor>(name)) {
+    found = upstreams->FailChild(rest, asked);
+  }
+  if (!found) {
+    reason.Set(ResultCode::kUnknownChild,
+               "no child \"" + path + "\" runs; the status lists them");
+  }
+  return found;
 }
 
 void RootSupervisor::End(const LastReason& reason) { on_end_(reason); }
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <variant>
 
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/front_end.h"
+#include "supervisor/operators/operators_port.h"
 #include "supervisor/peers/peer_link.h"
 #include "supervisor/platform/platform_client.h"
 #include "supervisor/tables/table_keeper.h"
@@ -36,7 +38,8 @@
 
  private:
   using Child =
-      std::variant<std::shared_ptr<PlatformClient>, std::shared_ptr<PeerLink>,
+      std::variant<std::shared_ptr<OperatorsPort>,
+                   std::shared_ptr<PlatformClient>, std::shared_ptr<PeerLink>,
                    std::shared_ptr<TableKeeper>,
                    std::shared_ptr<UpstreamsSupervisor>,
                    std::shared_ptr<FrontEnd>>;
@@ -44,6 +47,9 @@
   DaemonContext Context() { return {loop_, settings_, state_}; }
   PlatformFinder MakePlatformFinder();
   PeerFinder MakePeerFinder();
+  OperatorsHooks MakeOperatorsHooks();
+  DaemonStatus DescribeStatus();
+  bool RestartChild(const std::string& path, LastReason& reason);
   void HandleTablesChanged();
   void CutRequests();
   Duration DrainDeadline() const;
--- a/source/supervisor/upstreams/pool_supervisor.cc
+++ b/source/supervisor/upstreams/pool_supervisor.cc
@@ -32,4 +32,16 @@
   children_.Stop(std::move(done));
 }
 
+bool PoolSupervisor::FailChild(const std::string& name,
+                               const LastReason& reason) {
+  return children_.FailChild(name, reason);
+}
+
+void PoolSupervisor::DescribeChildren(const std::string& prefix,
+                                      std::vector<ChildStatus>& rows) const {
+  for (const auto& child : children_.Describe()) {
+    rows.push_back({prefix + child.name, child.running, child.restarts});
+  }
+}
+
 }  // namespace wisteriayoke
--- a/source/supervisor/upstreams/pool_supervisor.h
+++ b/source/supervisor/upstreams/pool_supervisor.h
@@ -3,10 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <variant>
+#include <vector>
 
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/context/daemon_status.h"
 #include "supervisor/upstreams/upstream_monitor.h"
 
 namespace wisteriayoke {
@@ -20,6 +23,14 @@
   bool Start(LastReason& reason);
   void Stop(std::function<void()> done);
 
+  /// Makes the monitor of the upstream called `name` fail. Returns false if
+  /// none runs.
+  bool FailChild(const std::string& name, const LastReason& reason);
+
+  /// Adds all children to `rows`, their paths after `prefix`.
+  void DescribeChildren(const std::string& prefix,
+                        std::vector<ChildStatus>& rows) const;
+
  private:
   using Child = std::variant<std::shared_ptr<UpstreamMonitor>>;
 
--- a/source/supervisor/upstreams/upstreams_supervisor.cc
+++ b/source/supervisor/upstreams/upstreams_supervisor.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "supervisor/context/child_path.h"
 #include "supervisor/context/child_record.h"
 
 namespace wisteriayoke {
@@ -37,4 +38,23 @@
   return true;
 }
 
+bool UpstreamsSupervisor::FailChild(const std::string& path,
+                                    const LastReason& reason) {
+  const auto [pool, upstream] = SplitChildPath(path);
+  if (upstream.empty()) return children_.FailChild(pool, reason);
+  const auto found = children_.FindNamed<PoolSupervisor>(pool);
+  return found && found->FailChild(upstream, reason);
+}
+
+void UpstreamsSupervisor::DescribeChildren(
+    const std::string& prefix, std::vector<ChildStatus>& rows) const {
+  for (const auto& child : children_.Describe()) {
+    const std::string path = prefix + child.name;
+    rows.push_back({path, child.running, child.restarts});
+    if (const auto pool = children_.FindNamed<PoolSupervisor>(child.name)) {
+      pool->DescribeChildren(path + "/", rows);
+    }
+  }
+}
+
 }  // namespace wisteriayoke
--- a/source/supervisor/upstreams/upstreams_supervisor.h
+++ b/source/supervisor/upstreams/upstreams_supervisor.h
@@ -3,10 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <variant>
+#include <vector>
 
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/context/daemon_status.h"
 #include "supervisor/upstreams/pool_supervisor.h"
 
 namespace wisteriayoke {
@@ -24,6 +27,14 @@
   /// with the reason of a child that doesn't start.
   bool FollowTables(LastReason& reason);
 
+  /// Makes the child at `path` ("POOL" or "POOL/UPSTREAM") fail. Returns false
+  /// if none runs there.
+  bool FailChild(const std::string& path, const LastReason& reason);
+
+  /// Adds all children below this one to `rows`, their paths after `prefix`.
+  void DescribeChildren(const std::string& prefix,
+                        std::vector<ChildStatus>& rows) const;
+
  private:
   using Child = std::variant<std::shared_ptr<PoolSupervisor>>;
 
