--- a/source/daemon/wisteriayoked_main.cc
+++ b/source/daemon/wisteriayoked_main.cc
@@ -10,6 +10,7 @@
 #include "base/version.h"
 #include "runtime/event_loop.h"
 #include "supervisor/context/log.h"
+#include "supervisor/context/reference_docs.h"
 #include "supervisor/context/settings.h"
 #include "supervisor/root/root_supervisor.h"
 
@@ -22,6 +23,8 @@
   bool check_config = false;
   bool print_config = false;
   bool version = false;
+  bool help_settings = false;
+  bool help_codes = false;
 };
 
 std::optional<Options> ParseOptions(int argc, const char** argv,
@@ -30,21 +33,30 @@
   int check = 0;
   int print = 0;
   int version = 0;
-  const poptOption table[] = {{"config", 'c', POPT_ARG_STRING, &config, 0,
-                               "Read the settings from FILE", "FILE"},
-                              {"check-config", 0, POPT_ARG_NONE, &check, 0,
-                               "Check the settings and exit", nullptr},
-                              {"print-config", 0, POPT_ARG_NONE, &print, 0,
-                               "Print the settings in force and exit", nullptr},
-                              {"version", 0, POPT_ARG_NONE, &version, 0,
-                               "Print the version and exit", nullptr},
-                              POPT_AUTOHELP POPT_TABLEEND};
+  int help_settings = 0;
+  int help_codes = 0;
+  const poptOption table[] = {
+      {"config", 'c', POPT_ARG_STRING, &config, 0,
+       "Read the settings from FILE", "FILE"},
+      {"check-config", 0, POPT_ARG_NONE, &check, 0,
+       "Check the settings and exit", nullptr},
+      {"print-config", 0, POPT_ARG_NONE, &print, 0,
+       "Print the settings in force and exit", nullptr},
+      {"version", 0, POPT_ARG_NONE, &version, 0, "Print the version and exit",
+       nullptr},
+      {"help-settings", 0, POPT_ARG_NONE, &help_settings, 0,
+       "Describe all settings and exit", nullptr},
+      {"help-codes", 0, POPT_ARG_NONE, &help_codes, 0,
+       "Describe all result codes and exit", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("wisteriayoked", argc, argv, table, 0);
   const int result = poptGetNextOpt(context);
   Options options{.config = config == nullptr ? "" : config,
                   .check_config = check != 0,
                   .print_config = print != 0,
-                  .version = version != 0};
+                  .version = version != 0,
+                  .help_settings = help_settings != 0,
+                  .help_codes = help_codes != 0};
   std::free(config);
   const bool failed = result < -1 || poptPeekArg(context) != nullptr;
   if (failed) {
@@ -81,18 +93,31 @@
   root.timeline().Record(LogLevel::kInfo, EventKind::kStarted, ResultCode::kOk,
                          {{"front", settings.Text(SettingKey::kFrontAddress)}});
   loop.Run();
-  root.timeline().Record(LogLevel::kInfo, EventKind::kEnded, end.code(),
+  const bool good = end.code() == ResultCode::kOk;
+  root.timeline().Record(good ? LogLevel::kInfo : LogLevel::kError,
+                         EventKind::kEnded, end.code(),
                          {{"reason", end.message()}});
   return ExitStatusOf(end.code());
 }
 
+/// Prints what `options` ask to know; returns false if they ask nothing.
+bool PrintInformation(const Options& options) {
+  std::string text;
+  if (options.version) text += "wisteriayoked " + std::string(kVersion) + "\n";
+  if (options.help_settings) text += DescribeSettings();
+  if (options.help_codes) text += DescribeResultCodes();
+  std::fputs(text.c_str(), stdout);
+  return !text.empty();
+}
+
 int Main(int argc, const char** argv) {
   LastReason reason;
   const auto options = ParseOptions(argc, argv, reason);
   if (!options) return Explain(reason);
-  if (options->version) {
-    std::printf("wisteriayoked %s\n", std::string(kVersion).c_str());
-    return 0;
+  if (PrintInformation(*options)) return 0;
+  if (options->config.empty()) {
+    reason.Set(ResultCode::kUsage, "give --config FILE; see --help.");
+    return Explain(reason);
   }
   const auto settings = Settings::Load(options->config, reason);
   if (!settings) return Explain(reason);
