--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -7,8 +7,10 @@
 cluster_bin="${CLUSTER_BIN:-build/release/source}"
 cluster_dir="${CLUSTER_DIR:-$(mktemp -d)}"
 cluster_port="${CLUSTER_PORT:-7000}"
-platform_address="127.0.0.1:$((cluster_port + 100))"
-service_address="127.0.0.1:$((cluster_port + 300))"
+# A loopback network of its own, so that clusters of one machine don't meet.
+cluster_net="127.$(($$ / 256 % 256)).$(($$ % 256))"
+platform_address="$cluster_net.1:$((cluster_port + 100))"
+service_address="$cluster_net.1:$((cluster_port + 300))"
 
 # Starts a process in the background: start_process NAME COMMAND...
 start_process() {
@@ -22,18 +24,18 @@
 pid_of() { cat "$cluster_dir/$1.pid"; }
 
 # Prints the front address of daemon N.
-front_of() { echo "127.0.0.$1:$cluster_port"; }
+front_of() { echo "$cluster_net.$1:$cluster_port"; }
 
 # Prints the operators' address of daemon N.
-operators_of() { echo "127.0.0.$1:$((cluster_port + 1))"; }
+operators_of() { echo "$cluster_net.$1:$((cluster_port + 1))"; }
 
 # Prints the address of engine N.
-engine_of() { echo "127.0.0.1:$((cluster_port + 200 + $1))"; }
+engine_of() { echo "$cluster_net.1:$((cluster_port + 200 + $1))"; }
 
 write_config() {
   local n="$1" seeds=""
   for peer in 1 2 3 4; do
-    [ "$peer" = "$n" ] || seeds="$seeds,127.0.0.$peer:$((cluster_port + 2))"
+    [ "$peer" = "$n" ] || seeds="$seeds,$cluster_net.$peer:$((cluster_port + 2))"
   done
   cat >"$cluster_dir/daemon$n.ini" <<CONFIG
 [daemon]
@@ -44,7 +46,7 @@
 [operators]
 address = $(operators_of "$n")
 [peers]
-address = 127.0.0.$n:$((cluster_port + 2))
+address = $cluster_net.$n:$((cluster_port + 2))
 seeds = ${seeds#,}
 [platform]
 address = $platform_address
--- a/source/ctl/ctl_options.cc
+++ b/source/ctl/ctl_options.cc
@@ -27,7 +27,7 @@
   char* daemons = nullptr;
   char* author = nullptr;
   int timeout_ms = 2000;
-  long base = -1;
+  int base = -1;
   int limit = 20;
   int json = 0;
 
@@ -65,7 +65,7 @@
   std::vector<poptOption> table;
   AddPeerOptions(info.peer, raw, table);
   if (info.command == Command::kTableSet) {
-    table.push_back({"base", 'b', POPT_ARG_LONG, &raw.base, 0,
+    table.push_back({"base", 'b', POPT_ARG_INT, &raw.base, 0,
                      "Version that was edited; 0 for the first tables", "N"});
     table.push_back({"author", 'a', POPT_ARG_STRING, &raw.author, 0,
                      "Who makes the change, for the history", "NAME"});
@@ -135,8 +135,9 @@
   if (raw.daemons != nullptr && !TakeDaemons(raw.daemons, options, reason)) {
     return false;
   }
-  if (raw.timeout_ms <= 0)
+  if (raw.timeout_ms <= 0) {
     return Refuse(reason, "--timeout-ms must be over 0.");
+  }
   if (raw.limit <= 0) return Refuse(reason, "--limit must be over 0.");
   options.timeout = std::chrono::milliseconds(raw.timeout_ms);
   options.limit = static_cast<unsigned>(raw.limit);
--- a/source/ctl/daemon_commands.cc
+++ b/source/ctl/daemon_commands.cc
@@ -1,5 +1,6 @@
 #include "ctl/daemon_commands.h"
 
+#include <cstddef>
 #include <ctime>
 #include <functional>
 
@@ -164,7 +165,7 @@
   CommandResult result = CollectEvents(options, events);
   if (events.size() > options.limit) {
     events.erase(events.begin(),
-                 events.end() - static_cast<long>(options.limit));
+                 events.end() - static_cast<std::ptrdiff_t>(options.limit));
   }
   result.output = RenderEvents(events, options.json);
   return result;
--- a/source/ctl/table_diff.cc
+++ b/source/ctl/table_diff.cc
@@ -52,6 +52,7 @@
     differences[path] = {DiffKind::kAdded, path, "", value};
   }
   std::vector<TableDifference> rows;
+  rows.reserve(differences.size());
   for (auto& [path, row] : differences) rows.push_back(std::move(row));
   return rows;
 }
--- a/source/ctl/table_source.cc
+++ b/source/ctl/table_source.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstddef>
 
 #include "decisions/table_set.h"
 #include "supervisor/context/ini_text.h"
@@ -40,9 +41,9 @@
   const std::size_t found =
       content.find(message.substr(open, close - open + 1));
   if (found == std::string::npos) return 0;
-  return 1 + static_cast<std::size_t>(
-                 std::count(content.begin(),
-                            content.begin() + static_cast<long>(found), '\n'));
+  return 1 + static_cast<std::size_t>(std::count(
+                 content.begin(),
+                 content.begin() + static_cast<std::ptrdiff_t>(found), '\n'));
 }
 
 }  // namespace
@@ -60,7 +61,7 @@
     reason.Set(ResultCode::kUsage, "\"" + name + "\" is not a version.");
     return std::nullopt;
   }
-  const auto head = ReadHeadInForce(store, reason);
+  auto head = ReadHeadInForce(store, reason);
   if (!head || head->version.number == *number) return head;
   return ReadHeadAt(store, TableHistoryKey(*number), reason);
 }
--- a/source/runtime/supervisor.h
+++ b/source/runtime/supervisor.h
@@ -208,10 +208,10 @@
     std::visit(
         [this, number](const auto& running) {
           running->Stop([this, alive = alive_, number] {
-            if (*alive)
-              loop_.Post([this, alive, number] {
-                if (*alive) ForgetRetired(number);
-              });
+            if (!*alive) return;
+            loop_.Post([this, alive, number] {
+              if (*alive) ForgetRetired(number);
+            });
           });
         },
         child);
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -37,12 +37,10 @@
   Timeline& timeline() { return state_.timeline; }
 
  private:
-  using Child =
-      std::variant<std::shared_ptr<OperatorsPort>,
-                   std::shared_ptr<PlatformClient>, std::shared_ptr<PeerLink>,
-                   std::shared_ptr<TableKeeper>,
-                   std::shared_ptr<UpstreamsSupervisor>,
-                   std::shared_ptr<FrontEnd>>;
+  using Child = std::variant<
+      std::shared_ptr<OperatorsPort>, std::shared_ptr<PlatformClient>,
+      std::shared_ptr<PeerLink>, std::shared_ptr<TableKeeper>,
+      std::shared_ptr<UpstreamsSupervisor>, std::shared_ptr<FrontEnd>>;
 
   DaemonContext Context() { return {loop_, settings_, state_}; }
   PlatformFinder MakePlatformFinder();
--- /dev/null
+++ b/tests/platform/platform_client_test.cc
@@ -0,0 +1,68 @@
+#include "supervisor/platform/platform_client.h"
+
+#include <doctest/doctest.h>
+
+#include "support/daemon_fixture.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// A platform client and the one answer that its platform gives.
+struct PlatformFixture : DaemonFixture {
+  HttpResponse answer;
+  HttpRequest seen;
+  FakeServer server{loop, TestPorts::kPlatform,
+                    [this](HttpRequest request,
+                           const std::shared_ptr<HttpServerSession>& caller) {
+                      seen = std::move(request);
+                      caller->Respond(answer);
+                    }};
+  std::shared_ptr<PlatformClient> client =
+      std::make_shared<PlatformClient>(Context(), [](const LastReason&) {});
+
+  StoreReply Write() {
+    std::optional<StoreReply> reply;
+    client->WriteRecord("k", "v", 3,
+                        [&reply](StoreReply got) { reply = std::move(got); });
+    RunUntil([&reply] { return reply.has_value(); });
+    return *reply;
+  }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(PlatformFixture, "each status has its code") {
+  const auto code_of = [this](int status) {
+    answer = {{status, {{"Record-Version", "4"}}}, "value"};
+    return Write().code;
+  };
+  CHECK(code_of(200) == ResultCode::kOk);
+  CHECK(code_of(404) == ResultCode::kObjectMissing);
+  CHECK(code_of(409) == ResultCode::kStoreConflict);
+  CHECK(code_of(429) == ResultCode::kStoreRateLimited);
+  CHECK(code_of(500) == ResultCode::kStoreUnreachable);
+}
+
+TEST_CASE_FIXTURE(PlatformFixture, "a conflict carries the record as it is") {
+  answer = {{409, {{"Record-Version", "9"}}}, "other"};
+  const StoreReply reply = Write();
+  CHECK(reply.version == 9);
+  CHECK(reply.value == "other");
+  CHECK(seen.method == "PUT");
+  CHECK(seen.target == "/records/k");
+  CHECK(FindField(seen.fields, "Expected-Version") == "3");
+}
+
+TEST_CASE_FIXTURE(DaemonFixture,
+                  "a call ends although its client is replaced") {
+  std::optional<StoreReply> reply;
+  auto client =
+      std::make_shared<PlatformClient>(Context(), [](const LastReason&) {});
+  client->ReadRecord("k", [&reply](StoreReply got) { reply = std::move(got); });
+  client->Stop([] {});
+  client.reset();
+  RunUntil([&reply] { return reply.has_value(); });
+  CHECK(reply->code == ResultCode::kStoreUnreachable);
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/tables/table_keeper_test.cc
@@ -0,0 +1,87 @@
+#include "supervisor/tables/table_keeper.h"
+
+#include <doctest/doctest.h>
+
+#include "support/daemon_fixture.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// A table keeper before a store that the test controls.
+struct KeeperFixture : DaemonFixture {
+  FakeTableStore store;
+  FakeServer server = store.Serve(loop);
+  std::shared_ptr<PlatformClient> platform =
+      std::make_shared<PlatformClient>(Context(), [](const LastReason&) {});
+  int changes = 0;
+  std::shared_ptr<TableKeeper> keeper = Make();
+
+  std::shared_ptr<TableKeeper> Make() {
+    return std::make_shared<TableKeeper>(
+        Context(), [this] { return platform; }, [] { return nullptr; },
+        [this] { ++changes; }, [](const LastReason&) {});
+  }
+
+  void Start() {
+    LastReason reason;
+    REQUIRE(keeper->Start(reason));
+  }
+
+  ~KeeperFixture() {
+    keeper->Stop([] {});
+  }
+
+  bool Recorded(EventKind kind) const {
+    for (const auto& event : state.timeline.events()) {
+      if (event.kind == kind) return true;
+    }
+    return false;
+  }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(KeeperFixture, "the tables of the head come in force") {
+  store.Set(1, MakeTestTables());
+  Start();
+  RunUntil([this] { return state.version.number == 1; });
+  CHECK(state.ready());
+  CHECK(changes == 1);
+  store.Set(2, MakeTestTables() + " ");
+  RunUntil([this] { return state.version.number == 2; });
+  CHECK(changes == 2);
+}
+
+TEST_CASE_FIXTURE(KeeperFixture, "damaged content is refused and recorded") {
+  store.Set(1, MakeTestTables());
+  store.damaged = true;
+  Start();
+  RunUntil([this] { return Recorded(EventKind::kTablesRefused); });
+  CHECK_FALSE(state.ready());
+}
+
+TEST_CASE_FIXTURE(KeeperFixture, "tables that break a reference are refused") {
+  store.Set(1, MakeTestTables());
+  Start();
+  RunUntil([this] { return state.version.number == 1; });
+  store.Set(2, R"({"routes":[{"name":"r","prefix":"/","pool":"none"}]})");
+  RunUntil([this] { return Recorded(EventKind::kTablesRefused); });
+  CHECK(state.version.number == 1);
+}
+
+TEST_CASE_FIXTURE(KeeperFixture, "a restarted keeper never goes back") {
+  store.Set(2, MakeTestTables());
+  Start();
+  RunUntil([this] { return state.version.number == 2; });
+  keeper->Stop([] {});
+  keeper = Make();
+  store.Set(1, MakeTestTables() + " ");
+  Start();
+  int polls = 0;
+  RunUntil([&polls] { return ++polls > 60; });
+  CHECK(state.version.number == 2);
+  store.Set(3, MakeTestTables() + "  ");
+  RunUntil([this] { return state.version.number == 3; });
+}
+
+}  // namespace wisteriayoke
