--- /dev/null
+++ b/source/decisions/lease_keeper.cc
@@ -0,0 +1,104 @@
+#include "decisions/lease_keeper.h"
+
+#include <utility>
+
+#include "base/overloaded.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr Duration::rep kMille = 1000;
+
+std::optional<LeaseOperation> OperationOf(const LeaseEvent& event) {
+  return std::visit(
+      [](const auto& reply) -> std::optional<LeaseOperation> {
+        if constexpr (requires { reply.operation; }) return reply.operation;
+        return std::nullopt;
+      },
+      event);
+}
+
+}  // namespace
+
+Duration TakeoverWait(const LeaseLimits& limits) {
+  const Duration::rep drift = limits.drift_per_mille;
+  const Duration slowest_holder =
+      limits.length * kMille / (kMille - drift) + Duration(1);
+  return (slowest_holder + limits.longest_order) * (kMille + drift) / kMille +
+         Duration(1);
+}
+
+std::vector<LeaseAction> LeaseKeeper::Handle(const LeaseEvent& event,
+                                             TimePoint now) {
+  if (const auto operation = OperationOf(event)) {
+    if (!busy_ || *operation != operation_) return {};
+    busy_ = false;
+  }
+  return std::visit(
+      Overloaded{
+          [&](const LeaseTick&) { return HandleTick(now); },
+          [&](const LeaseRead& read) { return HandleRead(read, now); },
+          [&](const LeaseWritten& written) { return HandleWritten(written); },
+          [&](const LeaseConflicted& conflict) {
+            return HandleConflict(conflict, now);
+          },
+          [](const LeaseCallFailed&) { return Actions{}; },
+      },
+      event);
+}
+
+std::optional<FencingNumber> LeaseKeeper::HeldAt(TimePoint now) const {
+  if (!owned_ || !valid_until_) return std::nullopt;
+  if (now + limits_.margin >= *valid_until_) return std::nullopt;
+  return record_->fencing;
+}
+
+LeaseKeeper::Actions LeaseKeeper::HandleTick(TimePoint now) {
+  if (busy_) return {};
+  if (owned_) return Write(record_->fencing, now);
+  busy_ = true;
+  return {ReadLease{++operation_}};
+}
+
+LeaseKeeper::Actions LeaseKeeper::HandleRead(const LeaseRead& event,
+                                             TimePoint now) {
+  Observe(event.record, event.version, now);
+  if (!record_) return Write(1, now);
+  if (owned_) return Write(record_->fencing, now);
+  if (now - observed_at_ < TakeoverWait(limits_)) return {};
+  return Write(record_->fencing + 1, now);
+}
+
+LeaseKeeper::Actions LeaseKeeper::HandleWritten(const LeaseWritten& event) {
+  record_ = LeaseRecord{holder_, token_, writing_};
+  version_ = event.version;
+  owned_ = true;
+  valid_until_ = sent_at_ + limits_.length;
+  return {};
+}
+
+LeaseKeeper::Actions LeaseKeeper::HandleConflict(const LeaseConflicted& event,
+                                                 TimePoint now) {
+  Observe(event.record, event.version, now);
+  // An earlier write of ours landed although its answer was lost.
+  if (owned_) return Write(record_->fencing, now);
+  return {};
+}
+
+LeaseKeeper::Actions LeaseKeeper::Write(FencingNumber fencing, TimePoint now) {
+  busy_ = true;
+  sent_at_ = now;
+  writing_ = fencing;
+  return {WriteLease{++operation_, {holder_, token_, fencing}, version_}};
+}
+
+void LeaseKeeper::Observe(const std::optional<LeaseRecord>& record,
+                          std::uint64_t version, TimePoint now) {
+  if (version != version_ || !record_) observed_at_ = now;
+  record_ = record;
+  version_ = version;
+  owned_ = record && record->token == token_;
+  if (!owned_) valid_until_.reset();
+}
+
+}  // namespace wisteriayoke
--- a/source/decisions/table_set.cc
+++ b/source/decisions/table_set.cc
@@ -34,9 +34,26 @@
   return true;
 }
 
+bool CheckPlacement(const Pool& pool, const std::string& where,
+                    LastReason& reason) {
+  if (!pool.placement) return true;
+  if (pool.kind != RouteKind::kModel) {
+    return Refuse(reason,
+                  where + ": only pools of engines take \"placement\".");
+  }
+  if (pool.placement->version.empty()) {
+    return Refuse(reason, where + ": set \"version\" in \"placement\".");
+  }
+  if (pool.placement->loads_per_minute == 0) {
+    return Refuse(reason, where + ": \"loads_per_minute\" must be positive.");
+  }
+  return true;
+}
+
 bool CheckPool(const Pool& pool, LastReason& reason) {
   const std::string where = "pool " + Quote(pool.name.text());
   if (!CheckNames(pool.upstreams, where + " upstreams", reason)) return false;
+  if (!CheckPlacement(pool, where, reason)) return false;
   if (pool.kind != RouteKind::kModel) return true;
   if (pool.layer_count == 0) {
     return Refuse(reason, where + ": set \"layers\" to the model's layers.");
--- a/source/decisions/table_spec.h
+++ b/source/decisions/table_spec.h
@@ -2,6 +2,7 @@
 #define WISTERIAYOKE_DECISIONS_TABLE_SPEC_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,14 +60,37 @@
   Duration deadline = std::chrono::seconds(60);
 };
 
+/// What an engine does for the requests of its pool.
+enum class EngineRole {
+  kGeneral,  ///< Reads prompts and generates tokens.
+  kPrefill,  ///< Only reads prompts.
+  kDecode,   ///< Only generates tokens.
+};
+
+inline constexpr auto kEngineRoleNames = MakeNamesTable<EngineRole>({
+    {EngineRole::kGeneral, "general"},
+    {EngineRole::kPrefill, "prefill"},
+    {EngineRole::kDecode, "decode"},
+});
+
 /// One back end of a pool, as the operators describe it.
 struct UpstreamSpec {
   UpstreamName name;
   Endpoint endpoint;
   DataCentreName data_centre;
   std::string accelerator;
-  LayerRange layers;        ///< Only for engines.
-  std::uint32_t slots = 8;  ///< Requests that it runs at once.
+  LayerRange layers;                       ///< Only for engines.
+  std::uint32_t slots = 8;                 ///< Requests that it runs at once.
+  EngineRole role = EngineRole::kGeneral;  ///< Only for engines.
+};
+
+/// What the daemons order the engines of a pool to hold.
+struct PlacementSpec {
+  std::string version;                 ///< Of the model's weights.
+  std::vector<std::string> adapters;   ///< Names, in the order of loading.
+  std::uint32_t loads_per_minute = 6;  ///< Pool's share of the weight store.
+
+  friend bool operator==(const PlacementSpec&, const PlacementSpec&) = default;
 };
 
 /// Upstreams that are interchangeable (services) or that chain (engines).
@@ -76,6 +100,7 @@
   std::string model;              ///< Only for engines.
   std::uint32_t layer_count = 0;  ///< Only for engines.
   bool checks_fencing = false;    ///< Whether engines refuse stale orders.
+  std::optional<PlacementSpec> placement;  ///< Absent: engines get no orders.
   std::vector<UpstreamSpec> upstreams;
 };
 
--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -50,6 +50,9 @@
 void HttpClientCall::Send() {
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (limits_.reset_on_close) {
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   sent_ = true;
   ArmTimer(limits_.idle_timeout);
   asio::async_write(socket_, asio::buffer(output_),
--- a/source/runtime/http_client_call.h
+++ b/source/runtime/http_client_call.h
@@ -43,6 +43,9 @@
   Duration connect_timeout = std::chrono::milliseconds(500);
   /// Longest wait for the next byte of the response.
   Duration idle_timeout = std::chrono::seconds(30);
+  /// Whether closing the connection discards what has not arrived, so that
+  /// nothing reaches the other side afterwards.
+  bool reset_on_close = false;
 };
 
 /// One HTTP request to another process over a connection of its own. It keeps
--- a/source/standins/fake_engine.cc
+++ b/source/standins/fake_engine.cc
@@ -27,12 +27,14 @@
              .faults = {},
              .kv = {},
              .counts = {},
-             .waiting = {}} {}
+             .waiting = {}},
+      orders_(loop, options) {}
 
 void FakeEngine::Handle(const HttpRequest& request, const CallerPtr& caller) {
   const std::string& target = request.target;
   if (target == "/generate") return Generate(request, caller);
   if (target == "/forward") return Forward(request, caller);
+  if (target == "/orders") return caller->Respond(orders_.Handle(request));
   if (target == "/faults") return caller->Respond(SetFaults(request.body));
   if (target == "/stats") return caller->Respond(DescribeCounts());
   if (target.starts_with(kKvPath)) {
--- a/source/standins/fake_engine.h
+++ b/source/standins/fake_engine.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "runtime/http_server_session.h"
+#include "standins/fake_engine_orders.h"
 #include "standins/fake_engine_state.h"
 #include "standins/standin_options.h"
 
@@ -15,8 +16,8 @@
 /// POST /generate makes it the first stage of a chain; POST /forward asks it to
 /// run its layers for one token as a later stage; GET /health says whether it
 /// takes work. GET /kv/REQUEST exports the KV cache of a request, POST
-/// /cancel/REQUEST drops it. POST /faults makes it misbehave; GET /stats tells
-/// its counts.
+/// /cancel/REQUEST drops it. /orders takes orders. POST /faults makes it
+/// misbehave; GET /stats tells its counts.
 class FakeEngine {
  public:
   FakeEngine(EventLoop& loop, const StandinOptions& options);
@@ -39,6 +40,7 @@
   HttpResponse DescribeCounts() const;
 
   FakeEngineState state_;
+  FakeEngineOrders orders_;
 };
 
 }  // namespace wisteriayoke
--- a/source/standins/standin_options.cc
+++ b/source/standins/standin_options.cc
@@ -17,6 +17,7 @@
   int end_layer = 1;
   int slots = 8;
   int token_us = 5000;
+  int checks_fencing = 0;
   const poptOption table[] = {
       {"listen", 0, POPT_ARG_STRING, &listen, 0, "Listen here", "IP:PORT"},
       {"first-layer", 0, POPT_ARG_INT, &first_layer, 0, "First layer held",
@@ -26,6 +27,8 @@
       {"slots", 0, POPT_ARG_INT, &slots, 0, "Requests run at once", "N"},
       {"token-us", 0, POPT_ARG_INT, &token_us, 0,
        "Time for one token, in microseconds", "N"},
+      {"checks-fencing", 0, POPT_ARG_NONE, &checks_fencing, 0,
+       "Refuse orders with an old fencing number", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext(program, argc, argv, table, 0);
   const int result = poptGetNextOpt(context);
@@ -42,7 +45,8 @@
                         .layers = {static_cast<std::uint32_t>(first_layer),
                                    static_cast<std::uint32_t>(end_layer)},
                         .slots = static_cast<unsigned>(slots),
-                        .token_time = std::chrono::microseconds(token_us)};
+                        .token_time = std::chrono::microseconds(token_us),
+                        .checks_fencing = checks_fencing != 0};
 }
 
 int ExplainStandinFailure(const char* program, const LastReason& reason) {
--- a/source/standins/standin_options.h
+++ b/source/standins/standin_options.h
@@ -17,6 +17,7 @@
   LayerRange layers{0, 1};
   unsigned slots = 8;
   Duration token_time = std::chrono::milliseconds(5);
+  bool checks_fencing = false;
 };
 
 /// Parses the command line of `program`. Fails with kUsage or kFieldInvalid.
--- a/source/supervisor/context/setting_key.cc
+++ b/source/supervisor/context/setting_key.cc
@@ -52,6 +52,12 @@
      "daemons."},
     {kLedgerAnswerBytes, "ledger", "answer_bytes", kCount, "65536", false,
      "Longest answer that is kept for a resend, in bytes."},
+    {kLeaseLength, "placement", "lease_ms", kMilliseconds, "10000", false,
+     "How long one daemon may order engines without renewing its lease; the "
+     "same on all daemons."},
+    {kClockDrift, "placement", "clock_drift_per_mille", kCount, "10", false,
+     "Most that a monotonic clock runs too fast or too slow, in thousandths; "
+     "the same on all daemons."},
     {kLoadPollInterval, "upstreams", "load_poll_ms", kMilliseconds, "250",
      false, "Time between reads of an engine's load."},
     {kSuspectLifetime, "quarantine", "lifetime_ms", kMilliseconds, "3600000",
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -32,6 +32,8 @@
   kLedgerClaimTimeout,
   kLedgerResendHorizon,
   kLedgerAnswerBytes,
+  kLeaseLength,
+  kClockDrift,
 };
 
 /// The form of a setting's value.
--- /dev/null
+++ b/source/supervisor/placement/pool_placement.cc
@@ -0,0 +1,211 @@
+#include "supervisor/placement/pool_placement.h"
+
+#include <utility>
+
+#include "base/overloaded.h"
+#include "wire/digest.h"
+#include "wire/order_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr int kTicksInLease = 4;
+constexpr int kMarginShare = 10;
+constexpr int kStatusOk = 200;
+constexpr int kStatusFenced = 409;
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
+/// More than an order's timeouts together; afterwards its connection is reset,
+/// which discards what has not arrived.
+constexpr Duration kLongestOrder = std::chrono::seconds(3);
+constexpr HttpCallLimits kOrderLimits{.connect_timeout = kConnectTimeout,
+                                      .idle_timeout = kAnswerTimeout,
+                                      .reset_on_close = true};
+
+LeaseLimits LimitsOf(const Settings& settings, const Pool& pool) {
+  const Duration length = settings.Milliseconds(SettingKey::kLeaseLength);
+  return {.length = length,
+          .margin = length / kMarginShare,
+          .longest_order = pool.checks_fencing ? Duration(0) : kLongestOrder,
+          .drift_per_mille = static_cast<std::uint32_t>(
+              settings.Count(SettingKey::kClockDrift))};
+}
+
+LeaseEvent DescribeReply(const StoreReply& reply, LeaseOperation operation,
+                         bool write) {
+  LastReason ignored;
+  if (reply.code == ResultCode::kOk && write) {
+    return LeaseWritten{operation, reply.version};
+  }
+  if (reply.code == ResultCode::kObjectMissing && !write) {
+    return LeaseRead{operation};
+  }
+  auto record = ParseLeaseRecord(reply.value, ignored);
+  if (record && reply.code == ResultCode::kOk) {
+    return LeaseRead{operation, std::move(record), reply.version};
+  }
+  if (record && reply.code == ResultCode::kStoreConflict) {
+    return LeaseConflicted{operation, std::move(record), reply.version};
+  }
+  return LeaseCallFailed{operation};
+}
+
+}  // namespace
+
+PoolPlacement::PoolPlacement(DaemonContext context, PlatformFinder platform,
+                             Pool pool, std::string token)
+    : context_(context),
+      platform_(std::move(platform)),
+      pool_(std::move(pool)),
+      record_name_("leases/" + ComputeDigest(pool_.name.text())),
+      tick_(context.settings.Milliseconds(SettingKey::kLeaseLength) /
+            kTicksInLease),
+      lease_(DaemonName(context.settings.Text(SettingKey::kDaemonName)),
+             std::move(token), LimitsOf(context.settings, pool_)),
+      plan_(pool_) {}
+
+bool PoolPlacement::Start(LastReason& /*reason*/) {
+  Tick();
+  return true;
+}
+
+void PoolPlacement::Stop(const std::function<void()>& done) {
+  stopped_ = true;
+  timer_.reset();
+  done();
+}
+
+void PoolPlacement::Tick() {
+  timer_ = context_.loop.Schedule(tick_, [this] { Tick(); });
+  FeedLease(LeaseTick{});
+  FeedPlan(PlacementTick{});
+  RecordHolding();
+}
+
+void PoolPlacement::FeedLease(const LeaseEvent& event) {
+  if (stopped_) return;
+  for (const auto& action : lease_.Handle(event, context_.loop.Now())) {
+    std::visit(Overloaded{
+                   [this](const ReadLease& read) { Read(read); },
+                   [this](const WriteLease& write) { Write(write); },
+               },
+               action);
+  }
+  RecordHolding();
+}
+
+void PoolPlacement::Read(const ReadLease& action) {
+  const auto platform = platform_();
+  if (!platform) return FeedLease(LeaseCallFailed{action.operation});
+  platform->ReadRecord(
+      record_name_, [self = shared_from_this(),
+                     operation = action.operation](const StoreReply& reply) {
+        self->FeedLease(DescribeReply(reply, operation, false));
+      });
+}
+
+void PoolPlacement::Write(const WriteLease& action) {
+  const auto platform = platform_();
+  if (!platform) return FeedLease(LeaseCallFailed{action.operation});
+  platform->WriteRecord(
+      record_name_, EncodeLeaseRecord(action.record), action.expected,
+      [self = shared_from_this(),
+       operation = action.operation](const StoreReply& reply) {
+        self->FeedLease(DescribeReply(reply, operation, true));
+      });
+}
+
+void PoolPlacement::FeedPlan(const PlacementEvent& event) {
+  if (stopped_) return;
+  const TimePoint now = context_.loop.Now();
+  for (const auto& action : plan_.Handle(event, lease_.HeldAt(now), now)) {
+    std::visit(Overloaded{
+                   [this](const AskEngine& ask) { Ask(ask); },
+                   [this](const SendOrder& send) { Send(send); },
+               },
+               action);
+  }
+}
+
+const Endpoint& PoolPlacement::EndpointOf(const UpstreamName& upstream) const {
+  for (const auto& spec : pool_.upstreams) {
+    if (spec.name == upstream) return spec.endpoint;
+  }
+  return pool_.upstreams.front().endpoint;
+}
+
+void PoolPlacement::Ask(const AskEngine& action) {
+  FetchWhole(
+      context_.loop, EndpointOf(action.upstream),
+      {.method = "GET", .target = "/orders"}, {.idle_timeout = kAnswerTimeout},
+      [self = shared_from_this(), upstream = action.upstream](
+          const FetchResult& result) { self->HandleReport(upstream, result); });
+}
+
+void PoolPlacement::HandleReport(const UpstreamName& upstream,
+                                 const FetchResult& result) {
+  LastReason ignored;
+  if (result.code != ResultCode::kOk ||
+      result.response.head.status != kStatusOk) {
+    return FeedPlan(EngineSilent{upstream});
+  }
+  const auto report = ParseEngineReport(result.response.body, ignored);
+  if (!report) return FeedPlan(EngineSilent{upstream});
+  FeedPlan(EngineReported{upstream, report->state, report->ready});
+}
+
+void PoolPlacement::Send(const SendOrder& action) {
+  // The last check of the lease, right before the order leaves.
+  if (lease_.HeldAt(context_.loop.Now()) != action.order.fencing) {
+    return EndOrder(action, OrderResult::kFailed);
+  }
+  context_.state.timeline.Record(
+      LogLevel::kInfo, EventKind::kOrderSent, ResultCode::kOk,
+      {{"upstream", action.upstream.text()},
+       {"fencing", std::to_string(action.order.fencing)},
+       {"version", action.order.state.version}});
+  FetchWhole(context_.loop, EndpointOf(action.upstream),
+             {.method = "POST",
+              .target = "/orders",
+              .body = EncodeOrder(action.order)},
+             kOrderLimits,
+             [self = shared_from_this(), action](const FetchResult& result) {
+               self->HandleOrder(action, result);
+             });
+}
+
+void PoolPlacement::HandleOrder(const SendOrder& action,
+                                const FetchResult& result) {
+  const int status = result.response.head.status;
+  if (result.code != ResultCode::kOk) {
+    return EndOrder(action, OrderResult::kFailed);
+  }
+  if (status == kStatusFenced) return EndOrder(action, OrderResult::kFenced);
+  EndOrder(action,
+           status == kStatusOk ? OrderResult::kAccepted : OrderResult::kFailed);
+}
+
+void PoolPlacement::EndOrder(const SendOrder& action, OrderResult result) {
+  const bool fenced = result == OrderResult::kFenced;
+  context_.state.timeline.Record(
+      result == OrderResult::kAccepted ? LogLevel::kInfo : LogLevel::kWarning,
+      EventKind::kOrderEnded,
+      fenced ? ResultCode::kOrderFenced : ResultCode::kOk,
+      {{"upstream", action.upstream.text()},
+       {"fencing", std::to_string(action.order.fencing)},
+       {"result", std::string(kOrderResultNames.NameOf(result))}});
+  FeedPlan(OrderEnded{action.upstream, result, action.order.fencing});
+}
+
+void PoolPlacement::RecordHolding() {
+  const auto held = lease_.HeldAt(context_.loop.Now());
+  if (held == recorded_) return;
+  recorded_ = held;
+  context_.state.timeline.Record(
+      LogLevel::kInfo, held ? EventKind::kLeaseTaken : EventKind::kLeaseEnded,
+      held ? ResultCode::kOk : ResultCode::kLeaseLost,
+      {{"pool", pool_.name.text()},
+       {"fencing", std::to_string(held.value_or(0))}});
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/placement/pool_placement.h
@@ -0,0 +1,57 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_PLACEMENT_POOL_PLACEMENT_H_
+#define WISTERIAYOKE_SUPERVISOR_PLACEMENT_POOL_PLACEMENT_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "decisions/placement_plan.h"
+#include "runtime/http_client_call.h"
+#include "runtime/supervisor.h"
+#include "supervisor/platform/platform_client.h"
+
+namespace wisteriayoke {
+
+/// Contends for the lease of one pool and, while it holds it, orders the
+/// pool's engines to hold what the tables want. A child of the placement
+/// supervisor.
+class PoolPlacement : public std::enable_shared_from_this<PoolPlacement> {
+ public:
+  /// `token` is unique for the process, so that a restarted child goes on with
+  /// the lease of its predecessor.
+  PoolPlacement(DaemonContext context, PlatformFinder platform, Pool pool,
+                std::string token);
+
+  bool Start(LastReason& reason);
+  void Stop(const std::function<void()>& done);
+
+ private:
+  void Tick();
+  void FeedLease(const LeaseEvent& event);
+  void FeedPlan(const PlacementEvent& event);
+  void Read(const ReadLease& action);
+  void Write(const WriteLease& action);
+  void Ask(const AskEngine& action);
+  void Send(const SendOrder& action);
+  void HandleReport(const UpstreamName& upstream, const FetchResult& result);
+  void HandleOrder(const SendOrder& action, const FetchResult& result);
+  void EndOrder(const SendOrder& action, OrderResult result);
+  void RecordHolding();
+  const Endpoint& EndpointOf(const UpstreamName& upstream) const;
+
+  DaemonContext context_;
+  PlatformFinder platform_;
+  Pool pool_;
+  std::string record_name_;
+  Duration tick_;
+  LeaseKeeper lease_;
+  PlacementPlan plan_;
+  std::optional<FencingNumber> recorded_;  ///< Holding last told to operators.
+  LoopTimerPtr timer_;
+  bool stopped_ = false;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_PLACEMENT_POOL_PLACEMENT_H_
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -86,6 +86,7 @@
                         Context(), std::move(on_failure)));
                   }},
              reason) &&
+         StartPlacement(reason) &&
          children_.Add({.name = "front",
                         .create =
                             [this](FailureHandler on_failure) {
@@ -96,13 +97,27 @@
                        reason);
 }
 
+bool RootSupervisor::StartPlacement(LastReason& reason) {
+  return children_.Add(
+      {.name = "placement",
+       .create =
+           [this](FailureHandler on_failure) {
+             return Child(std::make_shared<PlacementSupervisor>(
+                 Context(), MakePlatformFinder(), std::move(on_failure)));
+           }},
+      reason);
+}
+
 void RootSupervisor::HandleTablesChanged() {
-  const auto upstreams = children_.Find<UpstreamsSupervisor>();
-  if (!upstreams) return;
   LastReason reason;
-  if (!upstreams->FollowTables(reason)) {
+  const auto upstreams = children_.Find<UpstreamsSupervisor>();
+  if (upstreams && !upstreams->FollowTables(reason)) {
     children_.FailChild("upstreams", reason);
   }
+  const auto placement = children_.Find<PlacementSupervisor>();
+  if (placement && !placement->FollowTables(reason)) {
+    children_.FailChild("placement", reason);
+  }
 }
 
 void RootSupervisor::RequestStop() {
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -11,6 +11,7 @@
 #include "supervisor/front/front_end.h"
 #include "supervisor/operators/operators_port.h"
 #include "supervisor/peers/peer_link.h"
+#include "supervisor/placement/placement_supervisor.h"
 #include "supervisor/platform/platform_client.h"
 #include "supervisor/tables/table_keeper.h"
 #include "supervisor/upstreams/upstreams_supervisor.h"
@@ -40,7 +41,8 @@
   using Child = std::variant<
       std::shared_ptr<OperatorsPort>, std::shared_ptr<PlatformClient>,
       std::shared_ptr<PeerLink>, std::shared_ptr<TableKeeper>,
-      std::shared_ptr<UpstreamsSupervisor>, std::shared_ptr<FrontEnd>>;
+      std::shared_ptr<UpstreamsSupervisor>,
+      std::shared_ptr<PlacementSupervisor>, std::shared_ptr<FrontEnd>>;
 
   DaemonContext Context() { return {loop_, settings_, state_}; }
   PlatformFinder MakePlatformFinder();
@@ -48,6 +50,7 @@
   OperatorsHooks MakeOperatorsHooks();
   DaemonStatus DescribeStatus();
   bool RestartChild(const std::string& path, LastReason& reason);
+  bool StartPlacement(LastReason& reason);
   void HandleTablesChanged();
   void CutRequests();
   Duration DrainDeadline() const;
--- a/source/wire/table_codec.cc
+++ b/source/wire/table_codec.cc
@@ -61,6 +61,13 @@
     return &*found;
   }
 
+  /// Returns the object called `name`, or null.
+  const Json* GetObject(const std::string& name) {
+    seen_.insert(name);
+    const auto found = object_.find(name);
+    return found == object_.end() ? nullptr : &*found;
+  }
+
   void RefuseOthers() const {
     for (const auto& [name, value] : object_.items()) {
       if (!seen_.contains(name)) {
@@ -133,9 +140,23 @@
   upstream.layers.first = reader.Get<std::uint32_t>("first_layer", 0);
   upstream.layers.end = reader.Get<std::uint32_t>("end_layer", 0);
   upstream.slots = reader.Get<std::uint32_t>("slots", upstream.slots);
+  upstream.role = reader.GetName("role", kEngineRoleNames, "general");
   return upstream;
 }
 
+std::optional<PlacementSpec> ReadPlacement(FieldReader& owner) {
+  const Json* object = owner.GetObject("placement");
+  if (object == nullptr) return std::nullopt;
+  FieldReader reader(*object, owner.Describe("placement"));
+  PlacementSpec placement;
+  placement.version = reader.Get<std::string>("version", "");
+  placement.adapters = reader.Get<std::vector<std::string>>("adapters", {});
+  placement.loads_per_minute =
+      reader.Get<std::uint32_t>("loads_per_minute", placement.loads_per_minute);
+  reader.RefuseOthers();
+  return placement;
+}
+
 Pool ReadPool(FieldReader& reader) {
   Pool pool;
   pool.name = PoolName(reader.Get<std::string>("name", ""));
@@ -143,6 +164,7 @@
   pool.model = reader.Get<std::string>("model", "");
   pool.layer_count = reader.Get<std::uint32_t>("layers", 0);
   pool.checks_fencing = reader.Get<bool>("checks_fencing", false);
+  pool.placement = ReadPlacement(reader);
   pool.upstreams = ReadList<UpstreamSpec>(reader, "upstreams", ReadUpstream);
   return pool;
 }
@@ -182,10 +204,17 @@
   if (upstream.layers.end > 0) {
     json["first_layer"] = upstream.layers.first;
     json["end_layer"] = upstream.layers.end;
+    json["role"] = kEngineRoleNames.NameOf(upstream.role);
   }
   return json;
 }
 
+Json ToJson(const PlacementSpec& placement) {
+  return {{"version", placement.version},
+          {"adapters", placement.adapters},
+          {"loads_per_minute", placement.loads_per_minute}};
+}
+
 Json ToJson(const Pool& pool);
 
 template <typename Entry>
@@ -196,12 +225,14 @@
 }
 
 Json ToJson(const Pool& pool) {
-  return {{"name", pool.name.text()},
-          {"kind", kRouteKindNames.NameOf(pool.kind)},
-          {"model", pool.model},
-          {"layers", pool.layer_count},
-          {"checks_fencing", pool.checks_fencing},
-          {"upstreams", ListToJson(pool.upstreams)}};
+  Json json = {{"name", pool.name.text()},
+               {"kind", kRouteKindNames.NameOf(pool.kind)},
+               {"model", pool.model},
+               {"layers", pool.layer_count},
+               {"checks_fencing", pool.checks_fencing}};
+  if (pool.placement) json["placement"] = ToJson(*pool.placement);
+  json["upstreams"] = ListToJson(pool.upstreams);
+  return json;
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/decisions/lease_test.cc
@@ -0,0 +1,61 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+
+#include "lease_world.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr std::size_t kSteps = 200;
+
+std::vector<std::uint32_t> MakeTape(std::mt19937_64& generator) {
+  std::vector<std::uint32_t> tape(kSteps);
+  for (auto& number : tape) number = static_cast<std::uint32_t>(generator());
+  return tape;
+}
+
+}  // namespace
+
+TEST_CASE("no order of an older holder takes effect after a newer holder's") {
+  const bool holds = rc::check("leases over interleavings", [] {
+    const auto tape = *rc::gen::container<std::vector<std::uint32_t>>(
+        kSteps, rc::gen::arbitrary<std::uint32_t>());
+    LeaseWorld world(BrokenLeaseRule::kNone);
+    const auto broken = world.Play(tape);
+    if (broken) RC_FAIL(*broken);
+  });
+  CHECK(holds);
+}
+
+TEST_CASE("long search over tapes changes holders and breaks no promise") {
+  constexpr int kTapes = 10000;
+  std::mt19937_64 generator(3);
+  std::size_t most_holders = 0;
+  for (int i = 0; i < kTapes; ++i) {
+    LeaseWorld world(BrokenLeaseRule::kNone);
+    const auto broken = world.Play(MakeTape(generator));
+    REQUIRE_MESSAGE(!broken, *broken);
+    most_holders = std::max(most_holders, world.holders());
+  }
+  CHECK(most_holders > 1);
+  MESSAGE("most holders in a tape: ", most_holders);
+}
+
+TEST_CASE("each rule of the lease is needed") {
+  constexpr int kTapes = 50000;
+  for (const auto& row : kBrokenLeaseRuleNames.rows()) {
+    if (row.value == BrokenLeaseRule::kNone) continue;
+    std::mt19937_64 generator(4);
+    std::optional<std::string> broken;
+    for (int i = 0; i < kTapes && !broken; ++i) {
+      broken = LeaseWorld(row.value).Play(MakeTape(generator));
+    }
+    MESSAGE(std::string(row.name), ": ", broken.value_or("nothing broke"));
+    CHECK_MESSAGE(broken.has_value(), std::string(row.name));
+  }
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/decisions/lease_world.h
@@ -0,0 +1,92 @@
+#ifndef WISTERIAYOKE_TESTS_DECISIONS_LEASE_WORLD_H_
+#define WISTERIAYOKE_TESTS_DECISIONS_LEASE_WORLD_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/names_table.h"
+#include "decisions/lease_keeper.h"
+
+namespace wisteriayoke {
+
+/// A rule of the lease that a test switches off to see the property fail.
+enum class BrokenLeaseRule {
+  kNone,
+  kSendAfterEnd,
+  kCountFromAnswer,
+  kForgetOrders,
+  kForgetDrift,
+  kWriteUnconditionally,
+};
+
+inline constexpr auto kBrokenLeaseRuleNames = MakeNamesTable<BrokenLeaseRule>({
+    {BrokenLeaseRule::kNone, "none"},
+    {BrokenLeaseRule::kSendAfterEnd, "send-after-end"},
+    {BrokenLeaseRule::kCountFromAnswer, "count-from-answer"},
+    {BrokenLeaseRule::kForgetOrders, "forget-orders"},
+    {BrokenLeaseRule::kForgetDrift, "forget-drift"},
+    {BrokenLeaseRule::kWriteUnconditionally, "write-unconditionally"},
+});
+
+/// Three keepers with drifting clocks contend for one lease in a model of the
+/// table service and send orders to an engine that checks no fencing number. A
+/// tape of numbers picks each next step; a keeper that isn't picked is paused.
+class LeaseWorld {
+ public:
+  explicit LeaseWorld(BrokenLeaseRule broken);
+
+  /// Plays the tape; returns the first broken promise, if any.
+  std::optional<std::string> Play(const std::vector<std::uint32_t>& tape);
+
+  std::size_t holders() const { return last_effect_; }
+
+ private:
+  static constexpr std::size_t kKeepers = 3;
+  static constexpr Duration::rep kDrift = 300;
+
+  struct Keeper {
+    LeaseKeeper lease;
+    Duration::rep clock_per_mille;
+    std::uint32_t tick_weight = 1;  ///< How often it gets its turn.
+    std::optional<LeaseAction> call;
+    std::optional<LeaseEvent> reply;
+    FencingNumber last_written = 0;
+    TimePoint last_answer;
+  };
+  /// An order that takes effect as late as the stated bound allows.
+  struct SlowOrder {
+    FencingNumber fencing;
+    Duration lands;
+  };
+  using Move = std::function<void()>;
+
+  static LeaseLimits LimitsOf(BrokenLeaseRule broken);
+  void ListMoves(std::vector<Move>& moves);
+  void ListKeeperMoves(std::size_t index, std::vector<Move>& moves);
+  void ListCallMoves(std::size_t index, std::vector<Move>& moves);
+  void Feed(std::size_t index, const LeaseEvent& event);
+  LeaseEvent Execute(const LeaseAction& action);
+  void SendOrder(std::size_t index, bool slow);
+  void TakeEffect(FencingNumber fencing);
+  void Advance(Duration time);
+  TimePoint ClockOf(const Keeper& keeper) const;
+
+  BrokenLeaseRule broken_;
+  std::vector<Keeper> keepers_;
+  Duration time_{0};
+  std::optional<LeaseRecord> record_;
+  std::uint64_t version_ = 0;
+  std::vector<WriteLease> floating_writes_;
+  std::deque<SlowOrder> slow_orders_;
+  FencingNumber last_effect_ = 0;
+  std::optional<std::string> violation_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_TESTS_DECISIONS_LEASE_WORLD_H_
