--- a/source/standins/fake_engine.cc
+++ b/source/standins/fake_engine.cc
@@ -12,6 +12,7 @@
 constexpr std::string_view kCancelPath = "/cancel/";
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
+constexpr int kStatusLeaving = 503;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusBadGateway = 502;
 
@@ -41,6 +42,10 @@
   if (target.starts_with(kCancelPath)) {
     state_.kv.Drop(RequestOfPath(target, kCancelPath));
   }
+  const bool leaving = state_.faults.Hits(FakeFault::kLeaving, 1);
+  if (leaving && target == "/health") {
+    return caller->Respond({{kStatusLeaving, {}}, "leaving"});
+  }
   caller->Respond({{kStatusOk, {}}, "ok"});
 }
 
--- a/source/standins/fake_faults.h
+++ b/source/standins/fake_faults.h
@@ -15,7 +15,7 @@
 namespace wisteriayoke {
 
 /// Ways in which a stand-in engine misbehaves on request. Each has a value: the
-/// index of the token concerned, or microseconds for the last two.
+/// index of the token concerned, or microseconds for the slow ones.
 enum class FakeFault {
   kKill,          ///< The process ends when it runs the token.
   kHang,          ///< The answer stays silent from the token on.
@@ -26,6 +26,7 @@
   kCutStream,     ///< The stream ends before the token, without saying so.
   kSlowToken,     ///< Each token takes longer.
   kSlowLink,      ///< Each call of the next stage takes longer.
+  kLeaving,       ///< The engine says that it is leaving.
 };
 
 inline constexpr auto kFakeFaultNames = MakeNamesTable<FakeFault>({
@@ -38,6 +39,7 @@
     {FakeFault::kCutStream, "cut-stream"},
     {FakeFault::kSlowToken, "slow-token"},
     {FakeFault::kSlowLink, "slow-link"},
+    {FakeFault::kLeaving, "leaving"},
 });
 
 /// The faults that an engine has been told to show.
--- a/source/standins/fake_platform.cc
+++ b/source/standins/fake_platform.cc
@@ -42,6 +42,12 @@
     caller->Respond({{200, {}}, ""});
     return true;
   }
+  if (request.target == "/stats") {
+    caller->Respond(
+        {{200, {}},
+         "instance_reads " + std::to_string(instance_reads_) + "\n"});
+    return true;
+  }
   return false;
 }
 
@@ -121,7 +127,8 @@
   return {{200, {}}, found->second};
 }
 
-HttpResponse FakePlatform::ReadInstances() const {
+HttpResponse FakePlatform::ReadInstances() {
+  ++instance_reads_;
   const RecordValue seen = instances_.At(loop_.Now() - faults_.instances_lag);
   return BuildRecordAnswer(seen.version == 0 ? 404 : 200, seen);
 }
--- a/source/standins/fake_platform.h
+++ b/source/standins/fake_platform.h
@@ -18,7 +18,8 @@
 /// Stand-in for the platform: a table service with compare-and-set
 /// (/records/KEY, versions in header fields), an object store
 /// (/objects/DIGEST) and a lagging list of instances (/instances), in memory.
-/// Tests set its faults by PUT /faults and the list by PUT /instances.
+/// Tests set its faults by PUT /faults and the list by PUT /instances;
+/// GET /stats counts the reads of the list.
 class FakePlatform {
  public:
   FakePlatform(EventLoop& loop, const StandinOptions& options);
@@ -37,13 +38,14 @@
   HttpResponse BuildAnswer(const HttpRequest& request);
   HttpResponse HandleRecord(const HttpRequest& request, const std::string& key);
   HttpResponse HandleObject(const HttpRequest& request, const std::string& key);
-  HttpResponse ReadInstances() const;
+  HttpResponse ReadInstances();
 
   EventLoop& loop_;
   PlatformFaults faults_;
   std::map<std::string, LaggingRecord> records_;
   std::map<std::string, std::string> objects_;
   LaggingRecord instances_;
+  std::uint64_t instance_reads_ = 0;
   std::map<std::uint64_t, LoopTimerPtr> timers_;
   std::uint64_t next_timer_ = 0;
   TimePoint second_start_;
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "decisions/chain_speeds.h"
+#include "decisions/leaving_tracker.h"
 #include "decisions/peer_loads.h"
 #include "decisions/quarantine.h"
 #include "decisions/table_set.h"
@@ -24,6 +25,7 @@
   TableSetPtr tables;         ///< Null until the first tables are in force.
   std::string table_content;  ///< Their text, as peers may fetch it.
   UpstreamBook upstreams;
+  LeavingTracker leaving;  ///< Which upstreams are leaving.
   PeerLoads peer_loads;    ///< In-flight counts told by other daemons.
   RumourExchange rumours;  ///< What daemons tell one another.
   ChainSpeeds speeds;
--- /dev/null
+++ b/source/supervisor/context/leaving_feed.cc
@@ -0,0 +1,28 @@
+#include "supervisor/context/leaving_feed.h"
+
+#include "base/overloaded.h"
+#include "supervisor/context/log.h"
+
+namespace wisteriayoke {
+
+void FeedLeaving(const DaemonContext& context, const LeavingEvent& event) {
+  DaemonState& state = context.state;
+  for (const auto& action : state.leaving.Handle(event, context.loop.Now())) {
+    std::visit(Overloaded{
+                   [&state](const MarkLeaving& mark) {
+                     state.upstreams.SetLeaving(mark.upstream, mark.leaving);
+                     state.timeline.Record(
+                         LogLevel::kInfo,
+                         mark.leaving ? EventKind::kUpstreamLeaving
+                                      : EventKind::kUpstreamReturned,
+                         ResultCode::kOk, {{"upstream", mark.upstream.text()}});
+                   },
+                   [&state](const TellLeaving& tell) {
+                     state.rumours.Post(LeavingRumour{tell.upstream, {}});
+                   },
+               },
+               action);
+  }
+}
+
+}  // namespace wisteriayoke
--- a/source/supervisor/context/setting_key.cc
+++ b/source/supervisor/context/setting_key.cc
@@ -44,6 +44,8 @@
      "Address of the platform's table service and object store."},
     {kHeadPollInterval, "platform", "head_poll_ms", kMilliseconds, "500", false,
      "Time between reads of the tables' head record."},
+    {kInstancePollInterval, "platform", "instance_poll_ms", kMilliseconds,
+     "500", false, "Time between reads of the list of instances."},
     {kLedgerClaimTimeout, "ledger", "claim_timeout_ms", kMilliseconds, "2000",
      false, "Longest wait for the claim of a call that runs at most once."},
     {kLedgerResendHorizon, "ledger", "resend_horizon_ms", kMilliseconds,
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -18,6 +18,7 @@
   kPeerSeeds,
   kPlatformAddress,
   kHeadPollInterval,
+  kInstancePollInterval,
   kLoadPollInterval,
   kSuspectLifetime,
   kDrainDeadline,
--- /dev/null
+++ b/source/supervisor/instances/instance_watcher.cc
@@ -0,0 +1,74 @@
+#include "supervisor/instances/instance_watcher.h"
+
+#include <utility>
+
+#include "decisions/poll_interval.h"
+#include "supervisor/context/leaving_feed.h"
+#include "supervisor/context/log.h"
+#include "wire/instance_list_codec.h"
+
+namespace wisteriayoke {
+
+InstanceWatcher::InstanceWatcher(DaemonContext context, PlatformFinder platform,
+                                 PeerFinder peers, FailureHandler on_failure)
+    : context_(context),
+      platform_(std::move(platform)),
+      peers_(std::move(peers)),
+      on_failure_(std::move(on_failure)),
+      jitter_(std::random_device{}()) {}
+
+bool InstanceWatcher::Start(LastReason& /*reason*/) {
+  signs_ = context_.state.rumours.Subscribe([this](const Rumour& rumour) {
+    if (const auto* leaving = std::get_if<LeavingRumour>(&rumour)) {
+      FeedLeaving(context_, LeavingHeard{*leaving});
+    }
+  });
+  Tick();
+  Poll();
+  return true;
+}
+
+void InstanceWatcher::Stop(const std::function<void()>& done) {
+  stopped_ = true;
+  signs_.reset();
+  poll_timer_.reset();
+  tick_timer_.reset();
+  done();
+}
+
+void InstanceWatcher::Tick() {
+  FeedLeaving(context_, LeavingTick{});
+  tick_timer_ =
+      context_.loop.Schedule(LeavingTracker::kTickInterval, [this] { Tick(); });
+}
+
+void InstanceWatcher::Poll() {
+  const auto peers = peers_();
+  const Duration interval = SharedPollInterval(
+      context_.settings.Milliseconds(SettingKey::kInstancePollInterval),
+      peers ? peers->group_size() : 1, jitter_);
+  poll_timer_ = context_.loop.Schedule(interval, [this] { Poll(); });
+  const auto platform = platform_();
+  if (!platform) return;
+  platform->ReadInstances([self = shared_from_this()](const StoreReply& reply) {
+    if (!self->stopped_) self->HandleList(reply);
+  });
+}
+
+void InstanceWatcher::HandleList(const StoreReply& reply) {
+  // A lagging replica may answer with a list that was read before.
+  if (reply.code != ResultCode::kOk || reply.version <= revision_) return;
+  LastReason reason;
+  auto list = ParseInstanceList(reply.value, reason);
+  if (!list) {
+    context_.state.timeline.Record(
+        LogLevel::kError, EventKind::kInstanceListRefused, reason.code(),
+        {{"reason", reason.message()}});
+    return;
+  }
+  revision_ = reply.version;
+  if (const auto peers = peers_()) peers->SetListedPeers(list->daemons);
+  FeedLeaving(context_, ListRead{reply.version, std::move(list->upstreams)});
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/instances/instance_watcher.h
@@ -0,0 +1,43 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_INSTANCES_INSTANCE_WATCHER_H_
+#define WISTERIAYOKE_SUPERVISOR_INSTANCES_INSTANCE_WATCHER_H_
+
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "supervisor/peers/peer_link.h"
+#include "supervisor/platform/platform_client.h"
+
+namespace wisteriayoke {
+
+/// Follows the platform's list of instances: which upstreams are leaving and
+/// where other daemons may be found. Also hears the peers' signs of leaving
+/// upstreams. A child of the root.
+class InstanceWatcher : public std::enable_shared_from_this<InstanceWatcher> {
+ public:
+  InstanceWatcher(DaemonContext context, PlatformFinder platform,
+                  PeerFinder peers, FailureHandler on_failure);
+
+  bool Start(LastReason& reason);
+  void Stop(const std::function<void()>& done);
+
+ private:
+  void Poll();
+  void Tick();
+  void HandleList(const StoreReply& reply);
+
+  DaemonContext context_;
+  PlatformFinder platform_;
+  PeerFinder peers_;
+  FailureHandler on_failure_;
+  RumourExchange::Subscription signs_;
+  std::minstd_rand jitter_;
+  LoopTimerPtr poll_timer_;
+  LoopTimerPtr tick_timer_;
+  std::uint64_t revision_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_INSTANCES_INSTANCE_WATCHER_H_
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -1,5 +1,6 @@
 #include "supervisor/peers/peer_link.h"
 
+#include <charconv>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -13,6 +14,9 @@
 
 constexpr Duration kLoadInterval = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxContentConnections = 32;
+constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusNotFound = 404;
 constexpr std::string_view kContentPrefix = "/tables/";
 
 /// Returns an incarnation above that of any former run on this instance.
@@ -31,8 +35,10 @@
 
 }  // namespace
 
-PeerLink::PeerLink(DaemonContext context, FailureHandler on_failure)
+PeerLink::PeerLink(DaemonContext context, AnnounceHandler on_announce,
+                   FailureHandler on_failure)
     : context_(context),
+      on_announce_(std::move(on_announce)),
       on_failure_(std::move(on_failure)),
       membership_(MakeSelf(context.settings),
                   context.settings.EndpointsOf(SettingKey::kPeerSeeds),
@@ -65,7 +71,7 @@
           const std::shared_ptr<HttpServerSession>& session) {
         const auto self = weak.lock();
         if (!self) return session->Abort();
-        session->Respond(self->ServeContent(request));
+        session->Respond(self->HandleRequest(request));
       },
       [](const LastReason&) {
         return HttpResponse{{400, {}}, ""};
@@ -196,13 +202,37 @@
   return members;
 }
 
-HttpResponse PeerLink::ServeContent(const HttpRequest& request) const {
+HttpResponse PeerLink::HandleRequest(const HttpRequest& request) {
+  const std::string& target = request.target;
+  if (!target.starts_with(kContentPrefix)) return {{kStatusNotFound, {}}, ""};
+  const std::string name = target.substr(kContentPrefix.size());
+  if (request.method == "PUT") return TakeAnnounced(name, request.body);
+  return ServeContent(name);
+}
+
+HttpResponse PeerLink::ServeContent(const std::string& hash) const {
   const DaemonState& state = context_.state;
-  const bool asked_for =
-      state.version.number > 0 &&
-      request.target == std::string(kContentPrefix) + state.version.hash;
-  if (!asked_for) return {{404, {}}, ""};
-  return {{200, {{"Content-Type", "application/json"}}}, state.table_content};
+  if (state.version.number == 0 || state.version.hash != hash) {
+    return {{kStatusNotFound, {}}, ""};
+  }
+  return {{kStatusOk, {{"Content-Type", "application/json"}}},
+          state.table_content};
+}
+
+HttpResponse PeerLink::TakeAnnounced(const std::string& number,
+                                     const std::string& content) {
+  std::uint64_t version = 0;
+  const auto parsed =
+      std::from_chars(number.data(), number.data() + number.size(), version);
+  LastReason reason;
+  if (parsed.ec != std::errc() || version == 0) {
+    reason.Set(ResultCode::kFieldInvalid,
+               "\"" + number + "\" is no version; give a whole number.");
+  } else if (on_announce_(version, content, reason)) {
+    return {{kStatusAccepted, {}}, ""};
+  }
+  return {{DescribeResultCode(reason.code()).http_status, {}},
+          reason.message() + "\n"};
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/peers/peer_link.h
+++ b/source/supervisor/peers/peer_link.h
@@ -20,7 +20,13 @@
 /// force over TCP at the same address. A child of the root.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
  public:
-  PeerLink(DaemonContext context, FailureHandler on_failure);
+  /// Takes tables that were accepted, as an operator's tool hands them over.
+  /// Returns false and the reason if they are invalid.
+  using AnnounceHandler = std::function<bool(
+      std::uint64_t number, const std::string& content, LastReason&)>;
+
+  PeerLink(DaemonContext context, AnnounceHandler on_announce,
+           FailureHandler on_failure);
 
   bool Start(LastReason& reason);
   /// Tells the peers that this daemon leaves.
@@ -35,6 +41,8 @@
   /// Returns a peer to fetch content from: first who told of it last, then any.
   std::optional<Endpoint> ChooseHolder(const std::string& hash);
 
+  std::size_t group_size() const { return membership_.group_size(); }
+
   /// Returns all that are known to be present, for the operators.
   std::vector<Member> ListMembers() const;
 
@@ -43,7 +51,10 @@
   void Tick();
   void ShareLoads();
   void HandleDatagram(std::string_view data, const Endpoint& from);
-  HttpResponse ServeContent(const HttpRequest& request) const;
+  HttpResponse HandleRequest(const HttpRequest& request);
+  HttpResponse ServeContent(const std::string& hash) const;
+  HttpResponse TakeAnnounced(const std::string& number,
+                             const std::string& content);
   void Feed(const PeerEvent& event);
   void SendMessage(const SendPeerMessage& action);
   void HandleMember(const Member& member);
@@ -51,6 +62,7 @@
   void HandleHead(const TableVersion& head, const Endpoint& teller);
 
   DaemonContext context_;
+  AnnounceHandler on_announce_;
   FailureHandler on_failure_;
   Membership membership_;
   std::shared_ptr<UdpEndpoint> udp_;
--- a/source/supervisor/platform/platform_client.cc
+++ b/source/supervisor/platform/platform_client.cc
@@ -69,6 +69,10 @@
        std::move(done));
 }
 
+void PlatformClient::ReadInstances(Done done) {
+  Send({.method = "GET", .target = "/instances"}, std::move(done));
+}
+
 void PlatformClient::ReadObject(const std::string& hash, Done done) {
   Send({.method = "GET", .target = "/objects/" + hash}, std::move(done));
 }
--- a/source/supervisor/platform/platform_client.h
+++ b/source/supervisor/platform/platform_client.h
@@ -46,6 +46,9 @@
   void WriteRecord(const std::string& key, const std::string& value,
                    std::uint64_t expected, Done done);
 
+  /// Reads the list of instances; the reply's version is its revision.
+  void ReadInstances(Done done);
+
   /// Reads the object whose digest is `hash`.
   void ReadObject(const std::string& hash, Done done);
 
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -45,6 +45,17 @@
               }};
 }
 
+PeerLink::AnnounceHandler RootSupervisor::MakeAnnounceHandler() {
+  return [this](std::uint64_t number, const std::string& content,
+                LastReason& reason) {
+    if (const auto tables = children_.Find<TableKeeper>()) {
+      return tables->Announce(number, content, reason);
+    }
+    reason.Set(ResultCode::kNotReady, "the tables' child is restarting");
+    return false;
+  };
+}
+
 bool RootSupervisor::Start(LastReason& reason) {
   return children_.Add({.name = "operators",
                         .create =
@@ -65,7 +76,16 @@
                         .create =
                             [this](FailureHandler on_failure) {
                               return Child(std::make_shared<PeerLink>(
-                                  Context(), std::move(on_failure)));
+                                  Context(), MakeAnnounceHandler(),
+                                  std::move(on_failure)));
+                            }},
+                       reason) &&
+         children_.Add({.name = "instances",
+                        .create =
+                            [this](FailureHandler on_failure) {
+                              return Child(std::make_shared<InstanceWatcher>(
+                                  Context(), MakePlatformFinder(),
+                                  MakePeerFinder(), std::move(on_failure)));
                             }},
                        reason) &&
          children_.Add(
@@ -97,6 +117,9 @@
 }
 
 void RootSupervisor::HandleTablesChanged() {
+  for (const auto& upstream : state_.leaving.ListLeaving()) {
+    state_.upstreams.SetLeaving(upstream, true);
+  }
   const auto upstreams = children_.Find<UpstreamsSupervisor>();
   if (!upstreams) return;
   LastReason reason;
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -9,6 +9,7 @@
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/front_end.h"
+#include "supervisor/instances/instance_watcher.h"
 #include "supervisor/operators/operators_port.h"
 #include "supervisor/peers/peer_link.h"
 #include "supervisor/platform/platform_client.h"
@@ -39,8 +40,9 @@
  private:
   using Child = std::variant<
       std::shared_ptr<OperatorsPort>, std::shared_ptr<PlatformClient>,
-      std::shared_ptr<PeerLink>, std::shared_ptr<TableKeeper>,
-      std::shared_ptr<UpstreamsSupervisor>, std::shared_ptr<FrontEnd>>;
+      std::shared_ptr<PeerLink>, std::shared_ptr<InstanceWatcher>,
+      std::shared_ptr<TableKeeper>, std::shared_ptr<UpstreamsSupervisor>,
+      std::shared_ptr<FrontEnd>>;
 
   DaemonContext Context() { return {loop_, settings_, state_}; }
   PlatformFinder MakePlatformFinder();
@@ -48,6 +50,7 @@
   OperatorsHooks MakeOperatorsHooks();
   DaemonStatus DescribeStatus();
   bool RestartChild(const std::string& path, LastReason& reason);
+  PeerLink::AnnounceHandler MakeAnnounceHandler();
   void HandleTablesChanged();
   void CutRequests();
   Duration DrainDeadline() const;
--- a/source/supervisor/tables/table_keeper.cc
+++ b/source/supervisor/tables/table_keeper.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/overloaded.h"
+#include "decisions/poll_interval.h"
 #include "supervisor/context/log.h"
 #include "wire/digest.h"
 #include "wire/table_codec.h"
@@ -78,12 +79,11 @@
 }
 
 void TableKeeper::ScheduleNextPoll() {
-  const Duration interval =
-      context_.settings.Milliseconds(SettingKey::kHeadPollInterval);
-  std::uniform_int_distribution<Duration::rep> spread(interval.count() / 2,
-                                                      interval.count());
-  poll_timer_ =
-      context_.loop.Schedule(Duration(spread(jitter_)), [this] { PollHead(); });
+  const auto peers = peers_();
+  const Duration interval = SharedPollInterval(
+      context_.settings.Milliseconds(SettingKey::kHeadPollInterval),
+      peers ? peers->group_size() : 1, jitter_);
+  poll_timer_ = context_.loop.Schedule(interval, [this] { PollHead(); });
 }
 
 void TableKeeper::HandleHead(const StoreReply& reply) {
@@ -154,6 +154,17 @@
   Feed(ContentRefused{hash});
 }
 
+bool TableKeeper::Announce(std::uint64_t number, const std::string& content,
+                           LastReason& reason) {
+  const auto tables = BuildTables(content, reason);
+  if (!tables) return false;
+  const std::string hash = ComputeDigest(content);
+  contents_[hash] = content;
+  Feed(HeadSeen{{number, hash}, TableSource::kPeer});
+  Feed(ContentArrived{hash, tables});
+  return true;
+}
+
 void TableKeeper::RecordRefusal(const LastReason& reason) {
   context_.state.timeline.Record(LogLevel::kError, EventKind::kTablesRefused,
                                  reason.code(), {{"reason", reason.message()}});
--- a/source/supervisor/tables/table_keeper.h
+++ b/source/supervisor/tables/table_keeper.h
@@ -27,6 +27,11 @@
   bool Start(LastReason& reason);
   void Stop(const std::function<void()>& done);
 
+  /// Takes content that was accepted as version `number`. Fails if the content
+  /// is invalid.
+  bool Announce(std::uint64_t number, const std::string& content,
+                LastReason& reason);
+
  private:
   void PollHead();
   void ScheduleNextPoll();
--- a/source/supervisor/upstreams/upstream_monitor.cc
+++ b/source/supervisor/upstreams/upstream_monitor.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "supervisor/context/leaving_feed.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -38,8 +40,9 @@
 
 void UpstreamMonitor::HandleLoad(const FetchResult& result) {
   if (result.code == ResultCode::kOk) {
-    context_.state.upstreams.SetLeaving(
-        spec_.name, result.response.head.status == kStatusLeaving);
+    FeedLeaving(context_,
+                UpstreamWord{spec_.name,
+                             result.response.head.status == kStatusLeaving});
   }
   poll_timer_ = context_.loop.Schedule(
       context_.settings.Milliseconds(SettingKey::kLoadPollInterval),
--- /dev/null
+++ b/tests/decisions/leaving_tracker_test.cc
@@ -0,0 +1,156 @@
+#include "decisions/leaving_tracker.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <optional>
+
+#include "base/overloaded.h"
+
+namespace wisteriayoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kDaemons = 3;
+const UpstreamName kEngine("engine1");
+
+/// What happens to one daemon or to the engine; `choice` picks the details.
+enum class StepKind {
+  kEngineAnswers,
+  kEngineUnreachable,
+  kListAnswers,
+  kOldListAnswers,
+  kRumourArrives,
+  kRumourRepeats,
+  kLast = kRumourRepeats,
+};
+
+struct Step {
+  StepKind kind = StepKind::kEngineAnswers;
+  std::size_t daemon = 0;
+  std::size_t choice = 0;
+  int pause_ms = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << "{" << static_cast<int>(step.kind) << " " << step.daemon << " "
+             << step.choice << " " << step.pause_ms << "ms}";
+}
+
+rc::Gen<Step> GenStep() {
+  return rc::gen::build<Step>(
+      rc::gen::set(&Step::kind, rc::gen::cast<StepKind>(rc::gen::inRange(
+                                    0, static_cast<int>(StepKind::kLast) + 1))),
+      rc::gen::set(&Step::daemon, rc::gen::inRange<std::size_t>(0, kDaemons)),
+      rc::gen::set(&Step::choice, rc::gen::inRange<std::size_t>(0, 16)),
+      rc::gen::set(&Step::pause_ms, rc::gen::inRange(0, 400)));
+}
+
+/// Trackers of several daemons before one engine that left for good after it
+/// had been live: what it and the list said before may still arrive.
+class LeavingWorld {
+ public:
+  void Run(const Step& step) {
+    now_ += milliseconds(step.pause_ms);
+    switch (step.kind) {
+      case StepKind::kEngineAnswers:
+        return Feed(step.daemon, UpstreamWord{kEngine, true});
+      case StepKind::kEngineUnreachable:
+        return Feed(step.daemon, LeavingTick{});
+      case StepKind::kListAnswers:
+        return Feed(step.daemon, ListRead{2, {{kEngine, true}}});
+      case StepKind::kOldListAnswers:
+        return Feed(step.daemon, ListRead{1, {{kEngine, false}}});
+      case StepKind::kRumourArrives:
+      case StepKind::kRumourRepeats:
+        return Deliver(step);
+    }
+  }
+
+  TimePoint now() const { return now_; }
+
+ private:
+  struct Sent {
+    TimePoint seen;
+  };
+
+  void Deliver(const Step& step) {
+    if (rumours_.empty()) return;
+    const Sent sent = rumours_[step.choice % rumours_.size()];
+    const Duration age = now_ - sent.seen;
+    Feed(step.daemon, LeavingHeard{{kEngine, age}});
+    if (age < LeavingTracker::kRumourLifetime) {
+      heard_until_[step.daemon] =
+          std::max(heard_until_[step.daemon].value_or(now_),
+                   sent.seen + LeavingTracker::kRumourLifetime);
+    }
+    Check(step.daemon);
+  }
+
+  void Feed(std::size_t daemon, const LeavingEvent& event) {
+    const auto* word = std::get_if<UpstreamWord>(&event);
+    const auto* list = std::get_if<ListRead>(&event);
+    if (word != nullptr && word->leaving) seen_[daemon] = true;
+    if (list != nullptr && list->upstreams[0].leaving) seen_[daemon] = true;
+    for (const auto& action : trackers_[daemon].Handle(event, now_)) {
+      if (std::holds_alternative<TellLeaving>(action)) {
+        RC_ASSERT(seen_[daemon]);
+        rumours_.push_back({now_});
+      }
+    }
+    if (!std::holds_alternative<LeavingHeard>(event)) Check(daemon);
+  }
+
+  /// A daemon that saw the sign itself never uses the engine again; one that
+  /// heard of it doesn't while the word holds, and not for longer.
+  void Check(std::size_t daemon) const {
+    const bool heard = heard_until_[daemon] && now_ < *heard_until_[daemon];
+    RC_ASSERT(trackers_[daemon].IsLeaving(kEngine) == (seen_[daemon] || heard));
+  }
+
+  std::array<LeavingTracker, kDaemons> trackers_;
+  std::array<bool, kDaemons> seen_{};
+  std::array<std::optional<TimePoint>, kDaemons> heard_until_;
+  std::vector<Sent> rumours_;
+  TimePoint now_{};
+};
+
+}  // namespace
+
+TEST_CASE("old signs don't bring a leaving upstream back into use") {
+  const bool held = rc::check("leaving upstreams", [] {
+    const auto steps = *rc::gen::container<std::vector<Step>>(GenStep());
+    LeavingWorld world;
+    for (const auto& step : steps) world.Run(step);
+  });
+  CHECK(held);
+}
+
+TEST_CASE("an upstream returns when it says so steadily and none gainsays") {
+  LeavingTracker tracker;
+  TimePoint now;
+  tracker.Handle(UpstreamWord{kEngine, true}, now);
+  tracker.Handle(UpstreamWord{kEngine, false}, now + milliseconds(100));
+  CHECK(tracker.IsLeaving(kEngine));
+  tracker.Handle(UpstreamWord{kEngine, true}, now + milliseconds(200));
+  tracker.Handle(UpstreamWord{kEngine, false}, now + milliseconds(300));
+  tracker.Handle(UpstreamWord{kEngine, false}, now + milliseconds(2200));
+  CHECK(tracker.IsLeaving(kEngine));
+  tracker.Handle(UpstreamWord{kEngine, false}, now + milliseconds(2300));
+  CHECK_FALSE(tracker.IsLeaving(kEngine));
+}
+
+TEST_CASE("the first sign marks at once and is told once in a second") {
+  LeavingTracker tracker;
+  const TimePoint start;
+  const auto first = tracker.Handle(UpstreamWord{kEngine, true}, start);
+  REQUIRE(first.size() == 2);
+  CHECK(std::get<MarkLeaving>(first[0]).leaving);
+  CHECK(std::holds_alternative<TellLeaving>(first[1]));
+  CHECK(tracker.Handle(LeavingTick{}, start + milliseconds(900)).empty());
+  CHECK(tracker.Handle(LeavingTick{}, start + milliseconds(1000)).size() == 1);
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/system/tables_outage.sh
@@ -0,0 +1,72 @@
+#!/usr/bin/env bash
+# A change of the tables is accepted and the store fails at once: the change
+# must be in force on all daemons within a second, a daemon that starts during
+# the outage must get it from its peers, and one that starts before a lagging
+# store must not take the version before.
+cd "$(dirname "$0")/../.." || exit 1
+CLUSTER_PORT="${CLUSTER_PORT:-27000}"
+source scripts/cluster.sh
+trap stop_cluster EXIT
+
+fail() {
+  echo "FAILED: $*; logs are in $cluster_dir" >&2
+  exit 1
+}
+
+now_ms() { date +%s%3N; }
+peers_of() { echo "$cluster_net.$1:$((cluster_port + 2))"; }
+set_faults() { curl -sf -X PUT -d "$1" "http://$platform_address/faults"; }
+# Announces FILE as version N to daemon D and prints the status.
+announce() {
+  curl -s -o "$cluster_dir/announced" -w '%{http_code}' -X PUT \
+    --data-binary "@$3" "http://$(peers_of "$1")/tables/$2"
+}
+in_force() { grep -q "event=tables-in-force .*version=$2 " "$cluster_dir/daemon$1.log"; }
+all_in_force() {
+  local n
+  for n in 1 2 3 4; do in_force "$n" "$1" || return 1; done
+}
+knows_workspace() {
+  curl -sf -H "Wisteriayoke-Workspace: $2" \
+    "http://$(front_of "$1")/booking/seats" >/dev/null
+}
+
+start_cluster || fail "start"
+knows_workspace 1 nova && fail "the new workspace is known already"
+sed 's/{"name": "volta", "weight": 2},/&{"name": "nova"},/' \
+  "$cluster_dir/tables.json" >"$cluster_dir/next.json"
+hash="$(sha256sum "$cluster_dir/next.json" | cut -d' ' -f1)"
+curl -sf -X PUT --data-binary "@$cluster_dir/next.json" \
+  "http://$platform_address/objects/$hash" || fail "content"
+curl -sf -X PUT -H 'Expected-Version: 1' \
+  -d "{\"version\":2,\"hash\":\"$hash\"}" \
+  "http://$platform_address/records/tables/head" >/dev/null || fail "head"
+accepted="$(now_ms)"
+set_faults '{"outage":"refuse"}' || fail "outage"
+status="$(announce 1 2 "$cluster_dir/next.json")"
+[ "$status" = 202 ] || fail "announcement: $status"
+wait_until all_in_force 2 || fail "not in force everywhere"
+elapsed=$(($(now_ms) - accepted))
+echo "metric=tables_in_force=$elapsed ms"
+[ "$elapsed" -le 1000 ] || fail "in force after $elapsed ms"
+for n in 1 2 3 4; do
+  knows_workspace "$n" nova || fail "daemon$n doesn't know the new workspace"
+done
+
+status="$(announce 1 3 <(echo '{"routes": 1}'))"
+[ "$status" = 422 ] || fail "invalid tables were answered with $status"
+
+stop_process daemon3 || fail "daemon3 ended with status $?"
+started="$(now_ms)"
+start_daemon 3
+wait_until knows_workspace 3 nova || fail "no tables from the peers"
+echo "metric=cold_start_in_outage=$(($(now_ms) - started)) ms"
+
+stop_process daemon4 || fail "daemon4 ended with status $?"
+set_faults "{\"stale_ms\":$(($(now_ms) - accepted + 50))}" || fail "lag"
+curl -s "http://$platform_address/records/tables/head" |
+  grep -q '"version":1' || fail "the store doesn't lag"
+start_daemon 4
+wait_until in_force 4 2 || fail "daemon4 has no tables"
+in_force 4 1 && fail "daemon4 took the version before"
+echo "cold start before a lagging store: version 2 alone"
