--- a/source/ctl/table_commands.cc
+++ b/source/ctl/table_commands.cc
@@ -4,6 +4,7 @@
 #include <ctime>
 #include <random>
 
+#include "ctl/blocking_http.h"
 #include "ctl/edit_tables.h"
 #include "ctl/table_diff.h"
 #include "ctl/table_source.h"
@@ -80,6 +81,20 @@
          (end.current ? FormatTableHeadRecord(*end.current) : "null") + "}\n";
 }
 
+/// Hands accepted tables to the daemons, so that they come in force even if the
+/// store fails now. One that can't be reached hears of them from its peers.
+void Announce(const CtlOptions& options, const FinishEdit& end,
+              const std::string& content) {
+  const HttpRequest request{
+      .method = "PUT",
+      .target = "/tables/" + std::to_string(end.proposed.version.number),
+      .body = content};
+  for (const auto& daemon : options.daemons) {
+    LastReason ignored;
+    FetchBlocking(daemon, request, options.timeout, ignored);
+  }
+}
+
 CommandResult ReportEdit(const FinishEdit& end, bool json) {
   CommandResult result;
   if (json) result.output = EncodeEdit(end);
@@ -137,6 +152,7 @@
                                      .author = options.author,
                                      .time = FormatNow()},
                                     *content);
+  if (end.outcome == EditOutcome::kAccepted) Announce(options, end, *content);
   return ReportEdit(end, options.json);
 }
 
--- a/source/decisions/member_table.cc
+++ b/source/decisions/member_table.cc
@@ -99,7 +99,7 @@
 
 std::vector<Member> MemberTable::Neighbours(const DaemonName& self,
                                             std::size_t count) const {
-  const std::vector<Member> present = ListPresent();
+  std::vector<Member> present = ListPresent();
   if (present.size() <= count) return present;
   const auto place = static_cast<std::size_t>(
       std::find_if(present.begin(), present.end(),
--- a/source/supervisor/operators/operators_port.cc
+++ b/source/supervisor/operators/operators_port.cc
@@ -1,5 +1,6 @@
 #include "supervisor/operators/operators_port.h"
 
+#include <charconv>
 #include <utility>
 
 #include "supervisor/context/metrics_page.h"
@@ -13,6 +14,7 @@
 constexpr int kStatusAccepted = 202;
 constexpr std::size_t kMaxConnections = 64;
 constexpr std::string_view kChildrenPrefix = "/children/";
+constexpr std::string_view kTablesPrefix = "/tables/";
 constexpr std::string_view kRestartSuffix = "/restart";
 
 HttpResponse BuildJson(int status, std::string body) {
@@ -64,6 +66,7 @@
 
 HttpResponse OperatorsPort::Handle(const HttpRequest& request) {
   const std::string_view path = PathOf(request.target);
+  if (request.method == "PUT") return HandlePut(path, request.body);
   return request.method == "POST" ? HandlePost(path) : HandleGet(path);
 }
 
@@ -76,6 +79,25 @@
   return BuildUnknown(path);
 }
 
+HttpResponse OperatorsPort::HandlePut(std::string_view path,
+                                      const std::string& content) {
+  if (!path.starts_with(kTablesPrefix)) return BuildUnknown(path);
+  path.remove_prefix(kTablesPrefix.size());
+  std::uint64_t number = 0;
+  const char* end = path.data() + path.size();
+  const auto parsed = std::from_chars(path.data(), end, number);
+  LastReason reason;
+  if (parsed.ec != std::errc() || parsed.ptr != end || number == 0) {
+    reason.Set(ResultCode::kFieldInvalid,
+               "\"" + std::string(path) + "\" is no version of the tables");
+    return BuildError(reason);
+  }
+  if (!hooks_.announce_tables(number, content, reason)) {
+    return BuildError(reason);
+  }
+  return BuildJson(kStatusAccepted, R"({"announced":true})");
+}
+
 HttpResponse OperatorsPort::HandlePost(std::string_view path) {
   if (path == "/drain") {
     // The answer goes out first; a second order must not cut what drains.
--- a/source/supervisor/operators/operators_port.h
+++ b/source/supervisor/operators/operators_port.h
@@ -20,11 +20,17 @@
   std::function<void()> request_stop;
   /// Restarts the child at a path of the tree; fails if none runs there.
   std::function<bool(const std::string& path, LastReason&)> restart_child;
+  /// Takes tables that the store accepted as version `number`; fails if they
+  /// are invalid.
+  std::function<bool(std::uint64_t number, const std::string& content,
+                     LastReason&)>
+      announce_tables;
 };
 
 /// Serves the operators' tool: GET /status, /timeline and /metrics, POST
-/// /drain and /children/PATH/restart. A child of the root that starts first
-/// and stops last, so that a daemon can be watched while it drains.
+/// /drain and /children/PATH/restart, PUT /tables/NUMBER. A child of the root
+/// that starts first and stops last, so that a daemon can be watched while it
+/// drains.
 class OperatorsPort : public std::enable_shared_from_this<OperatorsPort> {
  public:
   OperatorsPort(DaemonContext context, OperatorsHooks hooks,
@@ -40,6 +46,7 @@
  private:
   HttpResponse Handle(const HttpRequest& request);
   HttpResponse HandleGet(std::string_view path);
+  HttpResponse HandlePut(std::string_view path, const std::string& content);
   HttpResponse HandlePost(std::string_view path);
   HttpResponse RestartChild(std::string_view path);
   std::string EncodeTimeline() const;
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -1,6 +1,5 @@
 #include "supervisor/peers/peer_link.h"
 
-#include <charconv>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -15,14 +14,13 @@
 constexpr Duration kLoadInterval = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxContentConnections = 32;
 constexpr int kStatusOk = 200;
-constexpr int kStatusAccepted = 202;
 constexpr int kStatusNotFound = 404;
 constexpr std::string_view kContentPrefix = "/tables/";
 
 /// Returns an incarnation above that of any former run on this instance.
 std::uint64_t FirstIncarnation() {
   return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
           std::chrono::system_clock::now().time_since_epoch())
           .count());
 }
@@ -35,10 +33,8 @@
 
 }  // namespace
 
-PeerLink::PeerLink(DaemonContext context, AnnounceHandler on_announce,
-                   FailureHandler on_failure)
+PeerLink::PeerLink(DaemonContext context, FailureHandler on_failure)
     : context_(context),
-      on_announce_(std::move(on_announce)),
       on_failure_(std::move(on_failure)),
       membership_(MakeSelf(context.settings),
                   context.settings.EndpointsOf(SettingKey::kPeerSeeds),
@@ -71,7 +67,7 @@
           const std::shared_ptr<HttpServerSession>& session) {
         const auto self = weak.lock();
         if (!self) return session->Abort();
-        session->Respond(self->HandleRequest(request));
+        session->Respond(self->ServeContent(request));
       },
       [](const LastReason&) {
         return HttpResponse{{400, {}}, ""};
@@ -202,37 +198,14 @@
   return members;
 }
 
-HttpResponse PeerLink::HandleRequest(const HttpRequest& request) {
-  const std::string& target = request.target;
-  if (!target.starts_with(kContentPrefix)) return {{kStatusNotFound, {}}, ""};
-  const std::string name = target.substr(kContentPrefix.size());
-  if (request.method == "PUT") return TakeAnnounced(name, request.body);
-  return ServeContent(name);
-}
-
-HttpResponse PeerLink::ServeContent(const std::string& hash) const {
+HttpResponse PeerLink::ServeContent(const HttpRequest& request) const {
   const DaemonState& state = context_.state;
-  if (state.version.number == 0 || state.version.hash != hash) {
+  const std::string path = std::string(kContentPrefix) + state.version.hash;
+  if (state.version.number == 0 || request.target != path) {
     return {{kStatusNotFound, {}}, ""};
   }
   return {{kStatusOk, {{"Content-Type", "application/json"}}},
           state.table_content};
 }
 
-HttpResponse PeerLink::TakeAnnounced(const std::string& number,
-                                     const std::string& content) {
-  std::uint64_t version = 0;
-  const auto parsed =
-      std::from_chars(number.data(), number.data() + number.size(), version);
-  LastReason reason;
-  if (parsed.ec != std::errc() || version == 0) {
-    reason.Set(ResultCode::kFieldInvalid,
-               "\"" + number + "\" is no version; give a whole number.");
-  } else if (on_announce_(version, content, reason)) {
-    return {{kStatusAccepted, {}}, ""};
-  }
-  return {{DescribeResultCode(reason.code()).http_status, {}},
-          reason.message() + "\n"};
-}
-
 }  // namespace wisteriayoke
--- a/source/supervisor/peers/peer_link.h
+++ b/source/supervisor/peers/peer_link.h
@@ -20,13 +20,7 @@
 /// force over TCP at the same address. A child of the root.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
  public:
-  /// Takes tables that were accepted, as an operator's tool hands them over.
-  /// Returns false and the reason if they are invalid.
-  using AnnounceHandler = std::function<bool(
-      std::uint64_t number, const std::string& content, LastReason&)>;
-
-  PeerLink(DaemonContext context, AnnounceHandler on_announce,
-           FailureHandler on_failure);
+  PeerLink(DaemonContext context, FailureHandler on_failure);
 
   bool Start(LastReason& reason);
   /// Tells the peers that this daemon leaves.
@@ -51,10 +45,7 @@
   void Tick();
   void ShareLoads();
   void HandleDatagram(std::string_view data, const Endpoint& from);
-  HttpResponse HandleRequest(const HttpRequest& request);
-  HttpResponse ServeContent(const std::string& hash) const;
-  HttpResponse TakeAnnounced(const std::string& number,
-                             const std::string& content);
+  HttpResponse ServeContent(const HttpRequest& request) const;
   void Feed(const PeerEvent& event);
   void SendMessage(const SendPeerMessage& action);
   void HandleMember(const Member& member);
@@ -62,7 +53,6 @@
   void HandleHead(const TableVersion& head, const Endpoint& teller);
 
   DaemonContext context_;
-  AnnounceHandler on_announce_;
   FailureHandler on_failure_;
   Membership membership_;
   std::shared_ptr<UdpEndpoint> udp_;
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -42,18 +42,22 @@
           .restart_child =
               [this](const std::string& path, LastReason& reason) {
                 return RestartChild(path, reason);
+              },
+          .announce_tables =
+              [this](std::uint64_t number, const std::string& content,
+                     LastReason& reason) {
+                return AnnounceTables(number, content, reason);
               }};
 }
 
-PeerLink::AnnounceHandler RootSupervisor::MakeAnnounceHandler() {
-  return [this](std::uint64_t number, const std::string& content,
-                LastReason& reason) {
-    if (const auto tables = children_.Find<TableKeeper>()) {
-      return tables->Announce(number, content, reason);
-    }
-    reason.Set(ResultCode::kNotReady, "the tables' child is restarting");
-    return false;
-  };
+bool RootSupervisor::AnnounceTables(std::uint64_t number,
+                                    const std::string& content,
+                                    LastReason& reason) {
+  if (const auto tables = children_.Find<TableKeeper>()) {
+    return tables->Announce(number, content, reason);
+  }
+  reason.Set(ResultCode::kNotReady, "the tables' child is restarting");
+  return false;
 }
 
 bool RootSupervisor::Start(LastReason& reason) {
@@ -76,8 +80,7 @@
                         .create =
                             [this](FailureHandler on_failure) {
                               return Child(std::make_shared<PeerLink>(
-                                  Context(), MakeAnnounceHandler(),
-                                  std::move(on_failure)));
+                                  Context(), std::move(on_failure)));
                             }},
                        reason) &&
          children_.Add({.name = "instances",
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -52,7 +52,8 @@
   DaemonStatus DescribeStatus();
   bool RestartChild(const std::string& path, LastReason& reason);
   bool StartPlacement(LastReason& reason);
-  PeerLink::AnnounceHandler MakeAnnounceHandler();
+  bool AnnounceTables(std::uint64_t number, const std::string& content,
+                      LastReason& reason);
   void HandleTablesChanged();
   void CutRequests();
   Duration DrainDeadline() const;
--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -96,7 +96,7 @@
     archive_(index);
     if (index >= sizeof...(Kinds)) throw cereal::Exception("unknown kind");
     if constexpr (kReads) Emplace(value, index);
-    std::visit([this](auto& held) { Code(held); }, value);
+    std::visit([this](auto& held) { this->Code(held); }, value);
   }
 
   template <typename Item>
--- a/tests/operators/operators_port_test.cc
+++ b/tests/operators/operators_port_test.cc
@@ -12,6 +12,7 @@
 struct OperatorsFixture : DaemonFixture {
   int stops = 0;
   std::string restarted;
+  std::string announced;
   std::shared_ptr<OperatorsPort> port = std::make_shared<OperatorsPort>(
       Context(),
       OperatorsHooks{
@@ -22,6 +23,13 @@
                 restarted = path;
                 reason.Set(ResultCode::kUnknownChild, "no such child");
                 return path == "upstreams/pool";
+              },
+          .announce_tables =
+              [this](std::uint64_t number, const std::string& content,
+                     LastReason& reason) {
+                announced = std::to_string(number) + content;
+                reason.Set(ResultCode::kTableInvalid, "no tables");
+                return !content.empty();
               }},
       [](const LastReason&) {});
 
@@ -41,6 +49,19 @@
 
 }  // namespace
 
+TEST_CASE_FIXTURE(OperatorsFixture, "accepted tables are handed over") {
+  const auto put = [this](const char* target, const char* body) {
+    return Fetch(TestPorts::kOperators,
+                 {.method = "PUT", .target = target, .body = body})
+        .response.head.status;
+  };
+  CHECK(put("/tables/7", "content") == 202);
+  CHECK(announced == "7content");
+  CHECK(put("/tables/7", "") == 422);
+  CHECK(put("/tables/7x", "content") == 400);
+  CHECK(put("/other", "content") == 404);
+}
+
 TEST_CASE_FIXTURE(OperatorsFixture, "status and time line can be read") {
   state.timeline.Record(LogLevel::kDebug, EventKind::kStarted, ResultCode::kOk,
                         {{"front", "here"}});
