layers: fill gaps with idle cards of the best fit; bound paths across data centres

Ruled out: slow loads (a load of 27 layers took 4.7 s, as its share of 14 s says). Cards are now chosen by use, then by fit; one empty card is kept; a path over two data centres is taken only within the rate of the links.

--- a/source/decisions/layer_orders.cc
+++ b/source/decisions/layer_orders.cc
@@ -17,7 +17,7 @@
             return Actions{};
           },
           [&](const SequenceReported& report) {
-            HandleSequence(report);
+            HandleSequence(report, now);
             return Actions{};
           },
       },
@@ -33,20 +33,24 @@
     LayerCard card = upstream.card;
     const Book& book = books_.at(card.name);
     if (book.ordered) card.held = *book.ordered;
+    card.loading = book.busy || book.ordered || !book.sequence;
     cards.push_back(std::move(card));
   }
   Actions actions;
   for (const auto& [name, layers] : PlanLayers(model_, cards)) {
     Book& book = books_.at(name);
-    if (book.busy || book.ordered.value_or(book.held) == layers) continue;
-    if (auto action = Order(name, book, layers, now)) {
-      actions.push_back(std::move(*action));
-    }
+    if (book.busy || !book.sequence) continue;
+    if (book.ordered.value_or(book.held) == layers) continue;
+    actions.push_back(Order(name, book, layers, now));
   }
+  AskUnknown(now, actions);
   return actions;
 }
 
 void LayerOrders::Follow(const OrdersTick& tick, TimePoint now) {
+  for (const auto& upstream : tick.upstreams) {
+    laid_out_ = laid_out_ || upstream.card.held != LayerRange{};
+  }
   for (const auto& upstream : tick.upstreams) FollowOne(upstream, now);
   std::erase_if(books_, [&tick](const auto& item) {
     return std::none_of(tick.upstreams.begin(), tick.upstreams.end(),
@@ -63,8 +67,8 @@
   if (added || book.born_ms != upstream.born_ms) {
     const bool busy = book.busy;
     book = Book{.born_ms = upstream.born_ms, .busy = busy};
-    // An upstream that holds nothing has most likely had no order.
-    if (upstream.card.held == LayerRange{}) book.sequence = 0;
+    // Before the first layout no upstream has had an order.
+    if (!laid_out_) book.sequence = 0;
   }
   book.held = upstream.card.held;
   if (book.ordered == book.held) book.ordered.reset();
@@ -82,15 +86,18 @@
   return empty && now - joined_at_ < kQuietTime;
 }
 
-std::optional<LayerOrderAction> LayerOrders::Order(const UpstreamName& upstream,
-                                                   Book& book,
-                                                   const LayerRange& layers,
-                                                   TimePoint now) {
-  if (!book.sequence) {
-    if (now - book.ordered_at < kAskDelay) return std::nullopt;
+/// Asks the upstreams of which the sequence isn't known.
+void LayerOrders::AskUnknown(TimePoint now, Actions& actions) {
+  for (auto& [name, book] : books_) {
+    if (book.sequence || book.busy) continue;
+    if (now - book.ordered_at < kAskDelay) continue;
     book.busy = true;
-    return AskSequence{upstream};
+    actions.emplace_back(AskSequence{name});
   }
+}
+
+LayerOrderAction LayerOrders::Order(const UpstreamName& upstream, Book& book,
+                                    const LayerRange& layers, TimePoint now) {
   book.busy = true;
   book.ordered = layers;
   book.ordered_at = now;
@@ -112,10 +119,15 @@
   book.ordered_at = now;
 }
 
-void LayerOrders::HandleSequence(const SequenceReported& report) {
+void LayerOrders::HandleSequence(const SequenceReported& report,
+                                 TimePoint now) {
   const auto found = books_.find(report.upstream);
   if (found == books_.end()) return;
   found->second.busy = false;
+  if (report.loading || !report.sequence) {
+    found->second.ordered_at = now;
+    return;
+  }
   found->second.sequence = report.sequence;
 }
 
--- a/source/decisions/layer_orders.h
+++ b/source/decisions/layer_orders.h
@@ -51,6 +51,7 @@
 struct SequenceReported {
   UpstreamName upstream;
   std::optional<OrderSequence> sequence;
+  bool loading = false;  ///< Whether an order is being carried out.
 };
 
 using LayerOrderEvent =
@@ -111,14 +112,15 @@
   void FollowOne(const PlacedUpstream& upstream, TimePoint now);
   bool MustWait(TimePoint now) const;
   void HandleEnd(const LayerOrderEnded& end, TimePoint now);
-  void HandleSequence(const SequenceReported& report);
-  std::optional<LayerOrderAction> Order(const UpstreamName& upstream,
-                                        Book& book, const LayerRange& layers,
-                                        TimePoint now);
+  void HandleSequence(const SequenceReported& report, TimePoint now);
+  void AskUnknown(TimePoint now, Actions& actions);
+  static LayerOrderAction Order(const UpstreamName& upstream, Book& book,
+                                const LayerRange& layers, TimePoint now);
 
   LayeredModel model_;
   std::map<UpstreamName, Book> books_;
   TimePoint joined_at_;  ///< When an upstream last joined.
+  bool laid_out_ = false;  ///< Whether any upstream ever held layers.
 };
 
 }  // namespace wisteriayoke
--- a/source/decisions/layer_path.cc
+++ b/source/decisions/layer_path.cc
@@ -13,8 +13,9 @@
 /// A hop inside a data centre takes about a tenth of a millisecond each way,
 /// against a step of about one.
 constexpr double kHopCost = 0.3;
-/// The prompt's hidden states hold the link for about as long as twenty steps.
-constexpr double kCrossHopCost = 20.0;
+/// More than any path inside a data centre costs, however crowded: the hidden
+/// states of all prompts share the link.
+constexpr double kCrossHopCost = 1000.0;
 /// How much a full upstream is slower than an idle one.
 constexpr double kCrowding = 3.0;
 
@@ -103,6 +104,21 @@
   std::map<Position, Arrival> arrivals_;
 };
 
+std::uint32_t CountCrossHops(const Chain& chain,
+                             const std::vector<PathCandidate>& candidates) {
+  std::uint32_t hops = 0;
+  const DataCentreName* before = nullptr;
+  for (const auto& stage : chain) {
+    for (const auto& candidate : candidates) {
+      if (candidate.upstream->name != stage.upstream) continue;
+      const DataCentreName& here = candidate.upstream->data_centre;
+      if (before != nullptr && *before != here) ++hops;
+      before = &here;
+    }
+  }
+  return hops;
+}
+
 }  // namespace
 
 PathChoice ChoosePath(std::uint32_t layer_count,
@@ -114,9 +130,12 @@
     if (candidate.in_flight < candidate.limit) open.push_back(&candidate);
   }
   Chain chain = PathSearch(layer_count, open).Run();
-  if (!chain.empty()) return {PathOutcome::kFound, std::move(chain)};
+  if (!chain.empty()) {
+    const std::uint32_t hops = CountCrossHops(chain, candidates);
+    return {PathOutcome::kFound, std::move(chain), hops};
+  }
   const bool covered = !PathSearch(layer_count, all).Run().empty();
-  return {covered ? PathOutcome::kBusy : PathOutcome::kUncovered, {}};
+  return {covered ? PathOutcome::kBusy : PathOutcome::kUncovered, {}, 0};
 }
 
 }  // namespace wisteriayoke
--- a/source/decisions/layer_path.h
+++ b/source/decisions/layer_path.h
@@ -34,6 +34,7 @@
 struct PathChoice {
   PathOutcome outcome = PathOutcome::kUncovered;
   Chain chain;
+  std::uint32_t cross_hops = 0;  ///< Between data centres.
 };
 
 /// Chooses the path over all layers with the least expected time for a token.
--- a/source/decisions/layer_plan.cc
+++ b/source/decisions/layer_plan.cc
@@ -4,17 +4,20 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <set>
 
 namespace wisteriayoke {
 namespace {
 
-/// KV cache that a stage keeps room for, in tokens: about 120 requests of 950
-/// tokens, what one path carries at the crest. Smaller steps are taken where
-/// the memory doesn't allow it.
+/// KV cache that a stage keeps room for, in tokens: about ninety requests of
+/// 950 tokens, a third of what three data centres carry at the crest. Smaller
+/// steps are taken where the memory doesn't allow it.
 constexpr auto kTokenSteps = std::to_array<double>(
-    {115'000, 100'000, 85'000, 70'000, 55'000, 40'000, 25'000, 10'000, 0});
+    {88'000, 70'000, 55'000, 40'000, 25'000, 10'000, 0});
 /// Memory beyond one copy that a group keeps for substitutes.
 constexpr double kSpareShare = 0.15;
+/// Empty cards that a group keeps for its next gap.
+constexpr std::size_t kReserve = 1;
 
 /// A card with the layers that it may hold.
 struct GroupCard {
@@ -40,9 +43,12 @@
   }
 
   LayerPlan Run() {
+    const bool first = std::all_of(
+        cards_.begin(), cards_.end(),
+        [](const GroupCard& card) { return card.card->held == LayerRange{}; });
     for (const auto& card : cards_) Keep(card);
-    CoverGaps();
-    FillEmptyCards();
+    CoverGaps(first);
+    FillEmptyCards(first ? 0 : kReserve);
     return plan_;
   }
 
@@ -95,44 +101,88 @@
                       static_cast<std::uint32_t>(end - coverage_.begin())};
   }
 
-  void CoverGaps() {
+  void CoverGaps(bool first) {
     while (const auto gap = FindGap()) {
-      const GroupCard* card = FindCardFor(*gap);
+      const GroupCard* card = FindCardFor(*gap, first);
       if (card == nullptr) return;
-      const std::uint32_t length =
-          std::min(card->capacity, gap->end - gap->first);
-      Assign(*card, {gap->first, gap->first + length});
+      assigned_.insert(card->card->name);
+      Assign(*card, RangeFor(*card, *gap, first));
     }
   }
 
-  /// Returns the card to give layers of `gap` to: an empty one before one that
-  /// others replace, then the one with the most room; null if there is none.
-  const GroupCard* FindCardFor(const LayerRange& gap) const {
-    const GroupCard* spare = nullptr;
+  /// Returns the layers of `gap` for `card`. In a first layout it fills the
+  /// card, so that as many layers as can be are held twice.
+  LayerRange RangeFor(const GroupCard& card, const LayerRange& gap,
+                      bool first) const {
+    const std::uint32_t length =
+        first ? card.capacity : std::min(card.capacity, gap.end - gap.first);
+    const std::uint32_t begin =
+        std::min(gap.first, model_.layer_count - length);
+    return {begin, begin + length};
+  }
+
+  /// How well a card suits a gap; the least value is the best.
+  struct Fit {
+    bool in_use = false;        ///< Whether it must first end its requests.
+    bool holds = false;         ///< Whether it gives up layers.
+    std::uint32_t missing = 0;  ///< Layers of the gap that are left.
+    std::uint32_t excess = 0;   ///< Layers that it could hold besides.
+
+    friend auto operator<=>(const Fit&, const Fit&) = default;
+  };
+
+  /// Returns the card to give layers of `gap` to, or null. A first layout takes
+  /// the largest cards first, for the fewest hops.
+  const GroupCard* FindCardFor(const LayerRange& gap, bool first) const {
+    const GroupCard* best = nullptr;
+    Fit best_fit;
     for (const auto& card : cards_) {
-      if (card.capacity == 0) continue;
-      if (!plan_.contains(card.card->name)) return &card;
-      if (spare == nullptr && IsReplaceable(card, gap)) spare = &card;
+      if (!IsFree(card)) continue;
+      if (first) return &card;
+      const Fit fit = FitOf(card, gap.end - gap.first);
+      if (best != nullptr && best_fit <= fit) continue;
+      best = &card;
+      best_fit = fit;
     }
-    return spare;
+    return best;
+  }
+
+  Fit FitOf(const GroupCard& card, std::uint32_t length) const {
+    return {.in_use = card.card->in_flight > 0,
+            .holds = plan_.contains(card.card->name),
+            .missing = length - std::min(length, card.capacity),
+            .excess = card.capacity - std::min(length, card.capacity)};
   }
 
-  bool IsReplaceable(const GroupCard& card, const LayerRange& gap) const {
-    const LayerRange& range = plan_.at(card.card->name);
-    if (range.first == gap.first) return false;
-    return std::all_of(coverage_.begin() + range.first,
-                       coverage_.begin() + range.end,
+  /// Tells whether `card` can be given other layers without leaving a gap.
+  bool IsFree(const GroupCard& card) const {
+    if (card.capacity == 0 || card.card->loading ||
+        assigned_.contains(card.card->name)) {
+      return false;
+    }
+    const auto found = plan_.find(card.card->name);
+    return found == plan_.end() ||
+           std::all_of(coverage_.begin() + found->second.first,
+                       coverage_.begin() + found->second.end,
                        [](std::uint32_t held) { return held > 1; });
   }
 
-  /// Gives each card that is left the layers that fewest cards hold.
-  void FillEmptyCards() {
+  /// Gives the empty cards but the `reserve` largest the layers that fewest
+  /// cards hold.
+  void FillEmptyCards(std::size_t reserve) {
     for (const auto& card : cards_) {
       if (card.capacity == 0 || plan_.contains(card.card->name)) continue;
+      if (reserve > 0) {
+        --reserve;
+        continue;
+      }
       Assign(card, FindThinnest(card.capacity));
     }
   }
 
+  /// Returns the `length` layers that fewest cards hold; of several such ranges
+  /// the last, since small cards, which can be replaced whole, hold the last
+  /// layers.
   LayerRange FindThinnest(std::uint32_t length) const {
     LayerRange best;
     std::uint64_t best_sum = 0;
@@ -141,7 +191,7 @@
       for (std::uint32_t i = first; i < first + length; ++i) {
         sum += coverage_[i];
       }
-      if (best.end != 0 && sum >= best_sum) continue;
+      if (best.end != 0 && sum > best_sum) continue;
       best = {first, first + length};
       best_sum = sum;
     }
@@ -152,6 +202,7 @@
   std::vector<GroupCard> cards_;
   std::vector<std::uint32_t> coverage_;  ///< Cards that hold each layer.
   LayerPlan plan_;
+  std::set<UpstreamName> assigned_;  ///< Those that were given layers now.
 };
 
 /// Returns the groups that get copies of their own: data centres that can hold
--- a/source/decisions/upstream_book.cc
+++ b/source/decisions/upstream_book.cc
@@ -82,6 +82,12 @@
   state.latency = AverageLatency(state.latency, latency);
 }
 
+void UpstreamBook::RecordPoor(const UpstreamName& name, Duration latency) {
+  RecordEnd(name);
+  UpstreamState& state = states_[name];
+  state.latency = AverageLatency(state.latency, latency);
+}
+
 void UpstreamBook::RecordFailure(const UpstreamName& name, TimePoint now) {
   RecordEnd(name);
   Eject(name, now);
--- a/source/decisions/upstream_book.h
+++ b/source/decisions/upstream_book.h
@@ -69,6 +69,9 @@
   void RecordFailure(const UpstreamName& name, TimePoint now);
   /// Ends a request that says nothing about the upstream's health.
   void RecordEnd(const UpstreamName& name);
+  /// Ends a request that was answered badly or not at all; it counts as one
+  /// that took `latency`, so that the upstream is preferred less.
+  void RecordPoor(const UpstreamName& name, Duration latency);
   void SetLeaving(const UpstreamName& name, bool leaving);
 
   /// Takes `name` out of use until a probe succeeds.
--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -40,6 +40,7 @@
   kUpstreamSuspected,
   kStreamResumed,
   kRequestAnswered,
+  kRequestLate,
   kKeysStale,
   kReloaded,
 };
@@ -78,6 +79,7 @@
     {EventKind::kUpstreamSuspected, "upstream-suspected"},
     {EventKind::kStreamResumed, "stream-resumed"},
     {EventKind::kRequestAnswered, "request-answered"},
+    {EventKind::kRequestLate, "request-late"},
     {EventKind::kKeysStale, "keys-stale"},
     {EventKind::kReloaded, "reloaded"},
 });
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -5,6 +5,7 @@
 
 #include "decisions/fleet.h"
 #include "decisions/freshness.h"
+#include "decisions/link_budget.h"
 #include "decisions/relay_tables.h"
 #include "decisions/retry_budget.h"
 
@@ -17,6 +18,7 @@
   bool fleet_known = false;  ///< Whether the list of upstreams was read.
   Freshness freshness;       ///< Of `tables`.
   std::map<PoolName, RetryBudget> budgets;
+  LinkBudget links;  ///< Between data centres.
   double most_daemons = 1;  ///< Most members that were seen at a time.
 };
 
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -153,9 +153,15 @@
     if (accelerator == model.accelerators.end()) continue;
     const auto health = context_.state.upstreams.HealthOf(upstream.name, now);
     if (health == UpstreamHealth::kEjected) continue;
-    tick.upstreams.push_back({{upstream.name, upstream.data_centre,
-                               accelerator->second.memory_mb, upstream.layers},
-                              entry->born_ms});
+    const auto& book = context_.state.upstreams;
+    tick.upstreams.push_back(
+        {{.name = upstream.name,
+          .data_centre = upstream.data_centre,
+          .memory_mb = accelerator->second.memory_mb,
+          .held = upstream.layers,
+          .in_flight = book.CountInFlight(upstream.name,
+                                          context_.state.peer_loads, now)},
+         entry->born_ms});
   }
   return tick;
 }
@@ -219,10 +225,12 @@
               upstream = action.upstream](const FetchResult& result) {
                LastReason ignored;
                const auto report = ParseReport(result.response.body, ignored);
-               self->FeedOrders(pool,
-                                SequenceReported{upstream,
-                                                 report ? report->orders
-                                                        : std::nullopt});
+               SequenceReported reported{.upstream = upstream};
+               if (report) {
+                 reported.sequence = report->orders;
+                 reported.loading = report->loading;
+               }
+               self->FeedOrders(pool, reported);
              });
 }
 
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -1,6 +1,7 @@
 #include "supervisor/relay/relay_front.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "platform/fleet_codec.h"
@@ -216,7 +217,9 @@
     return Suspect(upstream, result.message);
   }
   context_.state.upstreams.Restore(upstream);
-  for (const auto& endpoint : report->stalled_at) {
+  const std::set<Endpoint> stalled(report->stalled_at.begin(),
+                                   report->stalled_at.end());
+  for (const auto& endpoint : stalled) {
     for (const auto& [name, entry] : context_.state.relay.fleet.entries()) {
       if (entry.upstream.endpoint != endpoint) continue;
       Suspect(UpstreamName(name), "reported by " + upstream.text());
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -38,6 +38,18 @@
   return status >= kStatusOk && status < kStatusMultipleChoices;
 }
 
+/// Returns the stages of `target`, for logs.
+std::string DescribePath(const RelayTarget& target) {
+  if (target.chain.empty()) return target.upstream.text();
+  std::string text;
+  for (const auto& stage : target.chain) {
+    if (!text.empty()) text += ",";
+    text += stage.upstream.text() + ":" + std::to_string(stage.layers.first) +
+            "-" + std::to_string(stage.layers.end);
+  }
+  return text;
+}
+
 /// Tells whether callers take the status for a promise that nothing has run.
 bool PromisesNotRun(int status) {
   return status == kStatusTimeout || status == kStatusMisdirected ||
@@ -100,7 +112,8 @@
   }
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
   if (pool == nullptr) return Decide(NoTarget{});
-  const TargetChoice choice = ChooseTarget(context_, *pool, excluded_);
+  const TargetChoice choice = ChooseTarget(
+      context_, *pool, excluded_, request_.fields.prompt_tokens);
   if (!choice.target) return Decide(NoTarget{choice.code});
   Send(*choice.target);
 }
@@ -112,9 +125,10 @@
   event_stream_ = false;
   body_.clear();
   splitter_ = {};
-  progress_at_ = context_.loop.Now();
+  sent_at_ = progress_at_ = context_.loop.Now();
   doubted_at_.reset();
   ++attempts_;
+  path_ = DescribePath(target);
   course_.RecordSent();
   for (const auto& name : target.ListUpstreams()) {
     context_.state.upstreams.RecordStart(name);
@@ -196,11 +210,18 @@
 }
 
 void RelaySession::Forward(std::string_view data) {
-  if (!delivering_) {
+  const TimePoint now = context_.loop.Now();
+  const TimePoint before = std::exchange(delivered_at_, now);
+  if (delivering_) {
+    longest_pause_ = std::max(longest_pause_, now - before);
+    context_.state.metrics.Observe(LatencyKind::kTimeBetweenTokens,
+                                   now - before);
+  } else {
     delivering_ = true;
+    first_event_after_ = now - arrived_;
     course_.RecordDelivery();
     context_.state.metrics.Observe(LatencyKind::kTimeToFirstToken,
-                                   context_.loop.Now() - arrived_);
+                                   *first_event_after_);
     request_.caller->StartStream(
         {head_.status, BuildPassedFields(head_.fields)});
   }
@@ -220,7 +241,7 @@
 }
 
 void RelaySession::FinishStream() {
-  EndAttempt(true);
+  EndAttempt(AttemptVerdict::kGood);
   const std::string rest = splitter_.rest();
   if (!delivering_ || !rest.empty()) Forward(rest);
   if (ended_) return;
@@ -233,8 +254,12 @@
     // Without the upstream's word the promise would be the router's own.
     return LoseAttempt(ResultCode::kUpstreamFailed, false);
   }
-  EndAttempt(true);
-  if (head_.status >= kStatusFailure) return Decide(AttemptFailed{});
+  if (head_.status >= kStatusFailure) {
+    excluded_.insert(target_->upstream);
+    EndAttempt(AttemptVerdict::kPoor);
+    return Decide(AttemptFailed{});
+  }
+  EndAttempt(AttemptVerdict::kGood);
   Carry(PassAnswer{});
 }
 
@@ -280,30 +305,39 @@
 
 void RelaySession::LoseAttempt(ResultCode code, bool upstream_gone) {
   if (target_->chain.empty()) excluded_.insert(target_->upstream);
-  EndAttempt(false);
+  EndAttempt(AttemptVerdict::kPoor);
   Decide(AttemptLost{code, upstream_gone});
 }
 
 void RelaySession::RejectAttempt(ResultCode code) {
   excluded_.insert(target_->upstream);
-  EndAttempt(false);
+  EndAttempt(AttemptVerdict::kNone);
   Decide(AttemptRejected{code});
 }
 
-void RelaySession::EndAttempt(bool good) {
+void RelaySession::EndAttempt(AttemptVerdict verdict) {
   if (!target_) return;
-  for (const auto& name : target_->ListUpstreams()) {
-    if (good) {
-      context_.state.upstreams.RecordSuccess(name);
-    } else {
-      context_.state.upstreams.RecordEnd(name);
-    }
-  }
+  for (const auto& name : target_->ListUpstreams()) EndWork(name, verdict);
   target_.reset();
   if (call_) call_->Cancel();
   call_.reset();
 }
 
+void RelaySession::EndWork(const UpstreamName& upstream,
+                           AttemptVerdict verdict) {
+  UpstreamBook& book = context_.state.upstreams;
+  const TimePoint now = context_.loop.Now();
+  switch (verdict) {
+    case AttemptVerdict::kGood:
+      return book.RecordSuccess(upstream, now - sent_at_, now);
+    case AttemptVerdict::kPoor:
+      // Not the measured time: an upstream that fails fast isn't a fast one.
+      return book.RecordPoor(upstream, request_.route.timeout);
+    case AttemptVerdict::kNone:
+      return book.RecordEnd(upstream);
+  }
+}
+
 void RelaySession::Decide(const CourseEvent& event) {
   if (ended_) return;
   const CourseAction action = course_.Handle(event, Budget());
@@ -332,13 +366,13 @@
 }
 
 void RelaySession::Carry(const BreakAnswer& action) {
-  EndAttempt(false);
+  EndAttempt(AttemptVerdict::kNone);
   request_.caller->BreakStream();
   End(action.code);
 }
 
 void RelaySession::Answer(ResultCode code, Duration retry_after) {
-  EndAttempt(false);
+  EndAttempt(AttemptVerdict::kNone);
   const ResultCodeInfo& info = DescribeResultCode(code);
   request_.caller->Respond(BuildOwnAnswer(
       info.http_status, request_.fields.attempt_id,
@@ -348,7 +382,7 @@
 
 void RelaySession::Leave() {
   if (ended_) return;
-  EndAttempt(false);
+  EndAttempt(AttemptVerdict::kNone);
   End(ResultCode::kCancelled);
 }
 
@@ -363,10 +397,17 @@
   const bool good =
       code == ResultCode::kOk || code == ResultCode::kCancelled;
   if (!good) return Record(LogLevel::kWarning, EventKind::kRequestFailed, code);
+  if (IsLate()) return Record(LogLevel::kWarning, EventKind::kRequestLate, code);
   if (state.requests_started % kLogEvery != 0) return;
   Record(LogLevel::kInfo, EventKind::kRequestAnswered, code);
 }
 
+bool RelaySession::IsLate() const {
+  return longest_pause_ > request_.route.longest_pause ||
+         first_event_after_.value_or(Duration::zero()) >
+             request_.route.latency_objective;
+}
+
 void RelaySession::Record(LogLevel level, EventKind kind,
                           ResultCode code) const {
   const Duration age = context_.loop.Now() - arrived_;
@@ -376,7 +417,12 @@
        {"route", request_.route.name.text()},
        {"attempts", std::to_string(attempts_)},
        {"age_us", std::to_string(age.count())},
+       {"first_event_us", first_event_after_
+                              ? std::to_string(first_event_after_->count())
+                              : ""},
+       {"longest_pause_us", std::to_string(longest_pause_.count())},
        {"last_event", last_event_ ? std::to_string(*last_event_) : ""},
+       {"path", path_},
        {"tables", std::to_string(request_.tables->spec().version)}});
 }
 
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -71,7 +71,11 @@
 
   void LoseAttempt(ResultCode code, bool upstream_gone);
   void RejectAttempt(ResultCode code);
-  void EndAttempt(bool good);
+  /// How an attempt counts for its upstreams.
+  enum class AttemptVerdict { kGood, kPoor, kNone };
+
+  void EndAttempt(AttemptVerdict verdict);
+  void EndWork(const UpstreamName& upstream, AttemptVerdict verdict);
   void Decide(const CourseEvent& event);
   void Carry(const SendAgain& action);
   void Carry(const PassAnswer& action);
@@ -81,6 +85,8 @@
   void Answer(ResultCode code, Duration retry_after);
   void Leave();
   void End(ResultCode code);
+  /// Tells whether the answer was later than the route wants.
+  bool IsLate() const;
   void Record(LogLevel level, EventKind kind, ResultCode code) const;
 
   DaemonContext context_;
@@ -100,8 +106,13 @@
   std::optional<std::uint64_t> last_event_;  ///< That the caller has.
   bool delivering_ = false;  ///< Whether the caller has a part of the answer.
   bool held_back_ = false;   ///< Whether a slow caller holds up the attempt.
+  TimePoint sent_at_;        ///< When the attempt was sent.
   TimePoint progress_at_;    ///< When the attempt last made progress.
   std::optional<TimePoint> doubted_at_;
+  std::optional<Duration> first_event_after_;  ///< Since the arrival.
+  TimePoint delivered_at_;     ///< When the caller got its last event.
+  Duration longest_pause_{};   ///< Between two events for the caller.
+  std::string path_;           ///< Upstreams of the last attempt, for logs.
   unsigned attempts_ = 0;
   LoopTimerPtr time_timer_;
   bool ended_ = false;
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -10,6 +10,9 @@
 /// Part of the memory beside the layers that requests may fill; the rest is for
 /// those that are longer than usual.
 constexpr double kMemoryShare = 0.9;
+/// Part of the links between data centres that requests may fill; the rest is
+/// for the hidden states of the tokens that they generate.
+constexpr double kLinkShare = 0.7;
 
 /// Returns how many usual requests `upstream` has memory for.
 std::uint32_t CountPlaces(const LayeredModel& model, double memory_mb,
@@ -47,12 +50,26 @@
   return candidates;
 }
 
+/// Takes `hidden_states` from this daemon's share of the links.
+bool TakeLinks(const DaemonContext& context, const LayeredModel& model,
+               double hidden_states) {
+  if (hidden_states <= 0 || model.link_tokens_per_s <= 0) return true;
+  RelayState& relay = context.state.relay;
+  const double rate =
+      kLinkShare * model.link_tokens_per_s / relay.most_daemons;
+  return relay.links.TryTake(hidden_states, rate, context.loop.Now());
+}
+
 TargetChoice ChooseChainTarget(const DaemonContext& context,
                                const RelayPool& pool,
-                               const std::set<UpstreamName>& excluded) {
+                               const std::set<UpstreamName>& excluded,
+                               double tokens) {
   const auto candidates = ListCandidates(context, pool, excluded);
   PathChoice choice = ChoosePath(pool.model->layer_count, candidates);
-  if (choice.outcome == PathOutcome::kBusy) {
+  const bool busy =
+      choice.outcome == PathOutcome::kBusy ||
+      !TakeLinks(context, *pool.model, tokens * choice.cross_hops);
+  if (busy) {
     return {.code = ResultCode::kOverloaded};
   }
   if (choice.outcome == PathOutcome::kUncovered) return {};
@@ -92,8 +109,9 @@
 }
 
 TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
-                          const std::set<UpstreamName>& excluded) {
-  return pool.model ? ChooseChainTarget(context, pool, excluded)
+                          const std::set<UpstreamName>& excluded,
+                          double tokens) {
+  return pool.model ? ChooseChainTarget(context, pool, excluded, tokens)
                     : ChooseServiceTarget(context, pool, excluded);
 }
 
--- a/source/supervisor/relay/relay_target.h
+++ b/source/supervisor/relay/relay_target.h
@@ -25,9 +25,11 @@
   ResultCode code = ResultCode::kNoUpstream;
 };
 
-/// Chooses where to send a request for `pool`, without `excluded`.
+/// Chooses where to send a request for `pool`, without `excluded`. Its stages
+/// read `tokens` tokens before the first new one.
 TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
-                          const std::set<UpstreamName>& excluded);
+                          const std::set<UpstreamName>& excluded,
+                          double tokens);
 
 }  // namespace wisteriayoke
 
