--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -9,7 +9,7 @@
 
 /// Part of the memory beside the layers that requests may fill; the rest is for
 /// those that are longer than usual.
-constexpr double kMemoryShare = 0.9;
+constexpr double kMemoryShare = 1.05;
 /// Part of the links between data centres that requests may fill; the rest is
 /// for the hidden states of the tokens that they generate.
 constexpr double kLinkShare = 0.7;
