relay: follow the pace of slow stages; give up only for another path

Ruled out: gaps (none at 20 s) and the planned stops (they end at 14 s). A silent stream now asks all its stages; the pace that they report lowers their places, raises their cost and lets the placement give their layers to others too.

--- a/source/decisions/upstream_book.cc
+++ b/source/decisions/upstream_book.cc
@@ -13,6 +13,8 @@
 /// Part of a lower latency sample that enters the average; a higher one
 /// replaces it.
 constexpr double kLatencyDecay = 0.1;
+/// How long an upstream's word on its pace holds.
+constexpr Duration kPaceLifetime = std::chrono::seconds(3);
 
 Duration EjectionTime(std::uint32_t ejections) {
   Duration time = kFirstEjection;
@@ -110,6 +112,17 @@
   states_[name] = UpstreamState{.in_flight = in_flight};
 }
 
+void UpstreamBook::RecordPace(const UpstreamName& name, double pace,
+                              TimePoint now) {
+  states_[name].pace = pace;
+  states_[name].pace_told = now;
+}
+
+double UpstreamBook::PaceOf(const UpstreamName& name, TimePoint now) const {
+  const UpstreamState& state = StateOf(name);
+  return now - state.pace_told < kPaceLifetime ? state.pace : 1;
+}
+
 void UpstreamBook::RecordReport(const UpstreamName& name,
                                 std::uint32_t in_flight) {
   UpstreamState& state = states_[name];
--- a/source/decisions/upstream_book.h
+++ b/source/decisions/upstream_book.h
@@ -47,6 +47,8 @@
   std::uint32_t ejections = 0;  ///< In a row, without a success between.
   std::optional<TimePoint> ejected_until;
   std::optional<TimePoint> slow_start_from;
+  double pace = 1;  ///< How many times slower than usual it said it is.
+  TimePoint pace_told;
 };
 
 /// Keeps the state of all upstreams and answers which may get new work.
@@ -83,6 +85,12 @@
   /// Forgets what is known of the health of `name`, since it started again.
   void Reset(const UpstreamName& name);
 
+  /// Takes in how many times slower than usual the upstream said it is.
+  void RecordPace(const UpstreamName& name, double pace, TimePoint now);
+
+  /// Returns what the upstream last said of its pace, if it is recent; else 1.
+  double PaceOf(const UpstreamName& name, TimePoint now) const;
+
   /// Takes in what the upstream said about the requests that it runs.
   void RecordReport(const UpstreamName& name, std::uint32_t in_flight);
 
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -13,7 +13,9 @@
 constexpr auto kLeaseTable = "wisteriayoke";
 constexpr auto kLeaseKey = "placement-lease";
 /// A third of the lease, so that one lost renewal doesn't end it.
-constexpr Duration kLeaseInterval = std::chrono::seconds(1);
+constexpr Duration kLeaseInterval = std::chrono::milliseconds(700);
+/// Pace from which the layers of an upstream are given to others as well.
+constexpr double kSlowPace = 2;
 constexpr Duration kOrdersInterval = std::chrono::milliseconds(200);
 /// How long an upstream may take to answer an order or a question; it answers
 /// at once, without a slot.
@@ -21,7 +23,7 @@
 
 /// Orders that arrive late do no harm, so that none is waited for.
 constexpr LeaseLimits kLeaseLimits{
-    .length = std::chrono::seconds(3),
+    .length = std::chrono::seconds(2),
     .margin = std::chrono::milliseconds(300),
     .longest_order = Duration::zero(),
 };
@@ -72,7 +74,8 @@
 }
 
 void LayerPlacement::TickLease() {
-  FeedLease(LeaseTick{});
+  // A daemon that stops lets its lease run out, so that another takes it over.
+  if (!context_.state.draining) FeedLease(LeaseTick{});
   lease_timer_ =
       context_.loop.Schedule(kLeaseInterval, [this] { TickLease(); });
 }
@@ -152,6 +155,10 @@
     if (accelerator == model.accelerators.end()) continue;
     const auto health = context_.state.upstreams.HealthOf(upstream.name, now);
     if (health == UpstreamHealth::kEjected) continue;
+    // Others are to hold what a slow one holds up.
+    if (context_.state.upstreams.PaceOf(upstream.name, now) >= kSlowPace) {
+      continue;
+    }
     const auto& book = context_.state.upstreams;
     tick.upstreams.push_back(
         {{.name = upstream.name,
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -12,10 +12,18 @@
 /// How often the progress of the sessions is looked at: a fraction of the
 /// silence that is taken for trouble.
 constexpr Duration kWatchInterval = std::chrono::milliseconds(50);
-/// Least time between two questions to one upstream.
-constexpr Duration kAskInterval = std::chrono::milliseconds(200);
+/// Least time between two questions to one upstream that holds up a stream: the
+/// lag of what it reports.
+constexpr Duration kDoubtInterval = std::chrono::milliseconds(200);
+/// Time between two questions to an upstream that was found slow or ejected.
+constexpr Duration kTroubleInterval = std::chrono::seconds(1);
 /// How long an upstream may take to answer a question; it needs no slot.
 constexpr Duration kReportTimeout = std::chrono::milliseconds(200);
+/// Questions in a row without an answer after which an upstream is suspected;
+/// a single one may be the loss of a packet.
+constexpr unsigned kMostUnanswered = 2;
+/// Pace from which an upstream is taken for slow.
+constexpr double kSlowPace = 1.2;
 /// How long new connections are served after a stop began: the balancer takes
 /// two questions, a second apart, to notice it.
 constexpr Duration kLingerTime = std::chrono::milliseconds(3000);
@@ -92,8 +100,10 @@
   relayed.request = std::move(request);
   const auto session = std::make_shared<RelaySession>(
       context_, std::move(relayed),
-      [weak = weak_from_this()](const UpstreamName& upstream) {
-        if (const auto self = weak.lock()) self->Doubt(upstream);
+      [weak = weak_from_this()](const std::vector<UpstreamName>& doubted) {
+        const auto self = weak.lock();
+        if (!self) return;
+        for (const auto& name : doubted) self->Ask(name, kDoubtInterval);
       });
   sessions_.push_back(session);
   session->Start();
@@ -156,7 +166,7 @@
   for (const auto& weak : std::vector(sessions_)) {
     if (const auto session = weak.lock()) session->CheckProgress();
   }
-  ProbeEjected();
+  FollowTroubled();
   ShareBudgets();
 }
 
@@ -173,29 +183,41 @@
   }
 }
 
-/// Asks the upstreams whose ejection is over whether they are back.
-void RelayFront::ProbeEjected() {
+/// Asks the upstreams whose ejection is over whether they are back, and those
+/// that are slow whether they still are.
+void RelayFront::FollowTroubled() {
   const TimePoint now = context_.loop.Now();
-  std::vector<UpstreamName> due;
-  for (const auto& [name, state] : context_.state.upstreams.states()) {
-    if (state.ejected_until && now >= *state.ejected_until) {
-      due.push_back(name);
+  const UpstreamBook& book = context_.state.upstreams;
+  std::vector<UpstreamName> troubled;
+  for (const auto& [name, state] : book.states()) {
+    const bool ejection_over =
+        state.ejected_until && now >= *state.ejected_until;
+    if (ejection_over || book.PaceOf(name, now) >= kSlowPace) {
+      troubled.push_back(name);
     }
   }
-  for (const auto& name : due) {
+  for (const auto& name : troubled) {
     const FleetEntry* entry = context_.state.relay.fleet.Find(name);
     if (entry == nullptr || entry->upstream.layers == LayerRange{}) continue;
-    Doubt(name);
+    Ask(name, kTroubleInterval);
   }
 }
 
-void RelayFront::Doubt(const UpstreamName& upstream) {
+/// Asks `upstream` for its report unless it was asked less than `interval` ago.
+void RelayFront::Ask(const UpstreamName& upstream, Duration interval) {
+  const TimePoint now = context_.loop.Now();
+  const auto [found, first] = questions_.try_emplace(upstream);
+  Question& question = found->second;
+  if (question.pending) return;
+  if (!first && now - question.asked_at < interval) return;
+  question.asked_at = now;
+  SendQuestion(upstream);
+}
+
+void RelayFront::SendQuestion(const UpstreamName& upstream) {
   const FleetEntry* entry = context_.state.relay.fleet.Find(upstream);
   if (entry == nullptr) return Suspect(upstream, "its entry is gone");
-  const TimePoint now = context_.loop.Now();
-  const auto [asked, first] = asked_at_.try_emplace(upstream, now);
-  if (!first && now - asked->second < kAskInterval) return;
-  asked->second = now;
+  questions_[upstream].pending = true;
   HttpCallLimits limits;
   limits.connect_timeout = kReportTimeout;
   limits.idle_timeout = kReportTimeout;
@@ -210,12 +232,17 @@
 
 void RelayFront::HandleReport(const UpstreamName& upstream,
                               const FetchResult& result) {
+  Question& question = questions_[upstream];
+  question.pending = false;
   LastReason reason;
   const auto report = ParseReport(result.response.body, reason);
   if (result.code != ResultCode::kOk || !report) {
-    return Suspect(upstream, result.message);
+    return HandleNoReport(upstream, result.message);
   }
-  context_.state.upstreams.Restore(upstream);
+  question.unanswered = 0;
+  UpstreamBook& book = context_.state.upstreams;
+  book.Restore(upstream);
+  book.RecordPace(upstream, report->pace, context_.loop.Now());
   const std::set<Endpoint> stalled(report->stalled_at.begin(),
                                    report->stalled_at.end());
   for (const auto& endpoint : stalled) {
@@ -227,6 +254,14 @@
   }
 }
 
+void RelayFront::HandleNoReport(const UpstreamName& upstream,
+                                const std::string& why) {
+  Question& question = questions_[upstream];
+  if (++question.unanswered < kMostUnanswered) return SendQuestion(upstream);
+  question.unanswered = 0;
+  Suspect(upstream, why);
+}
+
 void RelayFront::Suspect(const UpstreamName& upstream, const std::string& why) {
   DaemonState& state = context_.state;
   state.upstreams.Eject(upstream, context_.loop.Now());
--- a/source/supervisor/relay/relay_front.h
+++ b/source/supervisor/relay/relay_front.h
@@ -34,16 +34,24 @@
               ResultCode code);
   void WatchSessions();
   void ShareBudgets();
-  void ProbeEjected();
-  void Doubt(const UpstreamName& upstream);
+  void FollowTroubled();
+  void Ask(const UpstreamName& upstream, Duration interval);
+  void SendQuestion(const UpstreamName& upstream);
   void HandleReport(const UpstreamName& upstream, const FetchResult& result);
+  void HandleNoReport(const UpstreamName& upstream, const std::string& why);
   void Suspect(const UpstreamName& upstream, const std::string& why);
 
   DaemonContext context_;
   FailureHandler on_failure_;
   std::shared_ptr<HttpServer> server_;
   std::vector<std::weak_ptr<RelaySession>> sessions_;
-  std::map<UpstreamName, TimePoint> asked_at_;  ///< For their reports.
+  /// What was asked of an upstream.
+  struct Question {
+    TimePoint asked_at;
+    bool pending = false;
+    unsigned unanswered = 0;  ///< In a row.
+  };
+  std::map<UpstreamName, Question> questions_;
   LoopTimerPtr watch_timer_;
   LoopTimerPtr stop_timer_;
   bool refusing_ = false;  ///< Whether new requests are refused.
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -11,9 +11,9 @@
 /// How long a connection to an upstream may take; they are a few milliseconds
 /// away, and one that is dark never answers.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-/// Silence of a stream after which its first stage is asked what holds it up:
+/// Silence of a stream after which its stages are asked what holds it up:
 /// several times the usual time between events.
-constexpr Duration kDoubtAfter = std::chrono::milliseconds(250);
+constexpr Duration kDoubtAfter = std::chrono::milliseconds(120);
 /// Silence after which a stream is given up although no stage is known to be
 /// at fault; callers leave after two seconds.
 constexpr Duration kGiveUpAfter = std::chrono::milliseconds(1100);
@@ -112,12 +112,24 @@
   }
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
   if (pool == nullptr) return Decide(NoTarget{});
-  const TargetChoice choice =
-      ChooseTarget(context_, *pool, excluded_, request_.fields.prompt_tokens);
+  const TargetChoice choice = Choose(*pool);
   if (!choice.target) return Decide(NoTarget{choice.code});
   Send(*choice.target);
 }
 
+/// Chooses a target without those that may have held the request up, if there
+/// is one, but in any case without those that failed it.
+TargetChoice RelaySession::Choose(const RelayPool& pool) const {
+  const double tokens = request_.fields.prompt_tokens;
+  if (!avoided_.empty()) {
+    std::set<UpstreamName> all = excluded_;
+    all.insert(avoided_.begin(), avoided_.end());
+    TargetChoice choice = ChooseTarget(context_, pool, all, tokens);
+    if (choice.target) return choice;
+  }
+  return ChooseTarget(context_, pool, excluded_, tokens);
+}
+
 void RelaySession::Send(const RelayTarget& target) {
   target_ = target;
   head_ = {};
@@ -270,7 +282,7 @@
   }
   const RelayTarget target = *target_;
   LoseAttempt(failure.code, false);
-  if (!target.chain.empty()) on_doubt_(target.upstream);
+  if (!target.chain.empty()) on_doubt_({target.upstream});
 }
 
 void RelaySession::CheckProgress() {
@@ -285,13 +297,25 @@
     return LoseAttempt(ResultCode::kTimedOut, false);
   }
   if (!request_.route.repeatable()) return;
-  if (silence >= kGiveUpAfter) {
-    return LoseAttempt(ResultCode::kTimedOut, false);
-  }
+  if (silence >= kGiveUpAfter) return GiveUpAttempt();
   const TimePoint since = doubted_at_.value_or(progress_at_);
   if (context_.loop.Now() - since < kDoubtAfter) return;
   doubted_at_ = context_.loop.Now();
-  on_doubt_(target_->upstream);
+  on_doubt_(target_->ListUpstreams());
+}
+
+/// Goes on elsewhere if there is a path without any of the present stages; if
+/// not, another attempt would only wait behind this one's.
+void RelaySession::GiveUpAttempt() {
+  const std::set<UpstreamName> before = avoided_;
+  for (const auto& name : target_->ListUpstreams()) avoided_.insert(name);
+  std::set<UpstreamName> all = excluded_;
+  all.insert(avoided_.begin(), avoided_.end());
+  const RelayPool* pool = request_.tables->FindPool(request_.pool);
+  if (pool != nullptr && ChooseTarget(context_, *pool, all, 0).target) {
+    return LoseAttempt(ResultCode::kTimedOut, false);
+  }
+  avoided_ = before;
 }
 
 void RelaySession::HandleSuspect(const UpstreamName& upstream) {
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "decisions/relay_course.h"
 #include "platform/relay_fields.h"
@@ -28,8 +29,8 @@
   std::shared_ptr<HttpServerSession> caller;
 };
 
-/// Asks whether an upstream is in trouble; sessions that it holds up are told.
-using DoubtHandler = std::function<void(const UpstreamName&)>;
+/// Asks whether upstreams are in trouble; sessions that they hold up are told.
+using DoubtHandler = std::function<void(const std::vector<UpstreamName>&)>;
 
 /// Carries one relayed request from its arrival to the end of its answer, over
 /// as many attempts as its course allows. It keeps itself alive until then.
@@ -69,6 +70,8 @@
   void FinishStream();
   void FinishWhole();
 
+  TargetChoice Choose(const RelayPool& pool) const;
+  void GiveUpAttempt();
   void LoseAttempt(ResultCode code, bool upstream_gone);
   void RejectAttempt(ResultCode code);
   /// How an attempt counts for its upstreams.
@@ -95,7 +98,8 @@
   RelayCourse course_;
   TimePoint arrived_;
   Duration time_limit_{};
-  std::set<UpstreamName> excluded_;    ///< Those that failed this request.
+  std::set<UpstreamName> excluded_;  ///< Those that failed this request.
+  std::set<UpstreamName> avoided_;   ///< Those that may have held it up.
   std::optional<RelayTarget> target_;  ///< Of the attempt under way.
   std::shared_ptr<HttpClientCall> call_;
   HttpResponseHead head_;  ///< Of the attempt's answer.
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -16,10 +16,12 @@
 
 /// Returns how many usual requests `upstream` has memory for.
 std::uint32_t CountPlaces(const LayeredModel& model, double memory_mb,
-                          const UpstreamSpec& upstream) {
+                          const UpstreamSpec& upstream, double pace) {
   const std::uint32_t layers = upstream.layers.end - upstream.layers.first;
   const double tokens = TokensBesideLayers(model, memory_mb, layers);
-  const double places = kMemoryShare * tokens / model.usual_tokens;
+  // A slow upstream keeps each request for longer.
+  const double places =
+      kMemoryShare * tokens / model.usual_tokens / std::max(1.0, pace);
   return std::clamp(static_cast<std::uint32_t>(places), 1U, upstream.slots);
 }
 
@@ -38,12 +40,13 @@
         UpstreamHealth::kHealthy) {
       continue;
     }
+    const double pace = state.upstreams.PaceOf(upstream.name, now);
     const auto kind = pool.model->accelerators.find(upstream.accelerator);
     if (kind == pool.model->accelerators.end()) continue;
     candidates.push_back(
         {.upstream = &upstream,
-         .step_factor = kind->second.step_factor,
-         .limit = CountPlaces(*pool.model, kind->second.memory_mb, upstream),
+         .step_factor = kind->second.step_factor * pace,
+         .limit = CountPlaces(*pool.model, kind->second.memory_mb, upstream, pace),
          .in_flight = state.upstreams.CountInFlight(upstream.name,
                                                     state.peer_loads, now)});
   }
