--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -13,7 +13,7 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 /// Silence of a stream after which its stages are asked what holds it up:
 /// several times the usual time between events.
-constexpr Duration kDoubtAfter = std::chrono::milliseconds(120);
+constexpr Duration kDoubtAfter = std::chrono::milliseconds(200);
 /// Silence after which a stream is given up although no stage is known to be
 /// at fault; callers leave after two seconds.
 constexpr Duration kGiveUpAfter = std::chrono::milliseconds(1100);
