--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -17,6 +17,9 @@
 /// Silence after which a stream is given up although no stage is known to be
 /// at fault; callers leave after two seconds.
 constexpr Duration kGiveUpAfter = std::chrono::milliseconds(1100);
+/// How long a stream that was begun waits for another path; together with the
+/// time until its loss is noticed less than callers wait for an event.
+constexpr Duration kLongestPathWait = std::chrono::milliseconds(1200);
 /// Part of its latency objective after which an idempotent call is sent to
 /// another upstream, in thousandths.
 constexpr int kPatiencePerMille = 600;
@@ -113,10 +116,23 @@
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
   if (pool == nullptr) return Decide(NoTarget{});
   const TargetChoice choice = Choose(*pool);
-  if (!choice.target) return Decide(NoTarget{choice.code});
+  if (!choice.target) return HandleNoTarget(choice.code);
+  waiting_since_.reset();
   Send(*choice.target);
 }
 
+/// A caller that has a part of its answer loses more by the end of the stream
+/// than by a pause, so that a stream that was begun waits for a path.
+void RelaySession::HandleNoTarget(ResultCode code) {
+  if (delivering_ && !waiting_since_) waiting_since_ = context_.loop.Now();
+  if (!MayWaitForTarget()) Decide(NoTarget{code});
+}
+
+bool RelaySession::MayWaitForTarget() const {
+  return waiting_since_ &&
+         context_.loop.Now() - *waiting_since_ < kLongestPathWait;
+}
+
 /// Chooses a target without those that may have held the request up, if there
 /// is one, but in any case without those that failed it.
 TargetChoice RelaySession::Choose(const RelayPool& pool) const {
@@ -286,7 +302,9 @@
 }
 
 void RelaySession::CheckProgress() {
-  if (ended_ || !target_ || held_back_) return;
+  if (ended_) return;
+  if (waiting_since_) return StartAttempt();
+  if (!target_ || held_back_) return;
   const Duration silence = context_.loop.Now() - progress_at_;
   if (!is_stream()) {
     const bool hedged =
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -57,6 +57,8 @@
   Duration TimeLeft() const;
 
   void StartAttempt();
+  void HandleNoTarget(ResultCode code);
+  bool MayWaitForTarget() const;
   void Send(const RelayTarget& target);
   HttpRequest BuildAttempt(const RelayTarget& target) const;
   void HandleCall(CallEvent event);
@@ -98,8 +100,8 @@
   RelayCourse course_;
   TimePoint arrived_;
   Duration time_limit_{};
-  std::set<UpstreamName> excluded_;  ///< Those that failed this request.
-  std::set<UpstreamName> avoided_;   ///< Those that may have held it up.
+  std::set<UpstreamName> excluded_;    ///< Those that failed this request.
+  std::set<UpstreamName> avoided_;     ///< Those that may have held it up.
   std::optional<RelayTarget> target_;  ///< Of the attempt under way.
   std::shared_ptr<HttpClientCall> call_;
   HttpResponseHead head_;  ///< Of the attempt's answer.
@@ -109,9 +111,11 @@
   EventSplitter splitter_;
   std::optional<std::uint64_t> last_event_;  ///< That the caller has.
   bool delivering_ = false;  ///< Whether the caller has a part of the answer.
-  bool held_back_ = false;   ///< Whether a slow caller holds up the attempt.
-  TimePoint sent_at_;        ///< When the attempt was sent.
-  TimePoint progress_at_;    ///< When the attempt last made progress.
+  /// Since when a stream that was begun waits for another path.
+  std::optional<TimePoint> waiting_since_;
+  bool held_back_ = false;  ///< Whether a slow caller holds up the attempt.
+  TimePoint sent_at_;       ///< When the attempt was sent.
+  TimePoint progress_at_;   ///< When the attempt last made progress.
   std::optional<TimePoint> doubted_at_;
   std::optional<Duration> first_event_after_;  ///< Since the arrival.
   TimePoint delivered_at_;    ///< When the caller got its last event.
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -46,7 +46,8 @@
     candidates.push_back(
         {.upstream = &upstream,
          .step_factor = kind->second.step_factor * pace,
-         .limit = CountPlaces(*pool.model, kind->second.memory_mb, upstream, pace),
+         .limit =
+             CountPlaces(*pool.model, kind->second.memory_mb, upstream, pace),
          .in_flight = state.upstreams.CountInFlight(upstream.name,
                                                     state.peer_loads, now)});
   }
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -262,6 +262,29 @@
   CHECK(FindField(seen[0].fields, "Hop-Count").ends_with("=0-8"));
 }
 
+TEST_CASE_FIXTURE(RelayFixture, "a stream that was begun waits for a path") {
+  LoopTimerPtr back;
+  answers = {[&](const HttpRequest& request, const CallerPtr& caller) {
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(1));
+               for (const char* name : {"w-1", "w-2"}) {
+                 state.relay.fleet.Remove(UpstreamName(name), loop.Now());
+               }
+               back = loop.Schedule(std::chrono::milliseconds(400), [this] {
+                 AddUpstream("w-2", "w", {0, 8}, TestPorts::kPeers);
+               });
+               caller->BreakStream();
+             },
+             [](const HttpRequest& request, const CallerPtr& caller) {
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(2));
+               caller->EndStream();
+             }};
+  const auto result = Call("/tale/1");
+  CHECK(result.code == ResultCode::kOk);
+  CHECK(result.response.body == MakeEvent(1) + MakeEvent(2));
+}
+
 TEST_CASE_FIXTURE(RelayFixture, "a stream that can't go on is visibly broken") {
   const auto cut = [](const HttpRequest& request, const CallerPtr& caller) {
     caller->StartStream(MakeSealed(request, 200, "").head);
