relay, log: a stage that declines gets no work for a while; bounded lines

The stage that the answer names is now excluded and gets no work for 0.3 s, doubling.

Log lines are bounded a second by level and never wait for the output; what is dropped is counted.

--- a/source/decisions/upstream_book.cc
+++ b/source/decisions/upstream_book.cc
@@ -8,6 +8,9 @@
 constexpr std::uint32_t kFailuresBeforeEjection = 1;
 constexpr Duration kFirstEjection = std::chrono::milliseconds(500);
 constexpr Duration kLongestEjection = std::chrono::seconds(8);
+/// First time for which an upstream that declines work gets none; it doubles
+/// with each decline, up to the longest ejection.
+constexpr Duration kFirstDecline = std::chrono::milliseconds(300);
 constexpr Duration kSlowStart = std::chrono::seconds(2);
 constexpr double kSlowStartFirstShare = 0.25;
 /// Part of a lower latency sample that enters the average; a higher one
@@ -16,9 +19,9 @@
 /// How long an upstream's word on its pace holds.
 constexpr Duration kPaceLifetime = std::chrono::seconds(3);
 
-Duration EjectionTime(std::uint32_t ejections) {
-  Duration time = kFirstEjection;
-  for (std::uint32_t i = 1; i < ejections && time < kLongestEjection; ++i) {
+Duration DoubledTime(Duration first, std::uint32_t times) {
+  Duration time = first;
+  for (std::uint32_t i = 1; i < times && time < kLongestEjection; ++i) {
     time *= 2;
   }
   return std::min(time, kLongestEjection);
@@ -30,6 +33,10 @@
   return average - Duration(static_cast<Duration::rep>(step * kLatencyDecay));
 }
 
+bool IsDeclining(const UpstreamState& state, TimePoint now) {
+  return state.declined_until && now < *state.declined_until;
+}
+
 bool IsEjected(const UpstreamState& state, TimePoint now) {
   return !state.leaving && state.ejected_until && now < *state.ejected_until;
 }
@@ -66,6 +73,13 @@
 void UpstreamBook::RecordSuccess(const UpstreamName& name) {
   RecordEnd(name);
   Restore(name);
+  states_[name].declines = 0;
+}
+
+void UpstreamBook::RecordDecline(const UpstreamName& name, TimePoint now) {
+  UpstreamState& state = states_[name];
+  if (IsDeclining(state, now)) return;
+  state.declined_until = now + DoubledTime(kFirstDecline, ++state.declines);
 }
 
 void UpstreamBook::Restore(const UpstreamName& name) {
@@ -99,7 +113,7 @@
   UpstreamState& state = states_[name];
   if (IsEjected(state, now)) return;
   if (++state.consecutive_failures < kFailuresBeforeEjection) return;
-  state.ejected_until = now + EjectionTime(++state.ejections);
+  state.ejected_until = now + DoubledTime(kFirstEjection, ++state.ejections);
   state.slow_start_from.reset();
 }
 
@@ -133,6 +147,7 @@
                                       TimePoint now) const {
   const UpstreamState& state = StateOf(name);
   if (state.leaving) return UpstreamHealth::kLeaving;
+  if (IsDeclining(state, now)) return UpstreamHealth::kEjected;
   if (!state.ejected_until) return UpstreamHealth::kHealthy;
   return now < *state.ejected_until ? UpstreamHealth::kEjected
                                     : UpstreamHealth::kProbing;
--- a/source/decisions/upstream_book.h
+++ b/source/decisions/upstream_book.h
@@ -47,6 +47,8 @@
   std::uint32_t ejections = 0;  ///< In a row, without a success between.
   std::optional<TimePoint> ejected_until;
   std::optional<TimePoint> slow_start_from;
+  std::uint32_t declines = 0;  ///< In a row, without a success between.
+  std::optional<TimePoint> declined_until;
   double pace = 1;  ///< How many times slower than usual it said it is.
   TimePoint pace_told;
 };
@@ -79,6 +81,10 @@
   /// Takes `name` out of use until a probe succeeds.
   void Eject(const UpstreamName& name, TimePoint now);
 
+  /// Takes `name` out of use for a while, since it declined a request. That it
+  /// answers questions doesn't end this.
+  void RecordDecline(const UpstreamName& name, TimePoint now);
+
   /// Takes `name` back into use, since it answered a question.
   void Restore(const UpstreamName& name);
 
--- a/source/supervisor/context/log.cc
+++ b/source/supervisor/context/log.cc
@@ -1,6 +1,12 @@
 #include "supervisor/context/log.h"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+
+#include "supervisor/context/log_limiter.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -20,6 +26,19 @@
 }
 
 LogLevel g_least_level = LogLevel::kInfo;
+LogLimiter g_limiter;
+
+TimePoint ReadClock() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// Tells whether standard output takes a line at once: a pipe that can be
+/// written to has room for more than any line.
+bool CanWrite() {
+  pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+  return poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+}
 
 }  // namespace
 
@@ -36,14 +55,21 @@
   el::Loggers::reconfigureLogger("default", configuration);
 }
 
+std::uint64_t CountDroppedLogLines() { return g_limiter.dropped(); }
+
 void LogEvent(LogLevel level, std::string_view event, ResultCode code,
               std::initializer_list<LogField> fields) {
   if (level < g_least_level) return;
+  if (!g_limiter.Admit(level, ReadClock())) return;
+  if (!CanWrite()) return g_limiter.RecordBlocked();
   std::string line = "event=" + std::string(event);
   line += " code=" + std::to_string(static_cast<int>(code));
   for (const auto& field : fields) {
     line += " " + std::string(field.name) + "=" + QuoteIfNeeded(field.value);
   }
+  if (const std::uint64_t dropped = g_limiter.TakeUntold()) {
+    line += " lines_dropped=" + std::to_string(dropped);
+  }
   switch (level) {
     case LogLevel::kDebug:
       LOG(DEBUG) << line;
--- a/source/supervisor/context/log.h
+++ b/source/supervisor/context/log.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_LOG_H_
 #define WISTERIAYOKE_SUPERVISOR_CONTEXT_LOG_H_
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -26,10 +27,14 @@
   std::string value;
 };
 
-/// Sets up logging to standard error for the whole process.
+/// Sets up logging to standard output for the whole process.
 void ConfigureLog(LogLevel least, const std::string& process);
 
-/// Logs one event as one line of fields.
+/// Returns how many lines were dropped since the start of the process.
+std::uint64_t CountDroppedLogLines();
+
+/// Logs one event as one line of fields. Drops it, and counts that, if its
+/// level is over its rate or standard output takes no more; it never waits.
 void LogEvent(LogLevel level, std::string_view event, ResultCode code,
               std::initializer_list<LogField> fields);
 
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -202,10 +202,11 @@
   head_come_ = true;
   const AnswerFields fields = ReadAnswerFields(head_);
   if (fields.not_run) {
-    if (head_.status == kStatusMisdirected) {
-      context_.state.upstreams.Eject(target_->upstream, context_.loop.Now());
+    const UpstreamName culprit = FindCulprit(fields);
+    if (!target_->chain.empty() || head_.status == kStatusMisdirected) {
+      context_.state.upstreams.RecordDecline(culprit, context_.loop.Now());
     }
-    return RejectAttempt(ResultCode::kUpstreamRefused);
+    return RejectAttempt(ResultCode::kUpstreamRefused, culprit);
   }
   const bool own = fields.sealed && !fields.encoded &&
                    fields.attempt_id == request_.fields.attempt_id;
@@ -294,7 +295,7 @@
   if (!failure.sent) {
     const UpstreamName upstream = target_->upstream;
     context_.state.upstreams.Eject(upstream, context_.loop.Now());
-    return RejectAttempt(failure.code);
+    return RejectAttempt(failure.code, upstream);
   }
   const RelayTarget target = *target_;
   LoseAttempt(failure.code, false);
@@ -350,8 +351,17 @@
   Decide(AttemptLost{code, upstream_gone});
 }
 
-void RelaySession::RejectAttempt(ResultCode code) {
-  excluded_.insert(target_->upstream);
+/// Returns the stage that the answer names as the one at fault; the upstream
+/// that answered if it names none.
+UpstreamName RelaySession::FindCulprit(const AnswerFields& fields) const {
+  for (const auto& stage : target_->chain) {
+    if (fields.culprit == stage.endpoint) return stage.upstream;
+  }
+  return target_->upstream;
+}
+
+void RelaySession::RejectAttempt(ResultCode code, const UpstreamName& culprit) {
+  excluded_.insert(culprit);
   EndAttempt(AttemptVerdict::kNone);
   Decide(AttemptRejected{code});
 }
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -75,7 +75,8 @@
   TargetChoice Choose(const RelayPool& pool) const;
   void GiveUpAttempt();
   void LoseAttempt(ResultCode code, bool upstream_gone);
-  void RejectAttempt(ResultCode code);
+  UpstreamName FindCulprit(const AnswerFields& fields) const;
+  void RejectAttempt(ResultCode code, const UpstreamName& culprit);
   /// How an attempt counts for its upstreams.
   enum class AttemptVerdict { kGood, kPoor, kNone };
 
--- a/tests/decisions/upstream_book_test.cc
+++ b/tests/decisions/upstream_book_test.cc
@@ -94,4 +94,35 @@
   CHECK(book.CountInFlight(name, peers, At(1000)) == 3);
 }
 
+TEST_CASE("an upstream that declines work gets none for a while, then longer") {
+  UpstreamBook book;
+  const UpstreamName name("a");
+  TimePoint now(std::chrono::seconds(100));
+  book.RecordDecline(name, now);
+  CHECK(book.HealthOf(name, now) == UpstreamHealth::kEjected);
+  // That it answers a question says nothing about work.
+  book.Restore(name);
+  CHECK(book.HealthOf(name, now) == UpstreamHealth::kEjected);
+  now += std::chrono::milliseconds(400);
+  CHECK(book.HealthOf(name, now) == UpstreamHealth::kHealthy);
+  book.RecordDecline(name, now);
+  now += std::chrono::milliseconds(400);
+  CHECK(book.HealthOf(name, now) == UpstreamHealth::kEjected);
+  book.RecordSuccess(name);
+  now += std::chrono::seconds(1);
+  book.RecordDecline(name, now);
+  now += std::chrono::milliseconds(400);
+  CHECK(book.HealthOf(name, now) == UpstreamHealth::kHealthy);
+}
+
+TEST_CASE("an upstream's word on its pace holds for a while") {
+  UpstreamBook book;
+  const UpstreamName name("a");
+  const TimePoint now(std::chrono::seconds(100));
+  CHECK(book.PaceOf(name, now) == 1);
+  book.RecordPace(name, 5, now);
+  CHECK(book.PaceOf(name, now + std::chrono::seconds(2)) == 5);
+  CHECK(book.PaceOf(name, now + std::chrono::seconds(4)) == 1);
+}
+
 }  // namespace wisteriayoke
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -262,6 +262,39 @@
   CHECK(FindField(seen[0].fields, "Hop-Count").ends_with("=0-8"));
 }
 
+TEST_CASE_FIXTURE(RelayFixture,
+                  "the stage that declined is avoided, not the first one") {
+  state.relay.fleet.Remove(UpstreamName("w-1"), loop.Now());
+  state.relay.fleet.Remove(UpstreamName("w-2"), loop.Now());
+  AddUpstream("w-1", "w", {0, 4}, TestPorts::kUpstream);
+  AddUpstream("w-2", "w", {4, 8}, TestPorts::kPeers);
+  AddUpstream("w-3", "w", {4, 8}, TestPorts::kPlatform);
+  answers = {[](const HttpRequest&, const CallerPtr& caller) {
+               auto shed = MakeShed();
+               shed.head.fields.push_back(
+                   {"At-Server", LocalEndpoint(TestPorts::kPeers).ToString()});
+               caller->Respond(shed);
+             },
+             [](const HttpRequest& request, const CallerPtr& caller) {
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(1));
+               caller->EndStream();
+             }};
+  CHECK(Call("/tale/1").response.body == MakeEvent(1));
+  REQUIRE(seen.size() == 2);
+  const auto path = [this](std::size_t i) {
+    return std::string(FindField(seen[i].fields, "Hop-Count"));
+  };
+  CHECK(path(0).find(LocalEndpoint(TestPorts::kPeers).ToString()) !=
+        std::string::npos);
+  CHECK(path(1).find(LocalEndpoint(TestPorts::kPlatform).ToString()) !=
+        std::string::npos);
+  CHECK(state.upstreams.HealthOf(UpstreamName("w-2"), loop.Now()) ==
+        UpstreamHealth::kEjected);
+  CHECK(state.upstreams.HealthOf(UpstreamName("w-1"), loop.Now()) ==
+        UpstreamHealth::kHealthy);
+}
+
 TEST_CASE_FIXTURE(RelayFixture, "a stream that was begun waits for a path") {
   LoopTimerPtr back;
   answers = {[&](const HttpRequest& request, const CallerPtr& caller) {
