--- a/source/decisions/layer_plan.cc
+++ b/source/decisions/layer_plan.cc
@@ -12,8 +12,8 @@
 /// KV cache that a stage keeps room for, in tokens: about ninety requests of
 /// 950 tokens, a third of what three data centres carry at the crest. Smaller
 /// steps are taken where the memory doesn't allow it.
-constexpr auto kTokenSteps = std::to_array<double>(
-    {88'000, 70'000, 55'000, 40'000, 25'000, 10'000, 0});
+constexpr auto kTokenSteps =
+    std::to_array<double>({88'000, 70'000, 55'000, 40'000, 25'000, 10'000, 0});
 /// Memory beyond one copy that a group keeps for substitutes.
 constexpr double kSpareShare = 0.15;
 /// Empty cards that a group keeps for its next gap.
--- a/source/decisions/relay_tables.h
+++ b/source/decisions/relay_tables.h
@@ -70,21 +70,13 @@
   std::optional<LayeredModel> model;  ///< Absent for plain services.
 };
 
-/// Bounds on what a caller may send, and how slowly.
-struct CallerLimits {
-  std::uint32_t header_bytes = 16 * 1024;
-  std::uint64_t body_bytes = 4 * 1024 * 1024;
-  Duration header_timeout = std::chrono::seconds(3);
-  Duration idle_timeout = std::chrono::seconds(15);
-};
-
 /// One content of the tables that the relay follows.
 struct RelaySpec {
   std::uint64_t version = 0;
   std::vector<RelayRoute> routes;
   std::vector<KeyedWorkspace> workspaces;
   std::vector<RelayPool> pools;
-  CallerLimits limits;
+  std::uint64_t most_body_bytes = 4 * 1024 * 1024;  ///< Of a request.
 };
 
 /// An immutable content of the relay's tables with its look-ups.
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -128,6 +128,9 @@
   if (route == nullptr) {
     return sure ? ResultCode::kUnknownRoute : ResultCode::kNotReady;
   }
+  if (request.body.size() > relay.tables->spec().most_body_bytes) {
+    return ResultCode::kBodyTooLarge;
+  }
   relayed.tables = relay.tables;
   relayed.route = *route;
   relayed.pool = ChoosePool(*route, context_.state.random());
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -162,8 +162,6 @@
     context_.state.upstreams.RecordStart(name);
   }
   HttpCallLimits limits;
-  limits.message.header_bytes = request_.tables->spec().limits.header_bytes;
-  limits.message.body_bytes = request_.tables->spec().limits.body_bytes;
   limits.message.open_ended = true;
   limits.connect_timeout = std::min(kConnectTimeout, TimeLeft());
   limits.idle_timeout = TimeLeft();
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -142,6 +142,17 @@
   CHECK(seen.size() == 1);
 }
 
+TEST_CASE_FIXTURE(RelayFixture, "a body over the tables' limit is refused") {
+  RelaySpec spec = state.relay.tables->spec();
+  spec.most_body_bytes = 10;
+  state.relay.tables = std::make_shared<const RelayTables>(spec);
+  HttpRequest request = MakeRequest("/read/1", "k1");
+  request.body = "0123456789";
+  CHECK(Fetch(TestPorts::kFront, request).response.head.status == 200);
+  request.body += "x";
+  CHECK(Fetch(TestPorts::kFront, request).response.head.status == 413);
+}
+
 TEST_CASE_FIXTURE(
     RelayFixture,
     "without fresh tables keys are refused and nothing is denied") {
