relay, context: one copy of limits, refusals and numbers; lint

What the relay had written again is shared: the limits of a server from the settings, its own refusals, decimal numbers.

--- a/source/supervisor/context/settings.cc
+++ b/source/supervisor/context/settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/parse_decimal.h"
 #include "supervisor/context/ini_text.h"
 #include "supervisor/context/log.h"
 #include "wire/table_codec.h"
@@ -35,16 +36,6 @@
   return parsed.ec == std::errc() && parsed.ptr == end;
 }
 
-std::optional<double> ParseDecimal(std::string_view text) {
-  double value = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, value);
-  if (parsed.ec != std::errc() || parsed.ptr != end || value < 0) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 bool IsValid(SettingType type, const std::string& value) {
   LastReason ignored;
   switch (type) {
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "supervisor/context/metrics_page.h"
+#include "supervisor/context/server_limits.h"
 #include "supervisor/front/caller_answer.h"
 #include "supervisor/front/model_session.h"
 #include "supervisor/front/service_session.h"
@@ -18,18 +19,6 @@
 constexpr Duration kClaimsCheckInterval = std::chrono::milliseconds(10);
 constexpr auto kWorkspaceField = "Wisteriayoke-Workspace";
 
-HttpServerLimits LimitsOf(const Settings& settings) {
-  HttpServerLimits limits;
-  limits.connections = settings.Count(SettingKey::kMaxConnections);
-  limits.message.header_bytes =
-      static_cast<std::uint32_t>(settings.Count(SettingKey::kMaxHeaderBytes));
-  limits.message.body_bytes = settings.Count(SettingKey::kMaxBodyBytes);
-  limits.request_timeout = settings.Milliseconds(SettingKey::kRequestTimeout);
-  limits.idle_timeout = settings.Milliseconds(SettingKey::kIdleTimeout);
-  limits.write_timeout = settings.Milliseconds(SettingKey::kWriteTimeout);
-  return limits;
-}
-
 HttpResponse BuildProbeAnswer(bool good, std::string_view text) {
   return {
       {good ? kStatusOk : kStatusUnavailable, {{"Content-Type", "text/plain"}}},
@@ -70,7 +59,7 @@
   }
   server_ = HttpServer::Create(
       context_.loop, context_.settings.EndpointOf(SettingKey::kFrontAddress),
-      LimitsOf(context_.settings),
+      ReadServerLimits(context_.settings),
       [weak = weak_from_this()](HttpRequest request, const CallerPtr& caller) {
         if (const auto self = weak.lock()) {
           return self->Handle(std::move(request), caller);
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -43,7 +43,7 @@
 }  // namespace
 
 LayerPlacement::LayerPlacement(DaemonContext context,
-                               FailureHandler /*on_failure*/)
+                               const FailureHandler& /*on_failure*/)
     : context_(context),
       store_(std::make_shared<RowStore>(
           context.loop,
--- a/source/supervisor/layer_placement/layer_placement.h
+++ b/source/supervisor/layer_placement/layer_placement.h
@@ -21,7 +21,7 @@
 /// order does harm follows from the sequence that each one builds on.
 class LayerPlacement : public std::enable_shared_from_this<LayerPlacement> {
  public:
-  LayerPlacement(DaemonContext context, FailureHandler on_failure);
+  LayerPlacement(DaemonContext context, const FailureHandler& on_failure);
 
   bool Start(LastReason& reason);
   void Stop(const std::function<void()>& done);
--- a/source/supervisor/relay/ready_port.cc
+++ b/source/supervisor/relay/ready_port.cc
@@ -9,7 +9,8 @@
 
 }  // namespace
 
-ReadyPort::ReadyPort(DaemonContext context, FailureHandler /*on_failure*/)
+ReadyPort::ReadyPort(DaemonContext context,
+                     const FailureHandler& /*on_failure*/)
     : context_(context) {}
 
 bool ReadyPort::Start(LastReason& reason) {
--- a/source/supervisor/relay/ready_port.h
+++ b/source/supervisor/relay/ready_port.h
@@ -14,7 +14,7 @@
 /// root.
 class ReadyPort : public std::enable_shared_from_this<ReadyPort> {
  public:
-  ReadyPort(DaemonContext context, FailureHandler on_failure);
+  ReadyPort(DaemonContext context, const FailureHandler& on_failure);
 
   bool Start(LastReason& reason);
   void Stop(const std::function<void()>& done);
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "platform/fleet_codec.h"
+#include "supervisor/context/server_limits.h"
+#include "supervisor/relay/relay_refusal.h"
 
 namespace wisteriayoke {
 namespace {
@@ -27,32 +29,10 @@
 /// How long new connections are served after a stop began: the balancer takes
 /// two questions, a second apart, to notice it.
 constexpr Duration kLingerTime = std::chrono::milliseconds(3000);
-/// Requests that are worked on for about this long when they come last.
-constexpr Duration kRetryAfter = std::chrono::milliseconds(250);
 /// Part of the slack that is used, so that the members' shares add up to less
 /// while they differ about who is a member.
 constexpr double kSlackShare = 0.8;
 
-HttpServerLimits LimitsOf(const Settings& settings) {
-  HttpServerLimits limits;
-  limits.connections = settings.Count(SettingKey::kMaxConnections);
-  limits.message.header_bytes =
-      static_cast<std::uint32_t>(settings.Count(SettingKey::kMaxHeaderBytes));
-  limits.message.body_bytes = settings.Count(SettingKey::kMaxBodyBytes);
-  limits.request_timeout = settings.Milliseconds(SettingKey::kRequestTimeout);
-  limits.idle_timeout = settings.Milliseconds(SettingKey::kIdleTimeout);
-  limits.write_timeout = settings.Milliseconds(SettingKey::kWriteTimeout);
-  return limits;
-}
-
-HttpResponse BuildRefusal(const std::string& attempt_id, ResultCode code,
-                          Duration retry_after) {
-  const ResultCodeInfo& info = DescribeResultCode(code);
-  return BuildOwnAnswer(
-      info.http_status, attempt_id,
-      std::string(info.name) + ": " + std::string(info.remedy), retry_after);
-}
-
 }  // namespace
 
 RelayFront::RelayFront(DaemonContext context, FailureHandler on_failure)
@@ -61,7 +41,7 @@
 bool RelayFront::Start(LastReason& reason) {
   server_ = HttpServer::Create(
       context_.loop, context_.settings.EndpointOf(SettingKey::kFrontAddress),
-      LimitsOf(context_.settings),
+      ReadServerLimits(context_.settings),
       [weak = weak_from_this()](HttpRequest request, const CallerPtr& caller) {
         if (const auto self = weak.lock()) {
           return self->Handle(std::move(request), caller);
--- /dev/null
+++ b/source/supervisor/relay/relay_refusal.h
@@ -0,0 +1,23 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_REFUSAL_H_
+#define WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_REFUSAL_H_
+
+#include <string>
+
+#include "base/result_code.h"
+#include "base/time_types.h"
+#include "wire/http_message.h"
+
+namespace wisteriayoke {
+
+/// When a refused caller should come back: about the time in which requests in
+/// flight free a place.
+inline constexpr Duration kRetryAfter = std::chrono::milliseconds(250);
+
+/// Returns the relay's own answer to the send `attempt_id`, with the remedy of
+/// `code`. `retry_after` tells when to come back; zero tells nothing.
+HttpResponse BuildRefusal(const std::string& attempt_id, ResultCode code,
+                          Duration retry_after);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_REFUSAL_H_
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/overloaded.h"
+#include "supervisor/relay/relay_refusal.h"
 
 namespace wisteriayoke {
 namespace {
@@ -23,10 +24,6 @@
 /// Part of its latency objective after which an idempotent call is sent to
 /// another upstream, in thousandths.
 constexpr int kPatiencePerMille = 600;
-/// When a refused caller should come back: about the time in which requests in
-/// flight free a place.
-constexpr Duration kRetryAfter = std::chrono::milliseconds(250);
-
 constexpr int kStatusOk = 200;
 constexpr int kStatusMultipleChoices = 300;
 constexpr int kStatusTimeout = 408;
@@ -422,10 +419,8 @@
 
 void RelaySession::Answer(ResultCode code, Duration retry_after) {
   EndAttempt(AttemptVerdict::kNone);
-  const ResultCodeInfo& info = DescribeResultCode(code);
-  request_.caller->Respond(BuildOwnAnswer(
-      info.http_status, request_.fields.attempt_id,
-      std::string(info.name) + ": " + std::string(info.remedy), retry_after));
+  request_.caller->Respond(
+      BuildRefusal(request_.fields.attempt_id, code, retry_after));
   End(code);
 }
 
@@ -445,8 +440,9 @@
                         context_.loop.Now() - arrived_);
   const bool good = code == ResultCode::kOk || code == ResultCode::kCancelled;
   if (!good) return Record(LogLevel::kWarning, EventKind::kRequestFailed, code);
-  if (IsLate())
+  if (IsLate()) {
     return Record(LogLevel::kWarning, EventKind::kRequestLate, code);
+  }
   if (state.requests_started % kLogEvery != 0) return;
   Record(LogLevel::kInfo, EventKind::kRequestAnswered, code);
 }
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -39,7 +39,7 @@
 }  // namespace
 
 StoreFollower::StoreFollower(DaemonContext context,
-                             FailureHandler /*on_failure*/)
+                             const FailureHandler& /*on_failure*/)
     : context_(context),
       store_(std::make_shared<RowStore>(
           context.loop,
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -16,7 +16,7 @@
 /// keeps the proof of how fresh the tables are. A child of the root.
 class StoreFollower : public std::enable_shared_from_this<StoreFollower> {
  public:
-  StoreFollower(DaemonContext context, FailureHandler on_failure);
+  StoreFollower(DaemonContext context, const FailureHandler& on_failure);
 
   bool Start(LastReason& reason);
   void Stop(const std::function<void()>& done);
--- a/tests/decisions/layer_orders_test.cc
+++ b/tests/decisions/layer_orders_test.cc
@@ -176,7 +176,9 @@
     }
     world.Settle();
     const std::uint32_t most = MostLayers(MakeModel(), kMemoryMb);
-    for (const auto& card : world.cards) RC_ASSERT(card.most_layers <= most);
+    for (const auto& card : world.cards) {
+      RC_ASSERT(card.most_layers <= most);
+    }
     RC_ASSERT(world.CoversAll());
   }));
 }
--- a/tests/decisions/layer_path_test.cc
+++ b/tests/decisions/layer_path_test.cc
@@ -24,6 +24,7 @@
 std::vector<PathCandidate> MakeCandidates(
     const std::vector<UpstreamSpec>& upstreams) {
   std::vector<PathCandidate> candidates;
+  candidates.reserve(upstreams.size());
   for (const auto& upstream : upstreams) {
     candidates.push_back({.upstream = &upstream, .limit = 4});
   }
--- a/tests/decisions/layer_plan_test.cc
+++ b/tests/decisions/layer_plan_test.cc
@@ -84,13 +84,11 @@
   CHECK(rc::check("any cards", [] {
     const LayeredModel model = MakeModel();
     std::vector<LayerCard> cards;
-    double layers = 0;
     const int count = *rc::gen::inRange(0, 30);
     for (int i = 0; i < count; ++i) {
       auto card = MakeCard(i, kMemories[*rc::gen::inRange(0, 4)],
                            std::string(1, "abcd"[*rc::gen::inRange(0, 4)]));
       const std::uint32_t most = MostLayers(model, card.memory_mb);
-      layers += most;
       if (*rc::gen::inRange(0, 3) == 0) {
         const auto length = *rc::gen::inRange<std::uint32_t>(1, most + 1);
         const auto first = *rc::gen::inRange<std::uint32_t>(0, 81 - length);
--- a/tests/support/fake_row_store.h
+++ b/tests/support/fake_row_store.h
@@ -76,8 +76,9 @@
   void Handle(const HttpRequest& request, const CallerPtr& caller) {
     ++calls_;
     if (fault_ == StoreFault::kSilent) return held_.push_back(caller);
-    if (fault_ == StoreFault::kRefusing)
+    if (fault_ == StoreFault::kRefusing) {
       return caller->Respond({{503, {}}, ""});
+    }
     const std::string_view path = PathOf(request.target);
     if (path == "/-/rows-get") return AnswerGet(request, caller);
     if (path == "/-/rows-feed") return AnswerFeed(request, caller);
--- a/tests/wire/event_splitter_test.cc
+++ b/tests/wire/event_splitter_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<std::string> TextsOf(const std::vector<StreamEvent>& events) {
   std::vector<std::string> texts;
+  texts.reserve(events.size());
   for (const auto& event : events) texts.push_back(event.text);
   return texts;
 }
