--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -6,16 +6,11 @@
 
 #include "platform/fleet_codec.h"
 #include "platform/relay_tables_codec.h"
+#include "platform/store_tables.h"
 
 namespace wisteriayoke {
 namespace {
 
-/// The operator's table of the store and the row that holds the document.
-constexpr auto kTablesTable = "op";
-constexpr auto kTablesKey = "config";
-/// Where upstreams register themselves.
-constexpr auto kEntriesTable = "servers";
-
 /// How long a call waits for changes of the tables: each one that ends proves
 /// that the tables are fresh, several times within the time for revocations.
 constexpr Duration kTablesWait = std::chrono::milliseconds(900);
@@ -44,7 +39,7 @@
       store_(std::make_shared<RowStore>(
           context.loop,
           context.settings.EndpointOf(SettingKey::kPlatformAddress))),
-      tables_{.table = kTablesTable, .wait = kTablesWait},
+      tables_{.table = kDocumentTable, .wait = kTablesWait},
       entries_{.table = kEntriesTable, .wait = kEntriesWait} {}
 
 bool StoreFollower::Start(LastReason& /*reason*/) {
@@ -125,7 +120,7 @@
 void StoreFollower::TakeTables(const RowPage& page, bool /*whole*/) {
   RelayState& relay = context_.state.relay;
   for (const auto& row : page.rows) {
-    if (row.key != kTablesKey || row.removed) continue;
+    if (row.key != kDocumentKey || row.removed) continue;
     LastReason reason;
     auto spec = ParseRelaySpec(row.value, reason);
     document_good_ = spec.has_value();
