--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -146,7 +146,6 @@
 void RelaySession::Send(const RelayTarget& target) {
   target_ = target;
   head_ = {};
-  head_come_ = false;
   event_stream_ = false;
   body_.clear();
   splitter_ = {};
@@ -194,7 +193,6 @@
 
 void RelaySession::HandleHead(const CallHead& event) {
   head_ = event.head;
-  head_come_ = true;
   const AnswerFields fields = ReadAnswerFields(head_);
   if (fields.not_run) {
     const UpstreamName culprit = FindCulprit(fields);
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -105,8 +105,7 @@
   std::set<UpstreamName> avoided_;     ///< Those that may have held it up.
   std::optional<RelayTarget> target_;  ///< Of the attempt under way.
   std::shared_ptr<HttpClientCall> call_;
-  HttpResponseHead head_;  ///< Of the attempt's answer.
-  bool head_come_ = false;
+  HttpResponseHead head_;      ///< Of the attempt's answer.
   bool event_stream_ = false;  ///< Whether the answer is a good stream.
   std::string body_;           ///< Of an answer that is passed on whole.
   EventSplitter splitter_;
