--- a/source/base/result_code.cc
+++ b/source/base/result_code.cc
@@ -37,6 +37,8 @@
      "Use a new Idempotency-Key for another request."},
     {kUnknownChild, "unknown-child", 404, kNotRun,
      "Name a running child as the status lists it."},
+    {kUnknownKey, "unknown-key", 401, kNotRun,
+     "Send a key that a workspace holds."},
     {kNoUpstream, "no-upstream", 503, kNotRun,
      "Retry later; check the pool's upstreams."},
     {kOverloaded, "overloaded", 429, kNotRun, "Retry after Retry-After."},
--- a/source/base/result_code.h
+++ b/source/base/result_code.h
@@ -27,6 +27,7 @@
   kMalformedDatagram = 112,
   kIdempotencyKeyReused = 113,
   kUnknownChild = 114,
+  kUnknownKey = 115,
   kNoUpstream = 201,
   kOverloaded = 202,
   kDeadlineTooShort = 203,
--- a/source/daemon/wisteriayoked_main.cc
+++ b/source/daemon/wisteriayoked_main.cc
@@ -74,7 +74,16 @@
   return ExitStatusOf(reason.code());
 }
 
-int RunDaemon(const Settings& settings) {
+/// Reads the settings again; bad ones are told and change nothing.
+void ReloadSettings(const std::string& path, RootSupervisor& root) {
+  LastReason reason;
+  const auto settings = Settings::Load(path, reason);
+  if (settings) return root.Reload(*settings);
+  root.timeline().Record(LogLevel::kError, EventKind::kReloaded, reason.code(),
+                         {{"reason", reason.message()}});
+}
+
+int RunDaemon(const Settings& settings, const std::string& path) {
   const auto level = kLogLevelNames.Find(settings.Text(SettingKey::kLogLevel));
   ConfigureLog(level.value_or(LogLevel::kInfo),
                settings.Text(SettingKey::kDaemonName));
@@ -90,6 +99,7 @@
   });
   if (!root.Start(end)) return Explain(end);
   loop.WatchStopSignals([&root](int) { root.RequestStop(); });
+  loop.WatchReloadSignal([&root, &path](int) { ReloadSettings(path, root); });
   root.timeline().Record(LogLevel::kInfo, EventKind::kStarted, ResultCode::kOk,
                          {{"front", settings.Text(SettingKey::kFrontAddress)}});
   loop.Run();
@@ -123,7 +133,7 @@
   if (!settings) return Explain(reason);
   if (options->print_config) std::fputs(settings->Print().c_str(), stdout);
   if (options->check_config || options->print_config) return 0;
-  return RunDaemon(*settings);
+  return RunDaemon(*settings, options->config);
 }
 
 }  // namespace
--- /dev/null
+++ b/source/decisions/layer_path.cc
@@ -0,0 +1,122 @@
+#include "decisions/layer_path.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace wisteriayoke {
+namespace {
+
+/// Costs are in units of a token step of the whole model at factor 1.
+/// A hop inside a data centre takes about a tenth of a millisecond each way,
+/// against a step of about one.
+constexpr double kHopCost = 0.3;
+/// The prompt's hidden states hold the link for about as long as twenty steps.
+constexpr double kCrossHopCost = 20.0;
+/// How much a full upstream is slower than an idle one.
+constexpr double kCrowding = 3.0;
+
+/// A point of a path: the next layer to run and where the last stage ran.
+using Position = std::pair<std::uint32_t, DataCentreName>;
+
+/// The cheapest known way to a position.
+struct Arrival {
+  double cost = std::numeric_limits<double>::infinity();
+  const PathCandidate* candidate = nullptr;
+  LayerRange layers;
+  Position from;
+};
+
+double CostOf(const PathCandidate& candidate, const LayerRange& layers,
+              std::uint32_t layer_count) {
+  const double share =
+      static_cast<double>(layers.end - layers.first) / layer_count;
+  const double load = static_cast<double>(candidate.in_flight) /
+                      std::max(1U, candidate.limit);
+  return kHopCost * (1.0 + load) +
+         candidate.step_factor * share * (1.0 + kCrowding * load * load);
+}
+
+/// Searches the cheapest path layer by layer.
+class PathSearch {
+ public:
+  PathSearch(std::uint32_t layer_count,
+             std::vector<const PathCandidate*> candidates)
+      : layer_count_(layer_count), candidates_(std::move(candidates)) {
+    for (const auto* candidate : candidates_) {
+      cuts_.insert(candidate->upstream->layers.first);
+      cuts_.insert(std::min(candidate->upstream->layers.end, layer_count_));
+    }
+  }
+
+  Chain Run() {
+    arrivals_[{0, {}}] = {.cost = 0};
+    for (auto it = arrivals_.begin(); it != arrivals_.end(); ++it) {
+      if (it->first.first >= layer_count_) break;
+      Extend(it->first, it->second.cost);
+    }
+    return TraceBack();
+  }
+
+ private:
+  void Extend(const Position& position, double cost) {
+    for (const auto* candidate : candidates_) {
+      const LayerRange& held = candidate->upstream->layers;
+      if (held.first > position.first || held.end <= position.first) continue;
+      for (auto cut = cuts_.upper_bound(position.first);
+           cut != cuts_.end() && *cut <= held.end; ++cut) {
+        Offer(position, cost, *candidate, {position.first, *cut});
+      }
+    }
+  }
+
+  void Offer(const Position& from, double cost, const PathCandidate& candidate,
+             const LayerRange& layers) {
+    const DataCentreName& here = candidate.upstream->data_centre;
+    cost += CostOf(candidate, layers, layer_count_);
+    if (from.first > 0 && here != from.second) cost += kCrossHopCost;
+    Arrival& arrival = arrivals_[{layers.end, here}];
+    if (cost < arrival.cost) arrival = {cost, &candidate, layers, from};
+  }
+
+  Chain TraceBack() const {
+    const Arrival* best = nullptr;
+    for (auto it = arrivals_.lower_bound({layer_count_, {}});
+         it != arrivals_.end(); ++it) {
+      if (best == nullptr || it->second.cost < best->cost) best = &it->second;
+    }
+    Chain chain;
+    while (best != nullptr && best->candidate != nullptr) {
+      const UpstreamSpec& upstream = *best->candidate->upstream;
+      chain.push_back({upstream.name, upstream.endpoint, best->layers});
+      best = &arrivals_.at(best->from);
+    }
+    std::reverse(chain.begin(), chain.end());
+    return chain;
+  }
+
+  std::uint32_t layer_count_;
+  std::vector<const PathCandidate*> candidates_;
+  std::set<std::uint32_t> cuts_;
+  std::map<Position, Arrival> arrivals_;
+};
+
+}  // namespace
+
+PathChoice ChoosePath(std::uint32_t layer_count,
+                      const std::vector<PathCandidate>& candidates) {
+  std::vector<const PathCandidate*> all;
+  std::vector<const PathCandidate*> open;
+  for (const auto& candidate : candidates) {
+    all.push_back(&candidate);
+    if (candidate.in_flight < candidate.limit) open.push_back(&candidate);
+  }
+  Chain chain = PathSearch(layer_count, open).Run();
+  if (!chain.empty()) return {PathOutcome::kFound, std::move(chain)};
+  const bool covered = !PathSearch(layer_count, all).Run().empty();
+  return {covered ? PathOutcome::kBusy : PathOutcome::kUncovered, {}};
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/decisions/layer_path.h
@@ -0,0 +1,50 @@
+#ifndef WISTERIAYOKE_DECISIONS_LAYER_PATH_H_
+#define WISTERIAYOKE_DECISIONS_LAYER_PATH_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "base/names_table.h"
+#include "decisions/chain.h"
+
+namespace wisteriayoke {
+
+/// An upstream that may run some of its layers for a request.
+struct PathCandidate {
+  const UpstreamSpec* upstream = nullptr;
+  double step_factor = 1;        ///< Time of a token step, against the model's.
+  std::uint32_t limit = 0;       ///< Requests that it takes at once.
+  std::uint32_t in_flight = 0;   ///< Estimate for all daemons.
+};
+
+/// Whether a path was found.
+enum class PathOutcome {
+  kFound,
+  kBusy,       ///< All layers are held, but some only by full upstreams.
+  kUncovered,  ///< Some layers are held by no candidate.
+};
+
+inline constexpr auto kPathOutcomeNames = MakeNamesTable<PathOutcome>({
+    {PathOutcome::kFound, "found"},
+    {PathOutcome::kBusy, "busy"},
+    {PathOutcome::kUncovered, "uncovered"},
+});
+
+/// The answer to a request that asks for a path.
+struct PathChoice {
+  PathOutcome outcome = PathOutcome::kUncovered;
+  Chain chain;
+};
+
+/// Chooses the path over all layers with the least expected time for a token.
+///
+/// Unlike `ChooseChain`, a stage may run a part of the layers that its upstream
+/// holds, so that ranges need not meet. A hop to another data centre costs far
+/// more than one inside, since it carries the hidden states of the whole prompt
+/// over a shared link; such paths serve only when nothing else does.
+PathChoice ChoosePath(std::uint32_t layer_count,
+                      const std::vector<PathCandidate>& candidates);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_DECISIONS_LAYER_PATH_H_
--- /dev/null
+++ b/source/decisions/relay_tables.h
@@ -0,0 +1,122 @@
+#ifndef WISTERIAYOKE_DECISIONS_RELAY_TABLES_H_
+#define WISTERIAYOKE_DECISIONS_RELAY_TABLES_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/names_table.h"
+#include "base/time_types.h"
+#include "decisions/layered_model.h"
+
+namespace wisteriayoke {
+
+/// What may be done with the requests of a relayed route.
+enum class RelayKind {
+  kIdempotent,     ///< May run more than once.
+  kNonIdempotent,  ///< Runs at most once.
+  kStreaming,      ///< Answered by events; runs once unless resumable.
+};
+
+inline constexpr auto kRelayKindNames = MakeNamesTable<RelayKind>({
+    {RelayKind::kIdempotent, "idempotent"},
+    {RelayKind::kNonIdempotent, "non-idempotent"},
+    {RelayKind::kStreaming, "streaming"},
+});
+
+/// A pool's part of a route's traffic.
+struct RouteShare {
+  PoolName pool;
+  std::uint32_t weight = 1;
+};
+
+/// Sends the requests of one host and path prefix to pools.
+struct RelayRoute {
+  RouteName name;
+  std::string host;
+  std::string path_prefix;  ///< Begins and ends with a slash.
+  RelayKind kind = RelayKind::kNonIdempotent;
+  Duration timeout = std::chrono::seconds(60);
+  Duration latency_objective = std::chrono::milliseconds(500);
+  /// Longest pause between the events of a stream that is still on time.
+  Duration longest_pause = std::chrono::milliseconds(200);
+  std::uint32_t max_attempts = 1;
+  bool anonymous = false;  ///< Whether no key is asked for.
+  bool resumable = false;  ///< Whether a stream may go on at another upstream.
+  std::vector<RouteShare> pools;
+
+  /// Tells whether a request that may have run may be sent again.
+  bool repeatable() const {
+    return kind == RelayKind::kIdempotent ||
+           (kind == RelayKind::kStreaming && resumable);
+  }
+};
+
+/// A workspace and the keys by which its callers prove that they belong to it.
+struct KeyedWorkspace {
+  WorkspaceName name;
+  std::vector<std::string> keys;
+};
+
+/// What the tables say of a pool. Its upstreams register themselves.
+struct RelayPool {
+  PoolName name;
+  std::optional<LayeredModel> model;  ///< Absent for plain services.
+};
+
+/// Bounds on what a caller may send, and how slowly.
+struct CallerLimits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 4 * 1024 * 1024;
+  Duration header_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+/// One content of the tables that the relay follows.
+struct RelaySpec {
+  std::uint64_t version = 0;
+  std::vector<RelayRoute> routes;
+  std::vector<KeyedWorkspace> workspaces;
+  std::vector<RelayPool> pools;
+  CallerLimits limits;
+};
+
+/// An immutable content of the relay's tables with its look-ups.
+class RelayTables {
+ public:
+  explicit RelayTables(RelaySpec spec);
+
+  /// Returns the route of `host` with the longest prefix of `path`, or null.
+  const RelayRoute* FindRoute(std::string_view host,
+                              std::string_view path) const;
+
+  /// Returns the workspace that holds `key`, or null.
+  const KeyedWorkspace* FindWorkspaceOfKey(const std::string& key) const;
+
+  /// Returns the pool called `name`, or null.
+  const RelayPool* FindPool(const PoolName& name) const;
+
+  const RelaySpec& spec() const { return spec_; }
+
+ private:
+  RelaySpec spec_;
+  /// Indices of the routes of a host, those with longer prefixes first.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+  std::unordered_map<std::string, std::size_t> by_key_;
+};
+
+using RelayTablesPtr = std::shared_ptr<const RelayTables>;
+
+/// Chooses the pool of a request: `draw` is uniform over the sum of the
+/// weights. The route must have a pool.
+const PoolName& ChoosePool(const RelayRoute& route, std::uint64_t draw);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_DECISIONS_RELAY_TABLES_H_
--- a/source/decisions/retry_budget.cc
+++ b/source/decisions/retry_budget.cc
@@ -1,11 +1,9 @@
 #include "decisions/retry_budget.h"
 
-#include <algorithm>
-
 namespace wisteriayoke {
 
 void RetryBudget::RecordRequest() {
-  balance_ = std::min(kMaxBalance, balance_ + kShare);
+  balance_ = std::min(max_balance_, balance_ + kShare);
 }
 
 RetryVerdict RetryBudget::TakeRetry(const RetryQuestion& question) {
--- a/source/decisions/retry_budget.h
+++ b/source/decisions/retry_budget.h
@@ -1,6 +1,8 @@
 #ifndef WISTERIAYOKE_DECISIONS_RETRY_BUDGET_H_
 #define WISTERIAYOKE_DECISIONS_RETRY_BUDGET_H_
 
+#include <algorithm>
+
 #include "base/names_table.h"
 
 namespace wisteriayoke {
@@ -46,7 +48,14 @@
 
   double balance() const { return balance_; }
 
+  /// Bounds what can be saved up, for a budget that several daemons share.
+  void set_max_balance(double max_balance) {
+    max_balance_ = max_balance;
+    balance_ = std::min(balance_, max_balance);
+  }
+
  private:
+  double max_balance_ = kMaxBalance;
   double balance_ = kMaxBalance;
 };
 
--- a/source/decisions/table_spec.h
+++ b/source/decisions/table_spec.h
@@ -82,6 +82,8 @@
   LayerRange layers;                       ///< Only for engines.
   std::uint32_t slots = 8;                 ///< Requests that it runs at once.
   EngineRole role = EngineRole::kGeneral;  ///< Only for engines.
+
+  friend bool operator==(const UpstreamSpec&, const UpstreamSpec&) = default;
 };
 
 /// What the daemons order the engines of a pool to hold.
--- a/source/decisions/upstream_book.cc
+++ b/source/decisions/upstream_book.cc
@@ -63,6 +63,10 @@
 
 void UpstreamBook::RecordSuccess(const UpstreamName& name) {
   RecordEnd(name);
+  Restore(name);
+}
+
+void UpstreamBook::Restore(const UpstreamName& name) {
   UpstreamState& state = states_[name];
   state.consecutive_failures = 0;
   state.ejections = 0;
@@ -80,6 +84,10 @@
 
 void UpstreamBook::RecordFailure(const UpstreamName& name, TimePoint now) {
   RecordEnd(name);
+  Eject(name, now);
+}
+
+void UpstreamBook::Eject(const UpstreamName& name, TimePoint now) {
   UpstreamState& state = states_[name];
   if (IsEjected(state, now)) return;
   if (++state.consecutive_failures < kFailuresBeforeEjection) return;
@@ -91,6 +99,11 @@
   states_[name].leaving = leaving;
 }
 
+void UpstreamBook::Reset(const UpstreamName& name) {
+  const std::uint32_t in_flight = StateOf(name).in_flight;
+  states_[name] = UpstreamState{.in_flight = in_flight};
+}
+
 void UpstreamBook::RecordReport(const UpstreamName& name,
                                 std::uint32_t in_flight) {
   UpstreamState& state = states_[name];
--- a/source/decisions/upstream_book.h
+++ b/source/decisions/upstream_book.h
@@ -71,6 +71,15 @@
   void RecordEnd(const UpstreamName& name);
   void SetLeaving(const UpstreamName& name, bool leaving);
 
+  /// Takes `name` out of use until a probe succeeds.
+  void Eject(const UpstreamName& name, TimePoint now);
+
+  /// Takes `name` back into use, since it answered a question.
+  void Restore(const UpstreamName& name);
+
+  /// Forgets what is known of the health of `name`, since it started again.
+  void Reset(const UpstreamName& name);
+
   /// Takes in what the upstream said about the requests that it runs.
   void RecordReport(const UpstreamName& name, std::uint32_t in_flight);
 
--- a/source/runtime/event_loop.cc
+++ b/source/runtime/event_loop.cc
@@ -4,15 +4,19 @@
 #include <asio/signal_set.hpp>
 #include <chrono>
 #include <csignal>
+#include <ctime>
+#include <initializer_list>
 #include <utility>
 
 namespace wisteriayoke {
 
-/// Waits for the signals that ask the process to stop.
+/// Waits for signals.
 class EventLoop::SignalWatch {
  public:
-  SignalWatch(asio::io_context& context, std::function<void(int)> handler)
-      : signals_(context, SIGINT, SIGTERM), handler_(std::move(handler)) {
+  SignalWatch(asio::io_context& context, std::initializer_list<int> numbers,
+              std::function<void(int)> handler)
+      : signals_(context), handler_(std::move(handler)) {
+    for (const int number : numbers) signals_.add(number);
     Wait();
   }
 
@@ -45,6 +49,14 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+BootTime EventLoop::BootNow() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return BootTime(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 void EventLoop::Post(std::function<void()> call) {
   asio::post(context_, std::move(call));
 }
@@ -54,7 +66,14 @@
 }
 
 void EventLoop::WatchStopSignals(std::function<void(int)> handler) {
-  signals_ = std::make_unique<SignalWatch>(context_, std::move(handler));
+  stop_signals_ = std::make_unique<SignalWatch>(
+      context_, std::initializer_list<int>{SIGINT, SIGTERM},
+      std::move(handler));
+}
+
+void EventLoop::WatchReloadSignal(std::function<void(int)> handler) {
+  reload_signal_ = std::make_unique<SignalWatch>(
+      context_, std::initializer_list<int>{SIGHUP}, std::move(handler));
 }
 
 }  // namespace wisteriayoke
--- a/source/runtime/event_loop.h
+++ b/source/runtime/event_loop.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "base/time_types.h"
+#include "decisions/boot_time.h"
 #include "runtime/loop_timer.h"
 
 namespace wisteriayoke {
@@ -27,6 +28,9 @@
   /// Returns the monotonic time.
   TimePoint Now() const;
 
+  /// Returns the time since the instance's boot, suspensions included.
+  BootTime BootNow() const;
+
   /// Runs `call` on the next turn of the loop.
   void Post(std::function<void()> call);
 
@@ -37,13 +41,17 @@
   /// Calls `handler` with the number of each SIGTERM or SIGINT.
   void WatchStopSignals(std::function<void(int)> handler);
 
+  /// Calls `handler` for each SIGHUP.
+  void WatchReloadSignal(std::function<void(int)> handler);
+
   asio::io_context& context() { return context_; }
 
  private:
   class SignalWatch;
 
   asio::io_context context_;
-  std::unique_ptr<SignalWatch> signals_;
+  std::unique_ptr<SignalWatch> stop_signals_;
+  std::unique_ptr<SignalWatch> reload_signal_;
 };
 
 }  // namespace wisteriayoke
--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -85,7 +85,7 @@
                               const asio::error_code& error, std::size_t size) {
                             self->reading_ = false;
                             if (self->closed_) return;
-                            if (error) return self->HandleReadEnd();
+                            if (error) return self->HandleReadEnd(error);
                             self->HandleRead({self->read_buffer_.data(), size});
                           });
 }
@@ -103,7 +103,10 @@
   if (!reading_) Read();
 }
 
-void HttpClientCall::HandleReadEnd() {
+void HttpClientCall::HandleReadEnd(const asio::error_code& error) {
+  if (error != asio::error::eof) {
+    return Fail(ResultCode::kConnectionBroken, error.message());
+  }
   LastReason reason;
   if (!parser_.PushEnd(reason)) return Fail(reason.code(), reason.message());
   Deliver();
--- a/source/runtime/http_client_call.h
+++ b/source/runtime/http_client_call.h
@@ -85,7 +85,7 @@
   void Send();
   void Read();
   void HandleRead(std::string_view data);
-  void HandleReadEnd();
+  void HandleReadEnd(const asio::error_code& error);
   void Deliver();
   void Fail(ResultCode code, std::string message);
   void Finish(CallEvent event);
--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -64,6 +64,7 @@
     return session->Refuse(reason);
   }
   sessions_.push_back(session);
+  if (close_after_answers_) session->CloseAfterAnswer();
   session->Start();
 }
 
@@ -87,6 +88,13 @@
   acceptor_.close(ignored);
 }
 
+void HttpServer::CloseAfterAnswers() {
+  close_after_answers_ = true;
+  for (const auto& weak : sessions_) {
+    if (const auto session = weak.lock()) session->CloseAfterAnswer();
+  }
+}
+
 void HttpServer::Drain(std::function<void()> done) {
   on_drained_ = std::move(done);
   for (const auto& weak : std::vector(sessions_)) {
--- a/source/runtime/http_server.h
+++ b/source/runtime/http_server.h
@@ -25,6 +25,9 @@
   /// sessions go on.
   void StopAccepting();
 
+  /// Asks callers to use another connection after their next answer.
+  void CloseAfterAnswers();
+
   /// Closes each session as soon as its current request is answered, then
   /// calls `done`.
   void Drain(std::function<void()> done);
@@ -52,6 +55,7 @@
   HttpServerSession::ErrorHandler error_handler_;
   asio::ip::tcp::acceptor acceptor_;
   std::vector<std::weak_ptr<HttpServerSession>> sessions_;
+  bool close_after_answers_ = false;
   std::function<void()> on_drained_;
   LoopTimerPtr drain_timer_;
 };
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -86,14 +86,14 @@
 
 void HttpServerSession::Respond(const HttpResponse& response) {
   if (closed_ || !answering_) return;
-  keep_alive_ = keep_alive_ && !close_when_idle_;
+  keep_alive_ = keep_alive_ && !close_when_idle_ && !close_after_answer_;
   Write(EncodeResponse(response, keep_alive_));
   FinishAnswer();
 }
 
 void HttpServerSession::StartStream(const HttpResponseHead& head) {
   if (closed_ || !answering_) return;
-  keep_alive_ = keep_alive_ && !close_when_idle_;
+  keep_alive_ = keep_alive_ && !close_when_idle_ && !close_after_answer_;
   Write(EncodeChunkedHead(head, keep_alive_));
 }
 
--- a/source/runtime/http_server_session.h
+++ b/source/runtime/http_server_session.h
@@ -75,6 +75,9 @@
   /// that the request can still be answered, and closes shortly after.
   void Cut();
 
+  /// Closes the connection once the current or the next request is answered.
+  void CloseAfterAnswer() { close_after_answer_ = true; }
+
   /// Closes the connection once the current request, if any, is answered.
   void CloseWhenIdle();
 
@@ -156,6 +159,7 @@
   bool fresh_ = true;  ///< No request has come yet.
   bool answering_ = false;
   bool keep_alive_ = true;
+  bool close_after_answer_ = false;
   bool close_when_idle_ = false;
   bool refused_ = false;
   bool timing_request_ = false;  ///< What the read timer bounds.
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -15,6 +15,7 @@
 #include "decisions/upstream_book.h"
 #include "runtime/event_loop.h"
 #include "supervisor/context/metrics.h"
+#include "supervisor/context/relay_state.h"
 #include "supervisor/context/rumour_exchange.h"
 #include "supervisor/context/settings.h"
 #include "supervisor/context/timeline.h"
@@ -37,6 +38,7 @@
   Quarantine quarantine;
   RoutingPolicy routing = TwoChoices{};
   std::mt19937_64 random{std::random_device{}()};  ///< For routing and polls.
+  RelayState relay;  ///< Used by the relay's interface alone.
   Metrics metrics;
   Timeline timeline{metrics};
   /// Set by the first front end; holds the queues of all pools.
--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -32,6 +32,16 @@
   kTrialStarted,
   kRequestQuarantined,
   kRequestCut,
+  kStoreLost,
+  kStoreReturned,
+  kUpstreamChanged,
+  kUpstreamGone,
+  kEntryRefused,
+  kUpstreamSuspected,
+  kStreamResumed,
+  kRequestAnswered,
+  kKeysStale,
+  kReloaded,
 };
 
 inline constexpr auto kEventKindNames = MakeNamesTable<EventKind>({
@@ -60,6 +70,16 @@
     {EventKind::kTrialStarted, "trial-started"},
     {EventKind::kRequestQuarantined, "request-quarantined"},
     {EventKind::kRequestCut, "request-cut"},
+    {EventKind::kStoreLost, "store-lost"},
+    {EventKind::kStoreReturned, "store-returned"},
+    {EventKind::kUpstreamChanged, "upstream-changed"},
+    {EventKind::kUpstreamGone, "upstream-gone"},
+    {EventKind::kEntryRefused, "entry-refused"},
+    {EventKind::kUpstreamSuspected, "upstream-suspected"},
+    {EventKind::kStreamResumed, "stream-resumed"},
+    {EventKind::kRequestAnswered, "request-answered"},
+    {EventKind::kKeysStale, "keys-stale"},
+    {EventKind::kReloaded, "reloaded"},
 });
 
 }  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/context/relay_state.h
@@ -0,0 +1,25 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_RELAY_STATE_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_RELAY_STATE_H_
+
+#include <map>
+
+#include "decisions/fleet.h"
+#include "decisions/freshness.h"
+#include "decisions/relay_tables.h"
+#include "decisions/retry_budget.h"
+
+namespace wisteriayoke {
+
+/// What the relay's children share, and what outlives their restarts.
+struct RelayState {
+  RelayTablesPtr tables;  ///< Null until the first tables are in force.
+  Fleet fleet;
+  bool fleet_known = false;  ///< Whether the list of upstreams was read.
+  Freshness freshness;       ///< Of `tables`.
+  std::map<PoolName, RetryBudget> budgets;
+  double most_daemons = 1;  ///< Most members that were seen at a time.
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_RELAY_STATE_H_
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -12,7 +12,9 @@
 enum class SettingKey {
   kDaemonName,
   kDataCentre,
+  kFrontInterface,
   kFrontAddress,
+  kReadyAddress,
   kOperatorsAddress,
   kPeersAddress,
   kPeerSeeds,
@@ -37,6 +39,10 @@
   kLedgerAnswerBytes,
   kLeaseLength,
   kClockDrift,
+  kRevocationTime,
+  kStopGrace,
+  kRetryRatio,
+  kRetrySlack,
 };
 
 /// The form of a setting's value.
@@ -46,7 +52,9 @@
   kEndpoint,
   kEndpointList,
   kMilliseconds,
-  kCount
+  kCount,
+  kDecimal,
+  kInterface,
 };
 
 inline constexpr auto kSettingTypeNames = MakeNamesTable<SettingType>({
@@ -56,6 +64,19 @@
     {SettingType::kEndpointList, "IP:PORT, ..."},
     {SettingType::kMilliseconds, "milliseconds"},
     {SettingType::kCount, "whole number"},
+    {SettingType::kDecimal, "number"},
+    {SettingType::kInterface, "completions|relay"},
+});
+
+/// What a daemon speaks towards its callers, and where its tables come from.
+enum class FrontInterface {
+  kCompletions,  ///< The product's own: completions, tables by the tool.
+  kRelay,        ///< Any HTTP, relayed; tables and upstreams from the platform.
+};
+
+inline constexpr auto kFrontInterfaceNames = MakeNamesTable<FrontInterface>({
+    {FrontInterface::kCompletions, "completions"},
+    {FrontInterface::kRelay, "relay"},
 });
 
 /// One row of the table of settings. An empty default means "required" unless
--- a/source/supervisor/context/settings.cc
+++ b/source/supervisor/context/settings.cc
@@ -35,6 +35,16 @@
   return parsed.ec == std::errc() && parsed.ptr == end;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 bool IsValid(SettingType type, const std::string& value) {
   LastReason ignored;
   switch (type) {
@@ -54,6 +64,10 @@
     case SettingType::kMilliseconds:
     case SettingType::kCount:
       return IsWholeNumber(value);
+    case SettingType::kDecimal:
+      return ParseDecimal(value).has_value();
+    case SettingType::kInterface:
+      return kFrontInterfaceNames.Find(value).has_value();
   }
   return false;
 }
@@ -107,6 +121,15 @@
   return Create(*text, reason);
 }
 
+FrontInterface Settings::Interface() const {
+  return kFrontInterfaceNames.Find(Text(SettingKey::kFrontInterface))
+      .value_or(FrontInterface::kCompletions);
+}
+
+double Settings::Decimal(SettingKey key) const {
+  return ParseDecimal(values_.at(key)).value_or(0);
+}
+
 std::uint64_t Settings::Count(SettingKey key) const {
   return std::stoull(values_.at(key));
 }
--- a/source/supervisor/context/settings.h
+++ b/source/supervisor/context/settings.h
@@ -27,6 +27,12 @@
   static std::optional<Settings> Load(const std::string& path,
                                       LastReason& reason);
 
+  /// Returns the interface towards callers.
+  FrontInterface Interface() const;
+
+  /// Returns a setting that is a decimal number.
+  double Decimal(SettingKey key) const;
+
   const std::string& Text(SettingKey key) const { return values_.at(key); }
   std::uint64_t Count(SettingKey key) const;
   Duration Milliseconds(SettingKey key) const;
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -58,10 +58,10 @@
 
 }  // namespace
 
-FrontEnd::FrontEnd(DaemonContext context, PlatformFinder platform,
+FrontEnd::FrontEnd(DaemonContext context, TableServiceFinder table_service,
                    FailureHandler on_failure)
     : context_(context),
-      platform_(std::move(platform)),
+      table_service_(std::move(table_service)),
       on_failure_(std::move(on_failure)) {}
 
 bool FrontEnd::Start(LastReason& reason) {
@@ -217,10 +217,10 @@
   auto shared = std::make_shared<RoutedRequest>(std::move(routed));
   Admit(
       *shared, 0,
-      [context = context_, platform = platform_,
+      [context = context_, table_service = table_service_,
        shared](AdmissionTicketPtr ticket) {
         const auto session = ServiceSession::Create(
-            context, platform,
+            context, table_service,
             {shared->tables, shared->route, shared->workspace.name, shared->id,
              std::move(shared->request), shared->caller, std::move(ticket)});
         if (session) session->Start();
--- a/source/supervisor/front/front_end.h
+++ b/source/supervisor/front/front_end.h
@@ -8,7 +8,7 @@
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/admission_gate.h"
-#include "supervisor/platform/platform_client.h"
+#include "supervisor/table_service/table_service_client.h"
 
 namespace wisteriayoke {
 
@@ -16,7 +16,7 @@
 /// for each. A child of the root; sessions outlive its restart.
 class FrontEnd : public std::enable_shared_from_this<FrontEnd> {
  public:
-  FrontEnd(DaemonContext context, PlatformFinder platform,
+  FrontEnd(DaemonContext context, TableServiceFinder table_service,
            FailureHandler on_failure);
 
   bool Start(LastReason& reason);
@@ -53,7 +53,7 @@
   void FollowSuspects();
 
   DaemonContext context_;
-  PlatformFinder platform_;
+  TableServiceFinder table_service_;
   FailureHandler on_failure_;
   std::shared_ptr<HttpServer> server_;
   LoopTimerPtr claims_timer_;
--- a/source/supervisor/front/ledger_store.cc
+++ b/source/supervisor/front/ledger_store.cc
@@ -91,9 +91,9 @@
 }
 
 void LedgerStore::Read(const ReadLedger& action, Done done) const {
-  const auto platform = platform_();
-  if (!platform) return done(LedgerNotSent{action.operation});
-  platform->ReadRecord(record_name_,
+  const auto table_service = table_service_();
+  if (!table_service) return done(LedgerNotSent{action.operation});
+  table_service->ReadRecord(record_name_,
                        [done = std::move(done),
                         operation = action.operation](const StoreReply& reply) {
                          done(DescribeReply(reply, operation, false));
@@ -101,9 +101,9 @@
 }
 
 void LedgerStore::Write(const WriteLedger& action, Done done) const {
-  const auto platform = platform_();
-  if (!platform) return done(LedgerNotSent{action.operation});
-  platform->WriteRecord(
+  const auto table_service = table_service_();
+  if (!table_service) return done(LedgerNotSent{action.operation});
+  table_service->WriteRecord(
       record_name_, EncodeLedgerRecord(action.record), action.expected,
       [done = std::move(done),
        operation = action.operation](const StoreReply& reply) {
--- a/source/supervisor/front/ledger_store.h
+++ b/source/supervisor/front/ledger_store.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "decisions/ledger_claim.h"
-#include "supervisor/platform/platform_client.h"
+#include "supervisor/table_service/table_service_client.h"
 #include "wire/http_message.h"
 
 namespace wisteriayoke {
@@ -35,14 +35,14 @@
  public:
   using Done = std::function<void(LedgerEvent)>;
 
-  LedgerStore(PlatformFinder platform, std::string record_name)
-      : platform_(std::move(platform)), record_name_(std::move(record_name)) {}
+  LedgerStore(TableServiceFinder table_service, std::string record_name)
+      : table_service_(std::move(table_service)), record_name_(std::move(record_name)) {}
 
   void Read(const ReadLedger& action, Done done) const;
   void Write(const WriteLedger& action, Done done) const;
 
  private:
-  PlatformFinder platform_;
+  TableServiceFinder table_service_;
   std::string record_name_;
 };
 
--- a/source/supervisor/front/service_session.cc
+++ b/source/supervisor/front/service_session.cc
@@ -70,7 +70,7 @@
 }  // namespace
 
 std::shared_ptr<ServiceSession> ServiceSession::Create(
-    DaemonContext context, const PlatformFinder& platform, Input input) {
+    DaemonContext context, const TableServiceFinder& table_service, Input input) {
   if (input.route.idempotent) {
     return std::make_shared<ServiceSession>(context, std::move(input),
                                             ServiceRequest::ForIdempotent(),
@@ -85,7 +85,7 @@
     return nullptr;
   }
   LedgerStore ledger(
-      platform,
+      table_service,
       LedgerRecordName(input.workspace, input.route.name, request->key));
   auto decider = ServiceRequest::ForOnce(
       std::move(*request), LedgerLimitsOf(context.settings),
--- a/source/supervisor/instances/instance_watcher.cc
+++ b/source/supervisor/instances/instance_watcher.cc
@@ -9,10 +9,10 @@
 
 namespace wisteriayoke {
 
-InstanceWatcher::InstanceWatcher(DaemonContext context, PlatformFinder platform,
+InstanceWatcher::InstanceWatcher(DaemonContext context, TableServiceFinder table_service,
                                  PeerFinder peers, FailureHandler on_failure)
     : context_(context),
-      platform_(std::move(platform)),
+      table_service_(std::move(table_service)),
       peers_(std::move(peers)),
       on_failure_(std::move(on_failure)) {}
 
@@ -47,9 +47,9 @@
       context_.settings.Milliseconds(SettingKey::kInstancePollInterval),
       peers ? peers->group_size() : 1, context_.state.random);
   poll_timer_ = context_.loop.Schedule(interval, [this] { Poll(); });
-  const auto platform = platform_();
-  if (!platform) return;
-  platform->ReadInstances([self = shared_from_this()](const StoreReply& reply) {
+  const auto table_service = table_service_();
+  if (!table_service) return;
+  table_service->ReadInstances([self = shared_from_this()](const StoreReply& reply) {
     if (!self->stopped_) self->HandleList(reply);
   });
 }
--- a/source/supervisor/instances/instance_watcher.h
+++ b/source/supervisor/instances/instance_watcher.h
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "supervisor/peers/peer_link.h"
-#include "supervisor/platform/platform_client.h"
+#include "supervisor/table_service/table_service_client.h"
 
 namespace wisteriayoke {
 
@@ -14,7 +14,7 @@
 /// upstreams. A child of the root.
 class InstanceWatcher : public std::enable_shared_from_this<InstanceWatcher> {
  public:
-  InstanceWatcher(DaemonContext context, PlatformFinder platform,
+  InstanceWatcher(DaemonContext context, TableServiceFinder table_service,
                   PeerFinder peers, FailureHandler on_failure);
 
   bool Start(LastReason& reason);
@@ -26,7 +26,7 @@
   void HandleList(const StoreReply& reply);
 
   DaemonContext context_;
-  PlatformFinder platform_;
+  TableServiceFinder table_service_;
   PeerFinder peers_;
   FailureHandler on_failure_;
   RumourExchange::Subscription signs_;
--- /dev/null
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -0,0 +1,229 @@
+#include "supervisor/layer_placement/layer_placement.h"
+
+#include <random>
+#include <utility>
+
+#include "base/overloaded.h"
+#include "platform/fleet_codec.h"
+#include "wire/order_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr auto kLeaseTable = "wisteriayoke";
+constexpr auto kLeaseKey = "placement-lease";
+/// A third of the lease, so that one lost renewal doesn't end it.
+constexpr Duration kLeaseInterval = std::chrono::seconds(1);
+constexpr Duration kOrdersInterval = std::chrono::milliseconds(200);
+/// How long an upstream may take to answer an order or a question; it answers
+/// at once, without a slot.
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(500);
+
+/// Orders that arrive late do no harm, so that none is waited for.
+constexpr LeaseLimits kLeaseLimits{
+    .length = std::chrono::seconds(3),
+    .margin = std::chrono::milliseconds(300),
+    .longest_order = Duration::zero(),
+};
+
+std::string MakeToken() {
+  std::random_device random;
+  return std::to_string(random()) + "-" + std::to_string(random());
+}
+
+HttpCallLimits MakeCallLimits() {
+  HttpCallLimits limits;
+  limits.connect_timeout = kAnswerTimeout;
+  limits.idle_timeout = kAnswerTimeout;
+  return limits;
+}
+
+}  // namespace
+
+LayerPlacement::LayerPlacement(DaemonContext context,
+                               FailureHandler /*on_failure*/)
+    : context_(context),
+      store_(std::make_shared<RowStore>(
+          context.loop,
+          context.settings.EndpointOf(SettingKey::kPlatformAddress))),
+      lease_(DaemonName(context.settings.Text(SettingKey::kDaemonName)),
+             MakeToken(), kLeaseLimits) {}
+
+bool LayerPlacement::Start(LastReason& /*reason*/) {
+  TickLease();
+  TickOrders();
+  return true;
+}
+
+void LayerPlacement::Stop(const std::function<void()>& done) {
+  stopped_ = true;
+  lease_timer_.reset();
+  orders_timer_.reset();
+  done();
+}
+
+/// The lease is measured on the time line that a suspension doesn't stop.
+TimePoint LayerPlacement::LeaseNow() const {
+  return TimePoint(context_.loop.BootNow().time_since_epoch());
+}
+
+bool LayerPlacement::HoldsLease() const {
+  return lease_.HeldAt(LeaseNow()).has_value();
+}
+
+void LayerPlacement::TickLease() {
+  FeedLease(LeaseTick{});
+  lease_timer_ =
+      context_.loop.Schedule(kLeaseInterval, [this] { TickLease(); });
+}
+
+void LayerPlacement::FeedLease(const LeaseEvent& event) {
+  if (stopped_) return;
+  for (const auto& action : lease_.Handle(event, LeaseNow())) {
+    std::visit([this](const auto& step) { Carry(step); }, action);
+  }
+  const bool held = HoldsLease();
+  if (held == std::exchange(held_, held)) return;
+  context_.state.timeline.Record(
+      LogLevel::kInfo,
+      held ? EventKind::kLeaseTaken : EventKind::kLeaseEnded, ResultCode::kOk,
+      {{"lease", kLeaseKey}});
+}
+
+void LayerPlacement::Carry(const ReadLease& action) {
+  store_->ReadTable(
+      kLeaseTable, [self = shared_from_this(),
+                    operation = action.operation](const RowReply& reply) {
+        if (reply.code != ResultCode::kOk) {
+          return self->FeedLease(LeaseCallFailed{operation});
+        }
+        LeaseRead read{.operation = operation};
+        for (const auto& row : reply.page.rows) {
+          if (row.key != kLeaseKey) continue;
+          LastReason ignored;
+          read.record = ParseLeaseRecord(row.value, ignored);
+          read.version = row.version;
+        }
+        self->FeedLease(read);
+      });
+}
+
+void LayerPlacement::Carry(const WriteLease& action) {
+  store_->Write(
+      {kLeaseTable, kLeaseKey, EncodeLeaseRecord(action.record),
+       action.expected},
+      [self = shared_from_this(),
+       operation = action.operation](const RowReply& reply) {
+        if (reply.code == ResultCode::kOk) {
+          return self->FeedLease(LeaseWritten{operation, reply.page.version});
+        }
+        if (reply.code != ResultCode::kStoreConflict) {
+          return self->FeedLease(LeaseCallFailed{operation});
+        }
+        LeaseConflicted conflict{.operation = operation};
+        for (const auto& row : reply.page.rows) {
+          LastReason ignored;
+          conflict.record = ParseLeaseRecord(row.value, ignored);
+          conflict.version = row.version;
+        }
+        self->FeedLease(conflict);
+      });
+}
+
+void LayerPlacement::TickOrders() {
+  orders_timer_ =
+      context_.loop.Schedule(kOrdersInterval, [this] { TickOrders(); });
+  const RelayState& relay = context_.state.relay;
+  if (!relay.tables || !relay.fleet_known || !HoldsLease()) return;
+  const RelayTablesPtr tables = relay.tables;
+  for (const auto& pool : tables->spec().pools) {
+    if (!pool.model) continue;
+    orders_.try_emplace(pool.name, *pool.model);
+    FeedOrders(pool.name, DescribePool(pool.name, *pool.model));
+  }
+}
+
+OrdersTick LayerPlacement::DescribePool(const PoolName& pool,
+                                        const LayeredModel& model) {
+  OrdersTick tick;
+  const TimePoint now = context_.loop.Now();
+  for (const auto* entry : context_.state.relay.fleet.ListOpen(pool)) {
+    const UpstreamSpec& upstream = entry->upstream;
+    const auto accelerator = model.accelerators.find(upstream.accelerator);
+    if (accelerator == model.accelerators.end()) continue;
+    const auto health = context_.state.upstreams.HealthOf(upstream.name, now);
+    if (health == UpstreamHealth::kEjected) continue;
+    tick.upstreams.push_back({{upstream.name, upstream.data_centre,
+                               accelerator->second.memory_mb, upstream.layers},
+                              entry->born_ms});
+  }
+  return tick;
+}
+
+void LayerPlacement::FeedOrders(const PoolName& pool,
+                                const LayerOrderEvent& event) {
+  if (stopped_) return;
+  const auto found = orders_.find(pool);
+  if (found == orders_.end()) return;
+  for (const auto& action :
+       found->second.Handle(event, context_.loop.Now())) {
+    std::visit([this, &pool](const auto& step) { Carry(pool, step); }, action);
+  }
+}
+
+void LayerPlacement::Carry(const PoolName& pool, const SendLayerOrder& action) {
+  const FleetEntry* entry = context_.state.relay.fleet.Find(action.upstream);
+  if (entry == nullptr || !HoldsLease()) {
+    return FeedOrders(
+        pool, LayerOrderEnded{action.upstream, LayerOrderResult::kMismatched});
+  }
+  context_.state.timeline.Record(
+      LogLevel::kInfo, EventKind::kOrderSent, ResultCode::kOk,
+      {{"upstream", action.upstream.text()},
+       {"layers", std::to_string(action.layers.first) + "-" +
+                      std::to_string(action.layers.end)},
+       {"expected", std::to_string(action.expected)}});
+  FetchWhole(context_.loop, entry->upstream.endpoint, BuildLayerOrder(action),
+             MakeCallLimits(),
+             [self = shared_from_this(), pool,
+              action](const FetchResult& result) {
+               const bool answered = result.code == ResultCode::kOk;
+               const int status = result.response.head.status;
+               const auto outcome = answered ? ReadOrderStatus(status)
+                                             : LayerOrderResult::kLost;
+               self->RecordOrder(
+                   action, outcome,
+                   answered ? std::to_string(status) : result.message);
+               self->FeedOrders(pool, LayerOrderEnded{action.upstream, outcome});
+             });
+}
+
+void LayerPlacement::RecordOrder(const SendLayerOrder& action,
+                                 LayerOrderResult result,
+                                 const std::string& reason) {
+  context_.state.timeline.Record(
+      LogLevel::kInfo, EventKind::kOrderEnded, ResultCode::kOk,
+      {{"upstream", action.upstream.text()},
+       {"result", std::string(kLayerOrderResultNames.NameOf(result))},
+       {"answer", reason}});
+}
+
+void LayerPlacement::Carry(const PoolName& pool, const AskSequence& action) {
+  const FleetEntry* entry = context_.state.relay.fleet.Find(action.upstream);
+  if (entry == nullptr) {
+    return FeedOrders(pool, SequenceReported{action.upstream, {}});
+  }
+  FetchWhole(context_.loop, entry->upstream.endpoint, BuildReportRequest(),
+             MakeCallLimits(),
+             [self = shared_from_this(), pool,
+              upstream = action.upstream](const FetchResult& result) {
+               LastReason ignored;
+               const auto report = ParseReport(result.response.body, ignored);
+               self->FeedOrders(pool,
+                                SequenceReported{upstream,
+                                                 report ? report->orders
+                                                        : std::nullopt});
+             });
+}
+
+}  // namespace wisteriayoke
--- a/source/supervisor/placement/placement_supervisor.cc
+++ b/source/supervisor/placement/placement_supervisor.cc
@@ -17,10 +17,10 @@
 }  // namespace
 
 PlacementSupervisor::PlacementSupervisor(DaemonContext context,
-                                         PlatformFinder platform,
+                                         TableServiceFinder table_service,
                                          FailureHandler on_failure)
     : context_(context),
-      platform_(std::move(platform)),
+      table_service_(std::move(table_service)),
       token_(MakeToken(context.settings.Text(SettingKey::kDaemonName))),
       children_(context.loop, MakeChildObserver(context.state.timeline),
                 std::move(on_failure)) {}
@@ -43,7 +43,7 @@
                        .create =
                            [this, pool](const FailureHandler& /*on_failure*/) {
                              return Child(std::make_shared<PoolPlacement>(
-                                 context_, platform_, pool, token_));
+                                 context_, table_service_, pool, token_));
                            }},
                       reason);
     if (!added) return false;
--- a/source/supervisor/placement/placement_supervisor.h
+++ b/source/supervisor/placement/placement_supervisor.h
@@ -15,7 +15,7 @@
 /// the tables in force. A child of the root.
 class PlacementSupervisor {
  public:
-  PlacementSupervisor(DaemonContext context, PlatformFinder platform,
+  PlacementSupervisor(DaemonContext context, TableServiceFinder table_service,
                       FailureHandler on_failure);
 
   bool Start(LastReason& reason);
@@ -29,7 +29,7 @@
   using Child = std::variant<std::shared_ptr<PoolPlacement>>;
 
   DaemonContext context_;
-  PlatformFinder platform_;
+  TableServiceFinder table_service_;
   std::string token_;  ///< Names this process in leases.
   Supervisor<Child> children_;
 };
--- a/source/supervisor/placement/pool_placement.cc
+++ b/source/supervisor/placement/pool_placement.cc
@@ -52,10 +52,10 @@
 
 }  // namespace
 
-PoolPlacement::PoolPlacement(DaemonContext context, PlatformFinder platform,
+PoolPlacement::PoolPlacement(DaemonContext context, TableServiceFinder table_service,
                              Pool pool, std::string token)
     : context_(context),
-      platform_(std::move(platform)),
+      table_service_(std::move(table_service)),
       pool_(std::move(pool)),
       record_name_("leases/" + ComputeDigest(pool_.name.text())),
       tick_(context.settings.Milliseconds(SettingKey::kLeaseLength) /
@@ -95,9 +95,9 @@
 }
 
 void PoolPlacement::Read(const ReadLease& action) {
-  const auto platform = platform_();
-  if (!platform) return FeedLease(LeaseCallFailed{action.operation});
-  platform->ReadRecord(
+  const auto table_service = table_service_();
+  if (!table_service) return FeedLease(LeaseCallFailed{action.operation});
+  table_service->ReadRecord(
       record_name_, [self = shared_from_this(),
                      operation = action.operation](const StoreReply& reply) {
         self->FeedLease(DescribeReply(reply, operation, false));
@@ -105,9 +105,9 @@
 }
 
 void PoolPlacement::Write(const WriteLease& action) {
-  const auto platform = platform_();
-  if (!platform) return FeedLease(LeaseCallFailed{action.operation});
-  platform->WriteRecord(
+  const auto table_service = table_service_();
+  if (!table_service) return FeedLease(LeaseCallFailed{action.operation});
+  table_service->WriteRecord(
       record_name_, EncodeLeaseRecord(action.record), action.expected,
       [self = shared_from_this(),
        operation = action.operation](const StoreReply& reply) {
--- a/source/supervisor/placement/pool_placement.h
+++ b/source/supervisor/placement/pool_placement.h
@@ -9,7 +9,7 @@
 #include "decisions/placement_plan.h"
 #include "runtime/http_client_call.h"
 #include "runtime/supervisor.h"
-#include "supervisor/platform/platform_client.h"
+#include "supervisor/table_service/table_service_client.h"
 
 namespace wisteriayoke {
 
@@ -20,7 +20,7 @@
  public:
   /// `token` is unique for the process, so that a restarted child goes on with
   /// the lease of its predecessor.
-  PoolPlacement(DaemonContext context, PlatformFinder platform, Pool pool,
+  PoolPlacement(DaemonContext context, TableServiceFinder table_service, Pool pool,
                 std::string token);
 
   bool Start(LastReason& reason);
@@ -41,7 +41,7 @@
   const Endpoint& EndpointOf(const UpstreamName& upstream) const;
 
   DaemonContext context_;
-  PlatformFinder platform_;
+  TableServiceFinder table_service_;
   Pool pool_;
   std::string record_name_;
   Duration tick_;
--- /dev/null
+++ b/source/supervisor/relay/ready_port.cc
@@ -0,0 +1,46 @@
+#include "supervisor/relay/ready_port.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr std::size_t kMaxConnections = 16;
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+
+}  // namespace
+
+ReadyPort::ReadyPort(DaemonContext context, FailureHandler /*on_failure*/)
+    : context_(context) {}
+
+bool ReadyPort::Start(LastReason& reason) {
+  server_ = HttpServer::Create(
+      context_.loop, context_.settings.EndpointOf(SettingKey::kReadyAddress),
+      {.connections = kMaxConnections},
+      [weak = weak_from_this()](
+          const HttpRequest& /*request*/,
+          const std::shared_ptr<HttpServerSession>& session) {
+        const auto self = weak.lock();
+        const bool ready = self && self->IsReady();
+        session->Respond({{ready ? kStatusOk : kStatusUnavailable, {}},
+                          ready ? "ready\n" : "not ready\n"});
+      },
+      [](const LastReason&) {
+        return HttpResponse{{kStatusUnavailable, {}}, ""};
+      },
+      reason);
+  return server_ != nullptr;
+}
+
+void ReadyPort::Stop(const std::function<void()>& done) {
+  server_->StopAccepting();
+  server_->CutSessions();
+  done();
+}
+
+bool ReadyPort::IsReady() const {
+  const DaemonState& state = context_.state;
+  return state.relay.tables && state.relay.fleet_known && !state.draining &&
+         state.relay.freshness.IsComfortable(context_.loop.BootNow());
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/relay/ready_port.h
@@ -0,0 +1,31 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_RELAY_READY_PORT_H_
+#define WISTERIAYOKE_SUPERVISOR_RELAY_READY_PORT_H_
+
+#include <functional>
+#include <memory>
+
+#include "runtime/http_server.h"
+#include "runtime/supervisor.h"
+#include "supervisor/context/daemon_context.h"
+
+namespace wisteriayoke {
+
+/// Tells the balancer whether this daemon takes new callers. A child of the
+/// root.
+class ReadyPort : public std::enable_shared_from_this<ReadyPort> {
+ public:
+  ReadyPort(DaemonContext context, FailureHandler on_failure);
+
+  bool Start(LastReason& reason);
+  void Stop(const std::function<void()>& done);
+
+ private:
+  bool IsReady() const;
+
+  DaemonContext context_;
+  std::shared_ptr<HttpServer> server_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_RELAY_READY_PORT_H_
--- /dev/null
+++ b/source/supervisor/relay/relay_front.cc
@@ -0,0 +1,239 @@
+#include "supervisor/relay/relay_front.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/fleet_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// How often the progress of the sessions is looked at: a fraction of the
+/// silence that is taken for trouble.
+constexpr Duration kWatchInterval = std::chrono::milliseconds(50);
+/// Least time between two questions to one upstream.
+constexpr Duration kAskInterval = std::chrono::milliseconds(200);
+/// How long an upstream may take to answer a question; it needs no slot.
+constexpr Duration kReportTimeout = std::chrono::milliseconds(200);
+/// How long new connections are served after a stop began: the balancer takes
+/// two questions, a second apart, to notice it.
+constexpr Duration kLingerTime = std::chrono::milliseconds(3000);
+/// Requests that are worked on for about this long when they come last.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(250);
+/// Part of the slack that is used, so that the members' shares add up to less
+/// while they differ about who is a member.
+constexpr double kSlackShare = 0.8;
+
+HttpServerLimits LimitsOf(const Settings& settings) {
+  HttpServerLimits limits;
+  limits.connections = settings.Count(SettingKey::kMaxConnections);
+  limits.message.header_bytes =
+      static_cast<std::uint32_t>(settings.Count(SettingKey::kMaxHeaderBytes));
+  limits.message.body_bytes = settings.Count(SettingKey::kMaxBodyBytes);
+  limits.request_timeout = settings.Milliseconds(SettingKey::kRequestTimeout);
+  limits.idle_timeout = settings.Milliseconds(SettingKey::kIdleTimeout);
+  limits.write_timeout = settings.Milliseconds(SettingKey::kWriteTimeout);
+  return limits;
+}
+
+HttpResponse BuildRefusal(const std::string& attempt_id, ResultCode code,
+                          Duration retry_after) {
+  const ResultCodeInfo& info = DescribeResultCode(code);
+  return BuildOwnAnswer(
+      info.http_status, attempt_id,
+      std::string(info.name) + ": " + std::string(info.remedy), retry_after);
+}
+
+}  // namespace
+
+RelayFront::RelayFront(DaemonContext context, FailureHandler on_failure)
+    : context_(context), on_failure_(std::move(on_failure)) {}
+
+bool RelayFront::Start(LastReason& reason) {
+  server_ = HttpServer::Create(
+      context_.loop, context_.settings.EndpointOf(SettingKey::kFrontAddress),
+      LimitsOf(context_.settings),
+      [weak = weak_from_this()](HttpRequest request, const CallerPtr& caller) {
+        if (const auto self = weak.lock()) {
+          return self->Handle(std::move(request), caller);
+        }
+        caller->Respond(BuildRefusal({}, ResultCode::kDraining, kRetryAfter));
+      },
+      [&metrics = context_.state.metrics](const LastReason& why) {
+        metrics.CountAnswer(why.code());
+        return BuildRefusal({}, why.code(), Duration::zero());
+      },
+      reason);
+  if (!server_) return false;
+  WatchSessions();
+  return true;
+}
+
+void RelayFront::Stop(std::function<void()> done) {
+  server_->CloseAfterAnswers();
+  stop_timer_ = context_.loop.Schedule(
+      kLingerTime, [self = shared_from_this(), done = std::move(done)] {
+        self->refusing_ = true;
+        self->server_->StopAccepting();
+        self->server_->Drain(done);
+      });
+}
+
+void RelayFront::CutSessions() { server_->CutSessions(); }
+
+void RelayFront::Handle(HttpRequest request, const CallerPtr& caller) {
+  ++context_.state.requests_started;
+  RelayedRequest relayed;
+  relayed.fields = ReadCallerFields(request);
+  relayed.caller = caller;
+  const ResultCode code = FindPlace(request, relayed);
+  if (code != ResultCode::kOk) return Refuse(relayed.fields, caller, code);
+  relayed.request = std::move(request);
+  const auto session = std::make_shared<RelaySession>(
+      context_, std::move(relayed),
+      [weak = weak_from_this()](const UpstreamName& upstream) {
+        if (const auto self = weak.lock()) self->Doubt(upstream);
+      });
+  sessions_.push_back(session);
+  session->Start();
+}
+
+/// Fills in what the tables say of `request`; returns why it can't be relayed.
+ResultCode RelayFront::FindPlace(const HttpRequest& request,
+                                 RelayedRequest& relayed) {
+  const RelayState& relay = context_.state.relay;
+  if (refusing_) return ResultCode::kDraining;
+  if (!relay.tables || !relay.fleet_known) return ResultCode::kNotReady;
+  const BootTime now = context_.loop.BootNow();
+  // A daemon whose tables may be old doesn't deny what newer ones may allow.
+  const bool sure = relay.freshness.IsComfortable(now);
+  const RelayRoute* route =
+      relay.tables->FindRoute(relayed.fields.host, PathOf(request.target));
+  if (route == nullptr) {
+    return sure ? ResultCode::kUnknownRoute : ResultCode::kNotReady;
+  }
+  relayed.tables = relay.tables;
+  relayed.route = *route;
+  relayed.pool = ChoosePool(*route, context_.state.random());
+  if (route->anonymous || relay.tables->spec().workspaces.empty()) {
+    return ResultCode::kOk;
+  }
+  if (!relay.freshness.AllowsKeys(now)) return ResultCode::kNotReady;
+  const KeyedWorkspace* workspace =
+      relay.tables->FindWorkspaceOfKey(relayed.fields.key);
+  if (workspace == nullptr) {
+    return sure ? ResultCode::kUnknownKey : ResultCode::kNotReady;
+  }
+  relayed.workspace = workspace->name;
+  return ResultCode::kOk;
+}
+
+void RelayFront::Refuse(const CallerFields& fields, const CallerPtr& caller,
+                        ResultCode code) {
+  DaemonState& state = context_.state;
+  state.metrics.CountAnswer(code);
+  const auto age = state.relay.freshness.AgeAt(context_.loop.BootNow());
+  state.timeline.Record(
+      LogLevel::kWarning, EventKind::kRequestFailed, code,
+      {{"request", fields.attempt_id},
+       {"host", fields.host},
+       {"tables", std::to_string(state.version.number)},
+       {"tables_age_us", age ? std::to_string(age->count()) : "unknown"}});
+  const bool temporary =
+      DescribeResultCode(code).http_status ==
+      DescribeResultCode(ResultCode::kNotReady).http_status;
+  caller->Respond(BuildRefusal(fields.attempt_id, code,
+                               temporary ? kRetryAfter : Duration::zero()));
+}
+
+void RelayFront::WatchSessions() {
+  watch_timer_ =
+      context_.loop.Schedule(kWatchInterval, [this] { WatchSessions(); });
+  std::erase_if(sessions_, [](const auto& weak) {
+    const auto session = weak.lock();
+    return !session || session->ended();
+  });
+  for (const auto& weak : std::vector(sessions_)) {
+    if (const auto session = weak.lock()) session->CheckProgress();
+  }
+  ProbeEjected();
+  ShareBudgets();
+}
+
+/// Gives each pool's budget this daemon's share of the slack.
+void RelayFront::ShareBudgets() {
+  DaemonState& state = context_.state;
+  const double slack = context_.settings.Decimal(SettingKey::kRetrySlack);
+  const double daemons =
+      static_cast<double>(1 + state.peer_loads.CountDaemons());
+  const double most = std::max(state.relay.most_daemons, daemons);
+  state.relay.most_daemons = most;
+  for (auto& [pool, budget] : state.relay.budgets) {
+    budget.set_max_balance(kSlackShare * slack / most);
+  }
+}
+
+/// Asks the upstreams whose ejection is over whether they are back.
+void RelayFront::ProbeEjected() {
+  const TimePoint now = context_.loop.Now();
+  std::vector<UpstreamName> due;
+  for (const auto& [name, state] : context_.state.upstreams.states()) {
+    if (state.ejected_until && now >= *state.ejected_until) {
+      due.push_back(name);
+    }
+  }
+  for (const auto& name : due) {
+    const FleetEntry* entry = context_.state.relay.fleet.Find(name);
+    if (entry == nullptr || entry->upstream.layers == LayerRange{}) continue;
+    Doubt(name);
+  }
+}
+
+void RelayFront::Doubt(const UpstreamName& upstream) {
+  const FleetEntry* entry = context_.state.relay.fleet.Find(upstream);
+  if (entry == nullptr) return Suspect(upstream, "its entry is gone");
+  const TimePoint now = context_.loop.Now();
+  const auto [asked, first] = asked_at_.try_emplace(upstream, now);
+  if (!first && now - asked->second < kAskInterval) return;
+  asked->second = now;
+  HttpCallLimits limits;
+  limits.connect_timeout = kReportTimeout;
+  limits.idle_timeout = kReportTimeout;
+  FetchWhole(context_.loop, entry->upstream.endpoint, BuildReportRequest(),
+             limits,
+             [weak = weak_from_this(), upstream](const FetchResult& result) {
+               if (const auto self = weak.lock()) {
+                 self->HandleReport(upstream, result);
+               }
+             });
+}
+
+void RelayFront::HandleReport(const UpstreamName& upstream,
+                              const FetchResult& result) {
+  LastReason reason;
+  const auto report = ParseReport(result.response.body, reason);
+  if (result.code != ResultCode::kOk || !report) {
+    return Suspect(upstream, result.message);
+  }
+  context_.state.upstreams.Restore(upstream);
+  for (const auto& endpoint : report->stalled_at) {
+    for (const auto& [name, entry] : context_.state.relay.fleet.entries()) {
+      if (entry.upstream.endpoint != endpoint) continue;
+      Suspect(UpstreamName(name), "reported by " + upstream.text());
+      break;
+    }
+  }
+}
+
+void RelayFront::Suspect(const UpstreamName& upstream, const std::string& why) {
+  DaemonState& state = context_.state;
+  state.upstreams.Eject(upstream, context_.loop.Now());
+  state.timeline.Record(LogLevel::kWarning, EventKind::kUpstreamSuspected,
+                        ResultCode::kUpstreamFailed,
+                        {{"upstream", upstream.text()}, {"reason", why}});
+  for (const auto& weak : std::vector(sessions_)) {
+    if (const auto session = weak.lock()) session->HandleSuspect(upstream);
+  }
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/relay/relay_front.h
@@ -0,0 +1,54 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_FRONT_H_
+#define WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_FRONT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "runtime/http_server.h"
+#include "runtime/supervisor.h"
+#include "supervisor/context/daemon_context.h"
+#include "supervisor/relay/relay_session.h"
+
+namespace wisteriayoke {
+
+/// Accepts the callers of the relay, finds the route and the workspace of each
+/// request, and watches over the sessions. A child of the root.
+class RelayFront : public std::enable_shared_from_this<RelayFront> {
+ public:
+  RelayFront(DaemonContext context, FailureHandler on_failure);
+
+  bool Start(LastReason& reason);
+  /// Goes on accepting until the balancer has noticed the stop, then finishes
+  /// what is in flight.
+  void Stop(std::function<void()> done);
+  void CutSessions();
+
+ private:
+  using CallerPtr = std::shared_ptr<HttpServerSession>;
+
+  void Handle(HttpRequest request, const CallerPtr& caller);
+  ResultCode FindPlace(const HttpRequest& request, RelayedRequest& relayed);
+  void Refuse(const CallerFields& fields, const CallerPtr& caller,
+              ResultCode code);
+  void WatchSessions();
+  void ShareBudgets();
+  void ProbeEjected();
+  void Doubt(const UpstreamName& upstream);
+  void HandleReport(const UpstreamName& upstream, const FetchResult& result);
+  void Suspect(const UpstreamName& upstream, const std::string& why);
+
+  DaemonContext context_;
+  FailureHandler on_failure_;
+  std::shared_ptr<HttpServer> server_;
+  std::vector<std::weak_ptr<RelaySession>> sessions_;
+  std::map<UpstreamName, TimePoint> asked_at_;  ///< For their reports.
+  LoopTimerPtr watch_timer_;
+  LoopTimerPtr stop_timer_;
+  bool refusing_ = false;  ///< Whether new requests are refused.
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_FRONT_H_
--- /dev/null
+++ b/source/supervisor/relay/relay_session.cc
@@ -0,0 +1,383 @@
+#include "supervisor/relay/relay_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/overloaded.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// How long a connection to an upstream may take; they are a few milliseconds
+/// away, and one that is dark never answers.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+/// Silence of a stream after which its first stage is asked what holds it up:
+/// several times the usual time between events.
+constexpr Duration kDoubtAfter = std::chrono::milliseconds(250);
+/// Silence after which a stream is given up although no stage is known to be
+/// at fault; callers leave after two seconds.
+constexpr Duration kGiveUpAfter = std::chrono::milliseconds(1100);
+/// Part of its latency objective after which an idempotent call is sent to
+/// another upstream, in thousandths.
+constexpr int kPatiencePerMille = 600;
+/// When a refused caller should come back: about the time in which requests in
+/// flight free a place.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(250);
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusMultipleChoices = 300;
+constexpr int kStatusTimeout = 408;
+constexpr int kStatusMisdirected = 421;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusFailure = 500;
+constexpr int kStatusUnavailable = 503;
+/// One answer in so many that went well is logged.
+constexpr std::uint64_t kLogEvery = 16;
+
+bool IsGood(int status) {
+  return status >= kStatusOk && status < kStatusMultipleChoices;
+}
+
+/// Tells whether callers take the status for a promise that nothing has run.
+bool PromisesNotRun(int status) {
+  return status == kStatusTimeout || status == kStatusMisdirected ||
+         status == kStatusTooMany || status == kStatusUnavailable;
+}
+
+}  // namespace
+
+RelaySession::RelaySession(DaemonContext context, RelayedRequest request,
+                           DoubtHandler on_doubt)
+    : context_(context),
+      request_(std::move(request)),
+      on_doubt_(std::move(on_doubt)),
+      course_({.repeatable = request_.route.repeatable(),
+               .max_attempts = request_.route.max_attempts}),
+      arrived_(context.loop.Now()) {
+  time_limit_ = request_.route.timeout;
+  if (request_.fields.deadline) {
+    time_limit_ = std::min(time_limit_, *request_.fields.deadline);
+  }
+}
+
+RetryBudget& RelaySession::Budget() {
+  return context_.state.relay.budgets[request_.pool];
+}
+
+Duration RelaySession::TimeLeft() const {
+  return time_limit_ - (context_.loop.Now() - arrived_);
+}
+
+void RelaySession::Start() {
+  Budget().RecordRequest();
+  const std::weak_ptr<RelaySession> weak = weak_from_this();
+  request_.caller->set_on_closed([weak] {
+    if (const auto self = weak.lock()) self->Leave();
+  });
+  request_.caller->set_on_cut([weak] {
+    if (const auto self = weak.lock()) self->Decide(TimeOver{});
+  });
+  request_.caller->set_on_writable([weak] {
+    const auto self = weak.lock();
+    if (!self || !self->held_back_) return;
+    self->held_back_ = false;
+    self->progress_at_ = self->context_.loop.Now();
+    if (self->call_) self->call_->Resume();
+  });
+  time_timer_ = context_.loop.Schedule(
+      time_limit_, [self = shared_from_this()] { self->Decide(TimeOver{}); });
+  StartAttempt();
+}
+
+void RelaySession::StartAttempt() {
+  if (TimeLeft() <= Duration::zero()) return Decide(TimeOver{});
+  const DaemonState& state = context_.state;
+  // Looked at right before each send, since the instance may have been
+  // suspended in between.
+  if (!request_.workspace.empty() &&
+      !state.relay.freshness.AllowsKeys(context_.loop.BootNow())) {
+    return Decide(NoTarget{ResultCode::kNotReady});
+  }
+  const RelayPool* pool = request_.tables->FindPool(request_.pool);
+  if (pool == nullptr) return Decide(NoTarget{});
+  const TargetChoice choice = ChooseTarget(context_, *pool, excluded_);
+  if (!choice.target) return Decide(NoTarget{choice.code});
+  Send(*choice.target);
+}
+
+void RelaySession::Send(const RelayTarget& target) {
+  target_ = target;
+  head_ = {};
+  head_come_ = false;
+  event_stream_ = false;
+  body_.clear();
+  splitter_ = {};
+  progress_at_ = context_.loop.Now();
+  doubted_at_.reset();
+  ++attempts_;
+  course_.RecordSent();
+  for (const auto& name : target.ListUpstreams()) {
+    context_.state.upstreams.RecordStart(name);
+  }
+  HttpCallLimits limits;
+  limits.message.header_bytes = request_.tables->spec().limits.header_bytes;
+  limits.message.body_bytes = request_.tables->spec().limits.body_bytes;
+  limits.message.open_ended = true;
+  limits.connect_timeout = std::min(kConnectTimeout, TimeLeft());
+  limits.idle_timeout = TimeLeft();
+  limits.reset_on_close = true;
+  call_ = HttpClientCall::Start(
+      context_.loop, target.endpoint, BuildAttempt(target), limits,
+      [self = shared_from_this()](CallEvent event) {
+        self->HandleCall(std::move(event));
+      });
+}
+
+HttpRequest RelaySession::BuildAttempt(const RelayTarget& target) const {
+  AttemptFields fields{.upstream = target.upstream,
+                       .workspace = request_.workspace,
+                       .time_left = TimeLeft(),
+                       .chain = target.chain};
+  if (last_event_) fields.last_event_id = std::to_string(*last_event_);
+  HttpRequest attempt = request_.request;
+  attempt.fields = BuildAttemptFields(request_.request.fields, fields);
+  return attempt;
+}
+
+void RelaySession::HandleCall(CallEvent event) {
+  if (ended_) return;
+  std::visit(
+      Overloaded{
+          [this](const CallHead& head) { HandleHead(head); },
+          [this](const CallPiece& piece) { HandlePiece(piece); },
+          [this](const CallEnd&) { HandleEnd(); },
+          [this](const CallFailure& failure) { HandleFailure(failure); },
+      },
+      event);
+}
+
+void RelaySession::HandleHead(const CallHead& event) {
+  head_ = event.head;
+  head_come_ = true;
+  const AnswerFields fields = ReadAnswerFields(head_);
+  if (fields.not_run) {
+    if (head_.status == kStatusMisdirected) {
+      context_.state.upstreams.Eject(target_->upstream, context_.loop.Now());
+    }
+    return RejectAttempt(ResultCode::kUpstreamRefused);
+  }
+  const bool own = fields.sealed && !fields.encoded &&
+                   fields.attempt_id == request_.fields.attempt_id;
+  if (!own) return LoseAttempt(ResultCode::kUpstreamFailed, false);
+  event_stream_ = is_stream() && IsGood(head_.status);
+}
+
+void RelaySession::HandlePiece(const CallPiece& piece) {
+  if (!event_stream_) {
+    body_ += piece.data;
+    return;
+  }
+  ForwardEvents(splitter_.Push(piece.data));
+}
+
+void RelaySession::ForwardEvents(std::vector<StreamEvent> events) {
+  std::string text;
+  for (auto& event : events) {
+    // A resumed run may repeat what the caller has.
+    const bool known = event.id && last_event_ && *event.id <= *last_event_;
+    if (known) continue;
+    if (event.id) last_event_ = event.id;
+    text += event.text;
+  }
+  if (events.empty()) return;
+  progress_at_ = context_.loop.Now();
+  doubted_at_.reset();
+  Forward(text);
+}
+
+void RelaySession::Forward(std::string_view data) {
+  if (!delivering_) {
+    delivering_ = true;
+    course_.RecordDelivery();
+    context_.state.metrics.Observe(LatencyKind::kTimeToFirstToken,
+                                   context_.loop.Now() - arrived_);
+    request_.caller->StartStream(
+        {head_.status, BuildPassedFields(head_.fields)});
+  }
+  request_.caller->WritePiece(data);
+  HoldBackIfSlow();
+}
+
+void RelaySession::HoldBackIfSlow() {
+  if (ended_ || held_back_ || !request_.caller->ShouldPause()) return;
+  held_back_ = true;
+  if (call_) call_->Pause();
+}
+
+void RelaySession::HandleEnd() {
+  if (event_stream_) return FinishStream();
+  FinishWhole();
+}
+
+void RelaySession::FinishStream() {
+  EndAttempt(true);
+  const std::string rest = splitter_.rest();
+  if (!delivering_ || !rest.empty()) Forward(rest);
+  if (ended_) return;
+  request_.caller->EndStream();
+  End(ResultCode::kOk);
+}
+
+void RelaySession::FinishWhole() {
+  if (PromisesNotRun(head_.status)) {
+    // Without the upstream's word the promise would be the router's own.
+    return LoseAttempt(ResultCode::kUpstreamFailed, false);
+  }
+  EndAttempt(true);
+  if (head_.status >= kStatusFailure) return Decide(AttemptFailed{});
+  Carry(PassAnswer{});
+}
+
+void RelaySession::HandleFailure(const CallFailure& failure) {
+  if (!failure.sent) {
+    const UpstreamName upstream = target_->upstream;
+    context_.state.upstreams.Eject(upstream, context_.loop.Now());
+    return RejectAttempt(failure.code);
+  }
+  const RelayTarget target = *target_;
+  LoseAttempt(failure.code, false);
+  if (!target.chain.empty()) on_doubt_(target.upstream);
+}
+
+void RelaySession::CheckProgress() {
+  if (ended_ || !target_ || held_back_) return;
+  const Duration silence = context_.loop.Now() - progress_at_;
+  if (!is_stream()) {
+    const bool hedged = request_.route.repeatable() &&
+                        attempts_ < request_.route.max_attempts;
+    const Duration patience =
+        request_.route.latency_objective * kPatiencePerMille / 1000;
+    if (!hedged || silence < patience) return;
+    return LoseAttempt(ResultCode::kTimedOut, false);
+  }
+  if (!request_.route.repeatable()) return;
+  if (silence >= kGiveUpAfter) {
+    return LoseAttempt(ResultCode::kTimedOut, false);
+  }
+  const TimePoint since = doubted_at_.value_or(progress_at_);
+  if (context_.loop.Now() - since < kDoubtAfter) return;
+  doubted_at_ = context_.loop.Now();
+  on_doubt_(target_->upstream);
+}
+
+void RelaySession::HandleSuspect(const UpstreamName& upstream) {
+  if (ended_ || !target_ || target_->chain.empty()) return;
+  const auto names = target_->ListUpstreams();
+  if (std::find(names.begin(), names.end(), upstream) == names.end()) return;
+  excluded_.insert(upstream);
+  LoseAttempt(ResultCode::kUpstreamFailed, upstream == target_->upstream);
+}
+
+void RelaySession::LoseAttempt(ResultCode code, bool upstream_gone) {
+  if (target_->chain.empty()) excluded_.insert(target_->upstream);
+  EndAttempt(false);
+  Decide(AttemptLost{code, upstream_gone});
+}
+
+void RelaySession::RejectAttempt(ResultCode code) {
+  excluded_.insert(target_->upstream);
+  EndAttempt(false);
+  Decide(AttemptRejected{code});
+}
+
+void RelaySession::EndAttempt(bool good) {
+  if (!target_) return;
+  for (const auto& name : target_->ListUpstreams()) {
+    if (good) {
+      context_.state.upstreams.RecordSuccess(name);
+    } else {
+      context_.state.upstreams.RecordEnd(name);
+    }
+  }
+  target_.reset();
+  if (call_) call_->Cancel();
+  call_.reset();
+}
+
+void RelaySession::Decide(const CourseEvent& event) {
+  if (ended_) return;
+  const CourseAction action = course_.Handle(event, Budget());
+  std::visit([this](const auto& step) { Carry(step); }, action);
+}
+
+void RelaySession::Carry(const SendAgain& /*action*/) {
+  if (delivering_) {
+    Record(LogLevel::kInfo, EventKind::kStreamResumed, ResultCode::kOk);
+  }
+  StartAttempt();
+}
+
+void RelaySession::Carry(const PassAnswer& /*action*/) {
+  request_.caller->Respond(
+      {{head_.status, BuildPassedFields(head_.fields)}, std::move(body_)});
+  End(IsGood(head_.status) ? ResultCode::kOk : ResultCode::kUpstreamFailed);
+}
+
+void RelaySession::Carry(const RefuseUnrun& action) {
+  Answer(action.code, kRetryAfter);
+}
+
+void RelaySession::Carry(const FailUnknown& action) {
+  Answer(action.code, Duration::zero());
+}
+
+void RelaySession::Carry(const BreakAnswer& action) {
+  EndAttempt(false);
+  request_.caller->BreakStream();
+  End(action.code);
+}
+
+void RelaySession::Answer(ResultCode code, Duration retry_after) {
+  EndAttempt(false);
+  const ResultCodeInfo& info = DescribeResultCode(code);
+  request_.caller->Respond(BuildOwnAnswer(
+      info.http_status, request_.fields.attempt_id,
+      std::string(info.name) + ": " + std::string(info.remedy), retry_after));
+  End(code);
+}
+
+void RelaySession::Leave() {
+  if (ended_) return;
+  EndAttempt(false);
+  End(ResultCode::kCancelled);
+}
+
+void RelaySession::End(ResultCode code) {
+  if (ended_) return;
+  ended_ = true;
+  time_timer_.reset();
+  DaemonState& state = context_.state;
+  state.metrics.CountAnswer(code);
+  state.metrics.Observe(LatencyKind::kRequestTime,
+                        context_.loop.Now() - arrived_);
+  const bool good =
+      code == ResultCode::kOk || code == ResultCode::kCancelled;
+  if (!good) return Record(LogLevel::kWarning, EventKind::kRequestFailed, code);
+  if (state.requests_started % kLogEvery != 0) return;
+  Record(LogLevel::kInfo, EventKind::kRequestAnswered, code);
+}
+
+void RelaySession::Record(LogLevel level, EventKind kind,
+                          ResultCode code) const {
+  const Duration age = context_.loop.Now() - arrived_;
+  context_.state.timeline.Record(
+      level, kind, code,
+      {{"request", request_.fields.attempt_id},
+       {"route", request_.route.name.text()},
+       {"attempts", std::to_string(attempts_)},
+       {"age_us", std::to_string(age.count())},
+       {"last_event", last_event_ ? std::to_string(*last_event_) : ""},
+       {"tables", std::to_string(request_.tables->spec().version)}});
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/relay/relay_session.h
@@ -0,0 +1,112 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_SESSION_H_
+#define WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_SESSION_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "decisions/relay_course.h"
+#include "platform/relay_fields.h"
+#include "runtime/http_client_call.h"
+#include "runtime/http_server_session.h"
+#include "supervisor/context/daemon_context.h"
+#include "supervisor/relay/relay_target.h"
+#include "wire/event_splitter.h"
+
+namespace wisteriayoke {
+
+/// One request that the front end accepted.
+struct RelayedRequest {
+  RelayTablesPtr tables;
+  RelayRoute route;
+  PoolName pool;
+  WorkspaceName workspace;  ///< Empty on routes without keys.
+  CallerFields fields;
+  HttpRequest request;
+  std::shared_ptr<HttpServerSession> caller;
+};
+
+/// Asks whether an upstream is in trouble; sessions that it holds up are told.
+using DoubtHandler = std::function<void(const UpstreamName&)>;
+
+/// Carries one relayed request from its arrival to the end of its answer, over
+/// as many attempts as its course allows. It keeps itself alive until then.
+class RelaySession : public std::enable_shared_from_this<RelaySession> {
+ public:
+  RelaySession(DaemonContext context, RelayedRequest request,
+               DoubtHandler on_doubt);
+
+  void Start();
+
+  /// Looks whether the attempt makes progress; fed several times a second.
+  void CheckProgress();
+
+  /// Takes in that `upstream` is dead or cut off.
+  void HandleSuspect(const UpstreamName& upstream);
+
+  bool ended() const { return ended_; }
+
+ private:
+  bool is_stream() const {
+    return request_.route.kind == RelayKind::kStreaming;
+  }
+  RetryBudget& Budget();
+  Duration TimeLeft() const;
+
+  void StartAttempt();
+  void Send(const RelayTarget& target);
+  HttpRequest BuildAttempt(const RelayTarget& target) const;
+  void HandleCall(CallEvent event);
+  void HandleHead(const CallHead& event);
+  void HandlePiece(const CallPiece& piece);
+  void HandleEnd();
+  void HandleFailure(const CallFailure& failure);
+  void ForwardEvents(std::vector<StreamEvent> events);
+  void Forward(std::string_view data);
+  void HoldBackIfSlow();
+  void FinishStream();
+  void FinishWhole();
+
+  void LoseAttempt(ResultCode code, bool upstream_gone);
+  void RejectAttempt(ResultCode code);
+  void EndAttempt(bool good);
+  void Decide(const CourseEvent& event);
+  void Carry(const SendAgain& action);
+  void Carry(const PassAnswer& action);
+  void Carry(const RefuseUnrun& action);
+  void Carry(const FailUnknown& action);
+  void Carry(const BreakAnswer& action);
+  void Answer(ResultCode code, Duration retry_after);
+  void Leave();
+  void End(ResultCode code);
+  void Record(LogLevel level, EventKind kind, ResultCode code) const;
+
+  DaemonContext context_;
+  RelayedRequest request_;
+  DoubtHandler on_doubt_;
+  RelayCourse course_;
+  TimePoint arrived_;
+  Duration time_limit_{};
+  std::set<UpstreamName> excluded_;  ///< Those that failed this request.
+  std::optional<RelayTarget> target_;  ///< Of the attempt under way.
+  std::shared_ptr<HttpClientCall> call_;
+  HttpResponseHead head_;  ///< Of the attempt's answer.
+  bool head_come_ = false;
+  bool event_stream_ = false;  ///< Whether the answer is a good stream.
+  std::string body_;           ///< Of an answer that is passed on whole.
+  EventSplitter splitter_;
+  std::optional<std::uint64_t> last_event_;  ///< That the caller has.
+  bool delivering_ = false;  ///< Whether the caller has a part of the answer.
+  bool held_back_ = false;   ///< Whether a slow caller holds up the attempt.
+  TimePoint progress_at_;    ///< When the attempt last made progress.
+  std::optional<TimePoint> doubted_at_;
+  unsigned attempts_ = 0;
+  LoopTimerPtr time_timer_;
+  bool ended_ = false;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_SESSION_H_
--- /dev/null
+++ b/source/supervisor/relay/relay_target.cc
@@ -0,0 +1,100 @@
+#include "supervisor/relay/relay_target.h"
+
+#include <algorithm>
+
+#include "decisions/layer_path.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// Part of the memory beside the layers that requests may fill; the rest is for
+/// those that are longer than usual.
+constexpr double kMemoryShare = 0.9;
+
+/// Returns how many usual requests `upstream` has memory for.
+std::uint32_t CountPlaces(const LayeredModel& model, double memory_mb,
+                          const UpstreamSpec& upstream) {
+  const std::uint32_t layers = upstream.layers.end - upstream.layers.first;
+  const double tokens = TokensBesideLayers(model, memory_mb, layers);
+  const double places = kMemoryShare * tokens / model.usual_tokens;
+  return std::clamp(static_cast<std::uint32_t>(places), 1U, upstream.slots);
+}
+
+std::vector<PathCandidate> ListCandidates(
+    const DaemonContext& context, const RelayPool& pool,
+    const std::set<UpstreamName>& excluded) {
+  const DaemonState& state = context.state;
+  const TimePoint now = context.loop.Now();
+  std::vector<PathCandidate> candidates;
+  for (const auto* entry : state.relay.fleet.ListOpen(pool.name)) {
+    const UpstreamSpec& upstream = entry->upstream;
+    if (upstream.layers == LayerRange{} || excluded.contains(upstream.name)) {
+      continue;
+    }
+    if (state.upstreams.HealthOf(upstream.name, now) !=
+        UpstreamHealth::kHealthy) {
+      continue;
+    }
+    const auto kind = pool.model->accelerators.find(upstream.accelerator);
+    if (kind == pool.model->accelerators.end()) continue;
+    candidates.push_back(
+        {.upstream = &upstream,
+         .step_factor = kind->second.step_factor,
+         .limit = CountPlaces(*pool.model, kind->second.memory_mb, upstream),
+         .in_flight = state.upstreams.CountInFlight(
+             upstream.name, state.peer_loads, now)});
+  }
+  return candidates;
+}
+
+TargetChoice ChooseChainTarget(const DaemonContext& context,
+                               const RelayPool& pool,
+                               const std::set<UpstreamName>& excluded) {
+  const auto candidates = ListCandidates(context, pool, excluded);
+  PathChoice choice = ChoosePath(pool.model->layer_count, candidates);
+  if (choice.outcome == PathOutcome::kBusy) {
+    return {.code = ResultCode::kOverloaded};
+  }
+  if (choice.outcome == PathOutcome::kUncovered) return {};
+  const Stage& first = choice.chain.front();
+  return {RelayTarget{first.upstream, first.endpoint, std::move(choice.chain)},
+          ResultCode::kOk};
+}
+
+TargetChoice ChooseServiceTarget(const DaemonContext& context,
+                                 const RelayPool& pool,
+                                 const std::set<UpstreamName>& excluded) {
+  DaemonState& state = context.state;
+  const TimePoint now = context.loop.Now();
+  Pool members;
+  for (const auto* entry : state.relay.fleet.ListOpen(pool.name)) {
+    members.upstreams.push_back(entry->upstream);
+  }
+  auto usable = state.upstreams.ListUsable(members, excluded, now);
+  // Better the one that just failed than none.
+  if (usable.empty()) usable = state.upstreams.ListUsable(members, {}, now);
+  const auto candidates =
+      BuildCandidates(usable, state.upstreams, state.peer_loads, now);
+  const auto chosen =
+      ChooseUpstream(state.routing, candidates, {}, state.random);
+  if (!chosen) return {};
+  const UpstreamSpec& upstream = *candidates[*chosen].upstream;
+  return {RelayTarget{upstream.name, upstream.endpoint, {}}, ResultCode::kOk};
+}
+
+}  // namespace
+
+std::vector<UpstreamName> RelayTarget::ListUpstreams() const {
+  if (chain.empty()) return {upstream};
+  std::vector<UpstreamName> names;
+  for (const auto& stage : chain) names.push_back(stage.upstream);
+  return names;
+}
+
+TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
+                          const std::set<UpstreamName>& excluded) {
+  return pool.model ? ChooseChainTarget(context, pool, excluded)
+                    : ChooseServiceTarget(context, pool, excluded);
+}
+
+}  // namespace wisteriayoke
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -13,6 +13,9 @@
 
 /// Time for the last answers to leave after the longest deadline.
 constexpr Duration kDrainMargin = std::chrono::seconds(5);
+/// Time that the process has to end before it would be killed, once the
+/// requests that are left were cut.
+constexpr Duration kKillMargin = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -26,10 +29,21 @@
   state_.quarantine = Quarantine(
       DaemonName(settings.Text(SettingKey::kDaemonName)),
       {.lifetime = settings.Milliseconds(SettingKey::kSuspectLifetime)});
+  state_.relay.freshness = Freshness(
+      {.revocation = settings.Milliseconds(SettingKey::kRevocationTime)});
 }
 
-PlatformFinder RootSupervisor::MakePlatformFinder() {
-  return [this] { return children_.Find<PlatformClient>(); };
+void RootSupervisor::Reload(const Settings& settings) {
+  if (const auto peers = children_.Find<PeerLink>()) {
+    peers->SetListedPeers(settings.EndpointsOf(SettingKey::kPeerSeeds));
+  }
+  state_.timeline.Record(
+      LogLevel::kInfo, EventKind::kReloaded, ResultCode::kOk,
+      {{"seeds", settings.Text(SettingKey::kPeerSeeds)}});
+}
+
+TableServiceFinder RootSupervisor::MakeTableServiceFinder() {
+  return [this] { return children_.Find<TableServiceClient>(); };
 }
 
 PeerFinder RootSupervisor::MakePeerFinder() {
@@ -61,6 +75,28 @@
 }
 
 bool RootSupervisor::Start(LastReason& reason) {
+  switch (settings_.Interface()) {
+    case FrontInterface::kRelay:
+      return StartRelay(reason);
+    case FrontInterface::kCompletions:
+      break;
+  }
+  return StartCompletions(reason);
+}
+
+template <typename Kind>
+bool RootSupervisor::AddPlain(const std::string& name, LastReason& reason) {
+  return children_.Add(
+      {.name = name,
+       .create =
+           [this](FailureHandler on_failure) {
+             return Child(
+                 std::make_shared<Kind>(Context(), std::move(on_failure)));
+           }},
+      reason);
+}
+
+bool RootSupervisor::AddOperators(LastReason& reason) {
   return children_.Add({.name = "operators",
                         .create =
                             [this](FailureHandler on_failure) {
@@ -68,26 +104,30 @@
                                   Context(), MakeOperatorsHooks(),
                                   std::move(on_failure)));
                             }},
-                       reason) &&
-         children_.Add({.name = "platform",
-                        .create =
-                            [this](FailureHandler on_failure) {
-                              return Child(std::make_shared<PlatformClient>(
-                                  Context(), std::move(on_failure)));
-                            }},
-                       reason) &&
-         children_.Add({.name = "peers",
-                        .create =
-                            [this](FailureHandler on_failure) {
-                              return Child(std::make_shared<PeerLink>(
-                                  Context(), std::move(on_failure)));
-                            }},
-                       reason) &&
+                       reason);
+}
+
+bool RootSupervisor::AddPeers(LastReason& reason) {
+  return AddPlain<PeerLink>("peers", reason);
+}
+
+bool RootSupervisor::StartRelay(LastReason& reason) {
+  return AddOperators(reason) && AddPeers(reason) &&
+         AddPlain<StoreFollower>("store-follower", reason) &&
+         AddPlain<LayerPlacement>("layer-placement", reason) &&
+         AddPlain<ReadyPort>("ready", reason) &&
+         AddPlain<RelayFront>("relay", reason);
+}
+
+bool RootSupervisor::StartCompletions(LastReason& reason) {
+  return AddOperators(reason) &&
+         AddPlain<TableServiceClient>("table-service", reason) &&
+         AddPeers(reason) &&
          children_.Add({.name = "instances",
                         .create =
                             [this](FailureHandler on_failure) {
                               return Child(std::make_shared<InstanceWatcher>(
-                                  Context(), MakePlatformFinder(),
+                                  Context(), MakeTableServiceFinder(),
                                   MakePeerFinder(), std::move(on_failure)));
                             }},
                        reason) &&
@@ -96,25 +136,18 @@
               .create =
                   [this](FailureHandler on_failure) {
                     return Child(std::make_shared<TableKeeper>(
-                        Context(), MakePlatformFinder(), MakePeerFinder(),
+                        Context(), MakeTableServiceFinder(), MakePeerFinder(),
                         [this] { HandleTablesChanged(); },
                         std::move(on_failure)));
                   }},
              reason) &&
-         children_.Add(
-             {.name = "upstreams",
-              .create =
-                  [this](FailureHandler on_failure) {
-                    return Child(std::make_shared<UpstreamsSupervisor>(
-                        Context(), std::move(on_failure)));
-                  }},
-             reason) &&
+         AddPlain<UpstreamsSupervisor>("upstreams", reason) &&
          StartPlacement(reason) &&
          children_.Add({.name = "front",
                         .create =
                             [this](FailureHandler on_failure) {
                               return Child(std::make_shared<FrontEnd>(
-                                  Context(), MakePlatformFinder(),
+                                  Context(), MakeTableServiceFinder(),
                                   std::move(on_failure)));
                             }},
                        reason);
@@ -126,7 +159,7 @@
        .create =
            [this](FailureHandler on_failure) {
              return Child(std::make_shared<PlacementSupervisor>(
-                 Context(), MakePlatformFinder(), std::move(on_failure)));
+                 Context(), MakeTableServiceFinder(), std::move(on_failure)));
            }},
       reason);
 }
@@ -158,6 +191,11 @@
 /// Returns the longest time for which requests in flight are waited for:
 /// unless it is set, as long as any route lets them run.
 Duration RootSupervisor::DrainDeadline() const {
+  if (settings_.Interface() == FrontInterface::kRelay) {
+    const std::chrono::duration<double> grace(
+        settings_.Decimal(SettingKey::kStopGrace));
+    return std::chrono::duration_cast<Duration>(grace) - kKillMargin;
+  }
   const Duration set = settings_.Milliseconds(SettingKey::kDrainDeadline);
   if (set > Duration::zero() || !state_.tables) return set;
   Duration longest{};
@@ -179,6 +217,9 @@
 
 void RootSupervisor::CutRequests() {
   for (const auto& front : children_.FindAll<FrontEnd>()) front->CutSessions();
+  for (const auto& front : children_.FindAll<RelayFront>()) {
+    front->CutSessions();
+  }
   for (const auto& port : children_.FindAll<OperatorsPort>()) {
     port->CutSessions();
   }
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -10,10 +10,14 @@
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/front_end.h"
 #include "supervisor/instances/instance_watcher.h"
+#include "supervisor/layer_placement/layer_placement.h"
 #include "supervisor/operators/operators_port.h"
 #include "supervisor/peers/peer_link.h"
 #include "supervisor/placement/placement_supervisor.h"
-#include "supervisor/platform/platform_client.h"
+#include "supervisor/relay/ready_port.h"
+#include "supervisor/relay/relay_front.h"
+#include "supervisor/store_follower/store_follower.h"
+#include "supervisor/table_service/table_service_client.h"
 #include "supervisor/tables/table_keeper.h"
 #include "supervisor/upstreams/upstreams_supervisor.h"
 
@@ -36,22 +40,35 @@
   /// or the deadline cuts what is left; then the stop ends with kShutdownCut.
   void RequestStop();
 
+  /// Takes over what may change in the settings of a running daemon: the
+  /// addresses of other daemons.
+  void Reload(const Settings& settings);
+
   Timeline& timeline() { return state_.timeline; }
 
  private:
   using Child = std::variant<
-      std::shared_ptr<OperatorsPort>, std::shared_ptr<PlatformClient>,
+      std::shared_ptr<OperatorsPort>, std::shared_ptr<TableServiceClient>,
       std::shared_ptr<PeerLink>, std::shared_ptr<InstanceWatcher>,
       std::shared_ptr<TableKeeper>, std::shared_ptr<UpstreamsSupervisor>,
-      std::shared_ptr<PlacementSupervisor>, std::shared_ptr<FrontEnd>>;
+      std::shared_ptr<PlacementSupervisor>, std::shared_ptr<FrontEnd>,
+      std::shared_ptr<StoreFollower>, std::shared_ptr<LayerPlacement>,
+      std::shared_ptr<ReadyPort>, std::shared_ptr<RelayFront>>;
 
   DaemonContext Context() { return {loop_, settings_, state_}; }
-  PlatformFinder MakePlatformFinder();
+  TableServiceFinder MakeTableServiceFinder();
   PeerFinder MakePeerFinder();
   OperatorsHooks MakeOperatorsHooks();
   DaemonStatus DescribeStatus();
   bool RestartChild(const std::string& path, LastReason& reason);
+  bool StartCompletions(LastReason& reason);
   bool StartPlacement(LastReason& reason);
+  bool StartRelay(LastReason& reason);
+  bool AddOperators(LastReason& reason);
+  bool AddPeers(LastReason& reason);
+  /// Adds a child that is made from the context alone.
+  template <typename Kind>
+  bool AddPlain(const std::string& name, LastReason& reason);
   bool AnnounceTables(std::uint64_t number, const std::string& content,
                       LastReason& reason);
   void HandleTablesChanged();
--- /dev/null
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -0,0 +1,218 @@
+#include "supervisor/store_follower/store_follower.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "platform/fleet_codec.h"
+#include "platform/relay_tables_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// The operator's table of the store and the row that holds the document.
+constexpr auto kTablesTable = "op";
+constexpr auto kTablesKey = "config";
+/// Where upstreams register themselves.
+constexpr auto kEntriesTable = "servers";
+
+/// How long a call waits for changes of the tables: each one that ends proves
+/// that the tables are fresh, several times within the time for revocations.
+constexpr Duration kTablesWait = std::chrono::milliseconds(900);
+/// How long a call waits for changes of the entries; they need no proof.
+constexpr Duration kEntriesWait = std::chrono::seconds(5);
+/// How much earlier than asked a wait of the store may end.
+constexpr Duration kWaitTolerance = std::chrono::milliseconds(5);
+constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(50);
+constexpr Duration kLongestRetryDelay = std::chrono::milliseconds(400);
+/// A fraction of the time for which a lapsed entry is kept.
+constexpr Duration kExpiryInterval = std::chrono::milliseconds(200);
+
+Duration RetryDelay(unsigned failures) {
+  Duration delay = kFirstRetryDelay;
+  for (unsigned i = 1; i < failures && delay < kLongestRetryDelay; ++i) {
+    delay *= 2;
+  }
+  return std::min(delay, kLongestRetryDelay);
+}
+
+}  // namespace
+
+StoreFollower::StoreFollower(DaemonContext context,
+                             FailureHandler /*on_failure*/)
+    : context_(context),
+      store_(std::make_shared<RowStore>(
+          context.loop,
+          context.settings.EndpointOf(SettingKey::kPlatformAddress))),
+      tables_{.table = kTablesTable, .wait = kTablesWait},
+      entries_{.table = kEntriesTable, .wait = kEntriesWait} {}
+
+bool StoreFollower::Start(LastReason& /*reason*/) {
+  Advance(tables_, &StoreFollower::TakeTables);
+  Advance(entries_, &StoreFollower::TakeEntries);
+  ExpireEntries();
+  return true;
+}
+
+void StoreFollower::Stop(const std::function<void()>& done) {
+  stopped_ = true;
+  tables_.retry_timer.reset();
+  entries_.retry_timer.reset();
+  expiry_timer_.reset();
+  done();
+}
+
+void StoreFollower::Advance(Feed& feed, Handler handler) {
+  if (stopped_) return;
+  auto done = [self = shared_from_this(), &feed, handler,
+               sent = context_.loop.BootNow()](const RowReply& reply) {
+    self->HandleReply(feed, handler, sent, reply);
+  };
+  if (feed.synced) {
+    store_->Follow(feed.table, feed.version, feed.wait, std::move(done));
+  } else {
+    store_->ReadTable(feed.table, std::move(done));
+  }
+}
+
+void StoreFollower::HandleReply(Feed& feed, Handler handler, BootTime sent,
+                                const RowReply& reply) {
+  if (stopped_) return;
+  if (reply.code == ResultCode::kObjectMissing) {
+    feed.synced = false;
+    return Advance(feed, handler);
+  }
+  if (reply.code != ResultCode::kOk) return HandleFailure(feed, handler, reply);
+  RecordReturn(feed);
+  const bool whole = !feed.synced;
+  feed.synced = true;
+  feed.version = reply.page.version;
+  (this->*handler)(reply.page, whole);
+  // An empty answer to a wait was given at its end, all others possibly as
+  // soon as the call was sent.
+  const BootTime waited = sent + feed.wait - kWaitTolerance;
+  const bool idle = !whole && reply.page.rows.empty() &&
+                    context_.loop.BootNow() >= waited;
+  if (&feed == &tables_ && document_good_) {
+    context_.state.relay.freshness.RecordProof(idle ? waited : sent);
+  }
+  Advance(feed, handler);
+}
+
+void StoreFollower::HandleFailure(Feed& feed, Handler handler,
+                                  const RowReply& reply) {
+  if (++feed.failures == 1) {
+    context_.state.timeline.Record(
+        LogLevel::kWarning, EventKind::kStoreLost, reply.code,
+        {{"table", feed.table}, {"reason", reply.message}});
+  }
+  feed.retry_timer =
+      context_.loop.Schedule(RetryDelay(feed.failures),
+                             [this, &feed, handler] { Advance(feed, handler); });
+}
+
+void StoreFollower::RecordReturn(Feed& feed) {
+  if (feed.failures == 0) return;
+  context_.state.timeline.Record(
+      LogLevel::kInfo, EventKind::kStoreReturned, ResultCode::kOk,
+      {{"table", feed.table}, {"failures", std::to_string(feed.failures)}});
+  feed.failures = 0;
+  if (&feed == &entries_) {
+    context_.state.relay.fleet.RecordStoreReturn(context_.loop.Now());
+  }
+}
+
+void StoreFollower::TakeTables(const RowPage& page, bool /*whole*/) {
+  RelayState& relay = context_.state.relay;
+  for (const auto& row : page.rows) {
+    if (row.key != kTablesKey || row.removed) continue;
+    LastReason reason;
+    auto spec = ParseRelaySpec(row.value, reason);
+    document_good_ = spec.has_value();
+    if (!spec) {
+      context_.state.timeline.Record(LogLevel::kError,
+                                     EventKind::kTablesRefused, reason.code(),
+                                     {{"reason", reason.message()}});
+      continue;
+    }
+    if (relay.tables && spec->version <= relay.tables->spec().version) continue;
+    relay.tables = std::make_shared<const RelayTables>(std::move(*spec));
+    const RelaySpec& taken = relay.tables->spec();
+    context_.state.version.number = taken.version;
+    context_.state.timeline.Record(
+        LogLevel::kInfo, EventKind::kTablesInForce, ResultCode::kOk,
+        {{"version", std::to_string(taken.version)},
+         {"routes", std::to_string(taken.routes.size())},
+         {"workspaces", std::to_string(taken.workspaces.size())}});
+  }
+}
+
+void StoreFollower::TakeEntries(const RowPage& page, bool whole) {
+  for (const auto& row : page.rows) {
+    if (row.removed) {
+      RemoveEntry(UpstreamName(row.key));
+    } else {
+      TakeEntry(row);
+    }
+  }
+  if (whole) RemoveMissing(page);
+  context_.state.relay.fleet_known = true;
+}
+
+void StoreFollower::TakeEntry(const StoreRow& row) {
+  LastReason reason;
+  const auto entry = ParseFleetEntry(row.key, row.value, reason);
+  if (!entry) {
+    context_.state.timeline.Record(LogLevel::kWarning, EventKind::kEntryRefused,
+                                   reason.code(),
+                                   {{"reason", reason.message()}});
+    return RemoveEntry(UpstreamName(row.key));
+  }
+  DaemonState& state = context_.state;
+  const FleetChange change = state.relay.fleet.Apply(*entry);
+  if (change == FleetChange::kNone) return;
+  const UpstreamName& name = entry->upstream.name;
+  if (change == FleetChange::kRestarted) state.upstreams.Reset(name);
+  state.upstreams.SetLeaving(name, entry->draining);
+  state.timeline.Record(
+      LogLevel::kInfo, EventKind::kUpstreamChanged, ResultCode::kOk,
+      {{"upstream", name.text()},
+       {"change", std::string(kFleetChangeNames.NameOf(change))},
+       {"address", entry->upstream.endpoint.ToString()},
+       {"data_centre", entry->upstream.data_centre.text()},
+       {"accelerator", entry->upstream.accelerator},
+       {"layers", std::to_string(entry->upstream.layers.first) + "-" +
+                      std::to_string(entry->upstream.layers.end)},
+       {"version", std::to_string(row.version)}});
+}
+
+void StoreFollower::RemoveMissing(const RowPage& page) {
+  std::vector<UpstreamName> present;
+  for (const auto& row : page.rows) present.emplace_back(row.key);
+  for (const auto& name : context_.state.relay.fleet.ListMissing(present)) {
+    RemoveEntry(name);
+  }
+}
+
+void StoreFollower::RemoveEntry(const UpstreamName& name) {
+  if (context_.state.relay.fleet.Remove(name, context_.loop.Now())) {
+    ForgetUpstream(name);
+  }
+}
+
+void StoreFollower::ForgetUpstream(const UpstreamName& name) {
+  context_.state.upstreams.Reset(name);
+  context_.state.timeline.Record(LogLevel::kInfo, EventKind::kUpstreamGone,
+                                 ResultCode::kOk, {{"upstream", name.text()}});
+}
+
+void StoreFollower::ExpireEntries() {
+  const TimePoint now = context_.loop.Now();
+  for (const auto& name : context_.state.relay.fleet.Expire(now)) {
+    ForgetUpstream(name);
+  }
+  expiry_timer_ =
+      context_.loop.Schedule(kExpiryInterval, [this] { ExpireEntries(); });
+}
+
+}  // namespace wisteriayoke
--- a/source/supervisor/platform/platform_client.cc
+++ b/source/supervisor/table_service/table_service_client.cc
@@ -1,4 +1,4 @@
-#include "supervisor/platform/platform_client.h"
+#include "supervisor/table_service/table_service_client.h"
 
 #include <utility>
 
@@ -24,20 +24,20 @@
 
 }  // namespace
 
-PlatformClient::PlatformClient(DaemonContext context, FailureHandler on_failure)
+TableServiceClient::TableServiceClient(DaemonContext context, FailureHandler on_failure)
     : context_(context),
       on_failure_(std::move(on_failure)),
       endpoint_(context.settings.EndpointOf(SettingKey::kPlatformAddress)) {}
 
-bool PlatformClient::Start(LastReason& /*reason*/) { return true; }
+bool TableServiceClient::Start(LastReason& /*reason*/) { return true; }
 
-void PlatformClient::Stop(const std::function<void()>& done) { done(); }
+void TableServiceClient::Stop(const std::function<void()>& done) { done(); }
 
-void PlatformClient::ReadRecord(const std::string& key, Done done) {
+void TableServiceClient::ReadRecord(const std::string& key, Done done) {
   Send({.method = "GET", .target = "/records/" + key}, std::move(done));
 }
 
-void PlatformClient::WriteRecord(const std::string& key,
+void TableServiceClient::WriteRecord(const std::string& key,
                                  const std::string& value,
                                  std::uint64_t expected, Done done) {
   Send({.method = "PUT",
@@ -47,15 +47,15 @@
        std::move(done));
 }
 
-void PlatformClient::ReadInstances(Done done) {
+void TableServiceClient::ReadInstances(Done done) {
   Send({.method = "GET", .target = "/instances"}, std::move(done));
 }
 
-void PlatformClient::ReadObject(const std::string& hash, Done done) {
+void TableServiceClient::ReadObject(const std::string& hash, Done done) {
   Send({.method = "GET", .target = "/objects/" + hash}, std::move(done));
 }
 
-void PlatformClient::Send(HttpRequest request, Done done) {
+void TableServiceClient::Send(HttpRequest request, Done done) {
   if (running_ < kMaxRunningCalls) {
     return StartCall(std::move(request), std::move(done));
   }
@@ -66,7 +66,7 @@
       {std::move(request), std::move(done), context_.loop.Now()});
 }
 
-void PlatformClient::StartCall(HttpRequest request, Done done) {
+void TableServiceClient::StartCall(HttpRequest request, Done done) {
   if (!breaker_.TryStart(context_.loop.Now())) {
     return FailUnsent(done, ResultCode::kStoreUnreachable);
   }
@@ -78,7 +78,7 @@
           const FetchResult& result) { self->HandleResult(result, done); });
 }
 
-void PlatformClient::HandleResult(const FetchResult& result, const Done& done) {
+void TableServiceClient::HandleResult(const FetchResult& result, const Done& done) {
   --running_;
   StoreReply reply = ToReply(result);
   RecordOutcome(reply);
@@ -86,7 +86,7 @@
   StartWaiting();
 }
 
-void PlatformClient::RecordOutcome(const StoreReply& reply) {
+void TableServiceClient::RecordOutcome(const StoreReply& reply) {
   const BreakerState before = breaker_.state();
   if (reply.code == ResultCode::kStoreUnreachable) {
     breaker_.RecordFailure(context_.loop.Now());
@@ -104,7 +104,7 @@
       {{"state", std::string(kBreakerStateNames.NameOf(breaker_.state()))}});
 }
 
-void PlatformClient::StartWaiting() {
+void TableServiceClient::StartWaiting() {
   while (!waiting_.empty() && running_ < kMaxRunningCalls) {
     WaitingCall next = std::move(waiting_.front());
     waiting_.pop_front();
@@ -116,7 +116,7 @@
   }
 }
 
-void PlatformClient::FailUnsent(const Done& done, ResultCode code) {
+void TableServiceClient::FailUnsent(const Done& done, ResultCode code) {
   context_.loop.Post([done, code] { done({.code = code}); });
 }
 
--- a/source/supervisor/platform/platform_client.h
+++ b/source/supervisor/table_service/table_service_client.h
@@ -1,5 +1,5 @@
-#ifndef WISTERIAYOKE_SUPERVISOR_PLATFORM_PLATFORM_CLIENT_H_
-#define WISTERIAYOKE_SUPERVISOR_PLATFORM_PLATFORM_CLIENT_H_
+#ifndef WISTERIAYOKE_SUPERVISOR_TABLE_SERVICE_TABLE_SERVICE_CLIENT_H_
+#define WISTERIAYOKE_SUPERVISOR_TABLE_SERVICE_TABLE_SERVICE_CLIENT_H_
 
 #include <cstdint>
 #include <deque>
@@ -30,11 +30,11 @@
 /// Speaks with the platform's table service and object store. A child of the
 /// root. Runs a bounded number of calls at a time, queues a bounded number
 /// more, and fails calls at once while the store is down.
-class PlatformClient : public std::enable_shared_from_this<PlatformClient> {
+class TableServiceClient : public std::enable_shared_from_this<TableServiceClient> {
  public:
   using Done = std::function<void(StoreReply)>;
 
-  PlatformClient(DaemonContext context, FailureHandler on_failure);
+  TableServiceClient(DaemonContext context, FailureHandler on_failure);
 
   bool Start(LastReason& reason);
   void Stop(const std::function<void()>& done);
@@ -76,8 +76,8 @@
 };
 
 /// Finds the running platform client; it returns null while there is none.
-using PlatformFinder = std::function<std::shared_ptr<PlatformClient>()>;
+using TableServiceFinder = std::function<std::shared_ptr<TableServiceClient>()>;
 
 }  // namespace wisteriayoke
 
-#endif  // WISTERIAYOKE_SUPERVISOR_PLATFORM_PLATFORM_CLIENT_H_
+#endif  // WISTERIAYOKE_SUPERVISOR_TABLE_SERVICE_TABLE_SERVICE_CLIENT_H_
--- a/source/supervisor/tables/table_keeper.cc
+++ b/source/supervisor/tables/table_keeper.cc
@@ -29,11 +29,11 @@
 
 }  // namespace
 
-TableKeeper::TableKeeper(DaemonContext context, PlatformFinder platform,
+TableKeeper::TableKeeper(DaemonContext context, TableServiceFinder table_service,
                          PeerFinder peers, ChangeHandler on_change,
                          FailureHandler on_failure)
     : context_(context),
-      platform_(std::move(platform)),
+      table_service_(std::move(table_service)),
       peers_(std::move(peers)),
       on_change_(std::move(on_change)),
       on_failure_(std::move(on_failure)),
@@ -69,9 +69,9 @@
 
 void TableKeeper::PollHead() {
   ScheduleNextPoll();
-  const auto platform = platform_();
-  if (!platform) return;
-  platform->ReadRecord(kHeadKey,
+  const auto table_service = table_service_();
+  if (!table_service) return;
+  table_service->ReadRecord(kHeadKey,
                        [self = shared_from_this()](const StoreReply& reply) {
                          if (!self->stopped_) self->HandleHead(reply);
                        });
@@ -99,9 +99,9 @@
 }
 
 void TableKeeper::FetchFromStore(const std::string& hash) {
-  const auto platform = platform_();
-  if (!platform) return FailFetch(hash);
-  platform->ReadObject(
+  const auto table_service = table_service_();
+  if (!table_service) return FailFetch(hash);
+  table_service->ReadObject(
       hash, [self = shared_from_this(), hash](const StoreReply& reply) {
         if (self->stopped_) return;
         if (reply.code != ResultCode::kOk) return self->FailFetch(hash);
--- a/source/supervisor/tables/table_keeper.h
+++ b/source/supervisor/tables/table_keeper.h
@@ -8,7 +8,7 @@
 
 #include "decisions/table_follower.h"
 #include "supervisor/peers/peer_link.h"
-#include "supervisor/platform/platform_client.h"
+#include "supervisor/table_service/table_service_client.h"
 
 namespace wisteriayoke {
 
@@ -20,7 +20,7 @@
   /// Called after other tables were put in force.
   using ChangeHandler = std::function<void()>;
 
-  TableKeeper(DaemonContext context, PlatformFinder platform, PeerFinder peers,
+  TableKeeper(DaemonContext context, TableServiceFinder table_service, PeerFinder peers,
               ChangeHandler on_change, FailureHandler on_failure);
 
   bool Start(LastReason& reason);
@@ -47,7 +47,7 @@
   void PutTablesInForce(const PutInForce& action);
 
   DaemonContext context_;
-  PlatformFinder platform_;
+  TableServiceFinder table_service_;
   PeerFinder peers_;
   ChangeHandler on_change_;
   FailureHandler on_failure_;
--- a/source/wire/http_encode.cc
+++ b/source/wire/http_encode.cc
@@ -35,8 +35,8 @@
   message.version(kHttp11);
   message.method_string(request.method);
   message.target(request.target);
-  message.set(http::field::host, host);
   CopyFields(request.fields, message);
+  if (message[http::field::host].empty()) message.set(http::field::host, host);
   message.keep_alive(request.keep_alive);
   message.body() = request.body;
   message.prepare_payload();
--- a/source/wire/http_encode.h
+++ b/source/wire/http_encode.h
@@ -8,7 +8,8 @@
 
 namespace wisteriayoke {
 
-/// Returns the bytes of a whole request to the process at `host`.
+/// Returns the bytes of a whole request. `host` stands in its Host field unless
+/// the request has one.
 std::string EncodeRequest(const HttpRequest& request, std::string_view host);
 
 /// Returns the bytes of a whole response with its length.
--- a/source/wire/http_message.cc
+++ b/source/wire/http_message.cc
@@ -7,13 +7,6 @@
 namespace wisteriayoke {
 namespace {
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [](unsigned char x, unsigned char y) {
-                      return std::tolower(x) == std::tolower(y);
-                    });
-}
-
 constexpr auto kHopByHopFields = std::to_array<std::string_view>(
     {"connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
      "te", "trailer", "transfer-encoding", "upgrade", "content-length",
@@ -21,6 +14,13 @@
 
 }  // namespace
 
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](unsigned char x, unsigned char y) {
+                      return std::tolower(x) == std::tolower(y);
+                    });
+}
+
 std::string_view FindField(const HttpFields& fields, std::string_view name) {
   for (const auto& field : fields) {
     if (EqualsIgnoringCase(field.name, name)) return field.value;
--- a/source/wire/http_message.h
+++ b/source/wire/http_message.h
@@ -37,6 +37,9 @@
   std::string body;
 };
 
+/// Compares names of header fields.
+bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+
 /// Returns the value of the first field called `name`, in any case, or "".
 std::string_view FindField(const HttpFields& fields, std::string_view name);
 
--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -18,7 +18,7 @@
 };
 
 HttpResponseParser::HttpResponseParser(HttpLimits limits)
-    : state_(std::make_unique<State>()) {
+    : open_ended_(limits.open_ended), state_(std::make_unique<State>()) {
   state_->parser.header_limit(limits.header_bytes);
   state_->parser.body_limit(limits.body_bytes);
   state_->parser.eager(true);
@@ -47,6 +47,7 @@
   if (done()) return true;
   const bool open_ended =
       state_->parser.is_header_done() && state_->parser.need_eof();
+  if (open_ended && open_ended_) return true;
   reason.Set(ResultCode::kConnectionBroken,
              open_ended
                  ? "the response has neither a length nor chunks, so its "
--- a/source/wire/http_response_parser.h
+++ b/source/wire/http_response_parser.h
@@ -22,8 +22,8 @@
   /// Adds received bytes. Fails if they are not HTTP or are over a limit.
   bool Push(std::string_view data, LastReason& reason);
 
-  /// Notes the end of the connection. Fails unless the message is known to be
-  /// whole; one without a length or chunks never is.
+  /// Notes that the other side closed the connection in order. Fails unless the
+  /// message is whole; one without a length or chunks is only by the limits.
   bool PushEnd(LastReason& reason);
 
   bool head_done() const;
@@ -38,6 +38,7 @@
  private:
   struct State;
 
+  bool open_ended_;
   std::string input_;
   std::unique_ptr<State> state_;
 };
