--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # Checks the format and lints all C++ sources. With --fix, formats them instead.
 cd "$(dirname "$0")/.." || exit 1
 mapfile -t files < <(git ls-files --cached --others --exclude-standard \
-  'source/*.cc' 'source/*.h' 'tests/*.cc' 'tests/*.h')
+  'platform/*.cc' 'platform/*.h' 'source/*.cc' 'source/*.h' 'tests/*.cc' 'tests/*.h')
 if [ "${1:-}" = "--fix" ]; then
   clang-format -i "${files[@]}"
   exit
--- a/source/decisions/layer_orders.h
+++ b/source/decisions/layer_orders.h
@@ -34,11 +34,12 @@
   kLost,        ///< No answer; the order may take effect, even later.
 };
 
-inline constexpr auto kLayerOrderResultNames = MakeNamesTable<LayerOrderResult>({
-    {LayerOrderResult::kAccepted, "accepted"},
-    {LayerOrderResult::kMismatched, "mismatched"},
-    {LayerOrderResult::kLost, "lost"},
-});
+inline constexpr auto kLayerOrderResultNames =
+    MakeNamesTable<LayerOrderResult>({
+        {LayerOrderResult::kAccepted, "accepted"},
+        {LayerOrderResult::kMismatched, "mismatched"},
+        {LayerOrderResult::kLost, "lost"},
+    });
 
 /// An order ended.
 struct LayerOrderEnded {
@@ -119,7 +120,7 @@
 
   LayeredModel model_;
   std::map<UpstreamName, Book> books_;
-  TimePoint joined_at_;  ///< When an upstream last joined.
+  TimePoint joined_at_;    ///< When an upstream last joined.
   bool laid_out_ = false;  ///< Whether any upstream ever held layers.
 };
 
--- a/source/decisions/layer_path.cc
+++ b/source/decisions/layer_path.cc
@@ -34,8 +34,8 @@
               std::uint32_t layer_count) {
   const double share =
       static_cast<double>(layers.end - layers.first) / layer_count;
-  const double load = static_cast<double>(candidate.in_flight) /
-                      std::max(1U, candidate.limit);
+  const double load =
+      static_cast<double>(candidate.in_flight) / std::max(1U, candidate.limit);
   return kHopCost * (1.0 + load) +
          candidate.step_factor * share * (1.0 + kCrowding * load * load);
 }
--- a/source/decisions/layer_path.h
+++ b/source/decisions/layer_path.h
@@ -12,9 +12,9 @@
 /// An upstream that may run some of its layers for a request.
 struct PathCandidate {
   const UpstreamSpec* upstream = nullptr;
-  double step_factor = 1;        ///< Time of a token step, against the model's.
-  std::uint32_t limit = 0;       ///< Requests that it takes at once.
-  std::uint32_t in_flight = 0;   ///< Estimate for all daemons.
+  double step_factor = 1;       ///< Time of a token step, against the model's.
+  std::uint32_t limit = 0;      ///< Requests that it takes at once.
+  std::uint32_t in_flight = 0;  ///< Estimate for all daemons.
 };
 
 /// Whether a path was found.
--- a/source/decisions/layer_plan.h
+++ b/source/decisions/layer_plan.h
@@ -16,8 +16,8 @@
   UpstreamName name;
   DataCentreName data_centre;
   double memory_mb = 0;
-  LayerRange held;  ///< What it holds or is loading; empty if nothing.
-  bool loading = false;         ///< Whether it takes no order now.
+  LayerRange held;       ///< What it holds or is loading; empty if nothing.
+  bool loading = false;  ///< Whether it takes no order now.
   std::uint32_t in_flight = 0;  ///< Requests that work on it.
 };
 
--- a/source/decisions/relay_course.h
+++ b/source/decisions/relay_course.h
@@ -57,8 +57,8 @@
   ResultCode code = ResultCode::kOk;
 };
 
-using CourseAction = std::variant<SendAgain, PassAnswer, RefuseUnrun,
-                                  FailUnknown, BreakAnswer>;
+using CourseAction =
+    std::variant<SendAgain, PassAnswer, RefuseUnrun, FailUnknown, BreakAnswer>;
 
 /// What the route allows.
 struct CourseRules {
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -18,7 +18,7 @@
   bool fleet_known = false;  ///< Whether the list of upstreams was read.
   Freshness freshness;       ///< Of `tables`.
   std::map<PoolName, RetryBudget> budgets;
-  LinkBudget links;  ///< Between data centres.
+  LinkBudget links;         ///< Between data centres.
   double most_daemons = 1;  ///< Most members that were seen at a time.
 };
 
--- a/source/supervisor/front/ledger_store.cc
+++ b/source/supervisor/front/ledger_store.cc
@@ -93,11 +93,11 @@
 void LedgerStore::Read(const ReadLedger& action, Done done) const {
   const auto table_service = table_service_();
   if (!table_service) return done(LedgerNotSent{action.operation});
-  table_service->ReadRecord(record_name_,
-                       [done = std::move(done),
-                        operation = action.operation](const StoreReply& reply) {
-                         done(DescribeReply(reply, operation, false));
-                       });
+  table_service->ReadRecord(
+      record_name_, [done = std::move(done),
+                     operation = action.operation](const StoreReply& reply) {
+        done(DescribeReply(reply, operation, false));
+      });
 }
 
 void LedgerStore::Write(const WriteLedger& action, Done done) const {
--- a/source/supervisor/front/ledger_store.h
+++ b/source/supervisor/front/ledger_store.h
@@ -36,7 +36,8 @@
   using Done = std::function<void(LedgerEvent)>;
 
   LedgerStore(TableServiceFinder table_service, std::string record_name)
-      : table_service_(std::move(table_service)), record_name_(std::move(record_name)) {}
+      : table_service_(std::move(table_service)),
+        record_name_(std::move(record_name)) {}
 
   void Read(const ReadLedger& action, Done done) const;
   void Write(const WriteLedger& action, Done done) const;
--- a/source/supervisor/front/service_session.cc
+++ b/source/supervisor/front/service_session.cc
@@ -70,7 +70,8 @@
 }  // namespace
 
 std::shared_ptr<ServiceSession> ServiceSession::Create(
-    DaemonContext context, const TableServiceFinder& table_service, Input input) {
+    DaemonContext context, const TableServiceFinder& table_service,
+    Input input) {
   if (input.route.idempotent) {
     return std::make_shared<ServiceSession>(context, std::move(input),
                                             ServiceRequest::ForIdempotent(),
--- a/source/supervisor/front/service_session.h
+++ b/source/supervisor/front/service_session.h
@@ -36,9 +36,9 @@
 
   /// Makes a session, or answers the caller and returns null if the request's
   /// Idempotency-Key or send number is invalid.
-  static std::shared_ptr<ServiceSession> Create(DaemonContext context,
-                                                const TableServiceFinder& table_service,
-                                                Input input);
+  static std::shared_ptr<ServiceSession> Create(
+      DaemonContext context, const TableServiceFinder& table_service,
+      Input input);
 
   void Start();
 
--- a/source/supervisor/instances/instance_watcher.cc
+++ b/source/supervisor/instances/instance_watcher.cc
@@ -9,7 +9,8 @@
 
 namespace wisteriayoke {
 
-InstanceWatcher::InstanceWatcher(DaemonContext context, TableServiceFinder table_service,
+InstanceWatcher::InstanceWatcher(DaemonContext context,
+                                 TableServiceFinder table_service,
                                  PeerFinder peers, FailureHandler on_failure)
     : context_(context),
       table_service_(std::move(table_service)),
@@ -49,9 +50,10 @@
   poll_timer_ = context_.loop.Schedule(interval, [this] { Poll(); });
   const auto table_service = table_service_();
   if (!table_service) return;
-  table_service->ReadInstances([self = shared_from_this()](const StoreReply& reply) {
-    if (!self->stopped_) self->HandleList(reply);
-  });
+  table_service->ReadInstances(
+      [self = shared_from_this()](const StoreReply& reply) {
+        if (!self->stopped_) self->HandleList(reply);
+      });
 }
 
 void InstanceWatcher::HandleList(const StoreReply& reply) {
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -85,27 +85,26 @@
   const bool held = HoldsLease();
   if (held == std::exchange(held_, held)) return;
   context_.state.timeline.Record(
-      LogLevel::kInfo,
-      held ? EventKind::kLeaseTaken : EventKind::kLeaseEnded, ResultCode::kOk,
-      {{"lease", kLeaseKey}});
+      LogLevel::kInfo, held ? EventKind::kLeaseTaken : EventKind::kLeaseEnded,
+      ResultCode::kOk, {{"lease", kLeaseKey}});
 }
 
 void LayerPlacement::Carry(const ReadLease& action) {
-  store_->ReadTable(
-      kLeaseTable, [self = shared_from_this(),
-                    operation = action.operation](const RowReply& reply) {
-        if (reply.code != ResultCode::kOk) {
-          return self->FeedLease(LeaseCallFailed{operation});
-        }
-        LeaseRead read{.operation = operation};
-        for (const auto& row : reply.page.rows) {
-          if (row.key != kLeaseKey) continue;
-          LastReason ignored;
-          read.record = ParseLeaseRecord(row.value, ignored);
-          read.version = row.version;
-        }
-        self->FeedLease(read);
-      });
+  store_->ReadTable(kLeaseTable,
+                    [self = shared_from_this(),
+                     operation = action.operation](const RowReply& reply) {
+                      if (reply.code != ResultCode::kOk) {
+                        return self->FeedLease(LeaseCallFailed{operation});
+                      }
+                      LeaseRead read{.operation = operation};
+                      for (const auto& row : reply.page.rows) {
+                        if (row.key != kLeaseKey) continue;
+                        LastReason ignored;
+                        read.record = ParseLeaseRecord(row.value, ignored);
+                        read.version = row.version;
+                      }
+                      self->FeedLease(read);
+                    });
 }
 
 void LayerPlacement::Carry(const WriteLease& action) {
@@ -171,8 +170,7 @@
   if (stopped_) return;
   const auto found = orders_.find(pool);
   if (found == orders_.end()) return;
-  for (const auto& action :
-       found->second.Handle(event, context_.loop.Now())) {
+  for (const auto& action : found->second.Handle(event, context_.loop.Now())) {
     std::visit([this, &pool](const auto& step) { Carry(pool, step); }, action);
   }
 }
@@ -189,19 +187,18 @@
        {"layers", std::to_string(action.layers.first) + "-" +
                       std::to_string(action.layers.end)},
        {"expected", std::to_string(action.expected)}});
-  FetchWhole(context_.loop, entry->upstream.endpoint, BuildLayerOrder(action),
-             MakeCallLimits(),
-             [self = shared_from_this(), pool,
-              action](const FetchResult& result) {
-               const bool answered = result.code == ResultCode::kOk;
-               const int status = result.response.head.status;
-               const auto outcome = answered ? ReadOrderStatus(status)
-                                             : LayerOrderResult::kLost;
-               self->RecordOrder(
-                   action, outcome,
-                   answered ? std::to_string(status) : result.message);
-               self->FeedOrders(pool, LayerOrderEnded{action.upstream, outcome});
-             });
+  FetchWhole(
+      context_.loop, entry->upstream.endpoint, BuildLayerOrder(action),
+      MakeCallLimits(),
+      [self = shared_from_this(), pool, action](const FetchResult& result) {
+        const bool answered = result.code == ResultCode::kOk;
+        const int status = result.response.head.status;
+        const auto outcome =
+            answered ? ReadOrderStatus(status) : LayerOrderResult::kLost;
+        self->RecordOrder(action, outcome,
+                          answered ? std::to_string(status) : result.message);
+        self->FeedOrders(pool, LayerOrderEnded{action.upstream, outcome});
+      });
 }
 
 void LayerPlacement::RecordOrder(const SendLayerOrder& action,
--- a/source/supervisor/placement/pool_placement.cc
+++ b/source/supervisor/placement/pool_placement.cc
@@ -52,8 +52,9 @@
 
 }  // namespace
 
-PoolPlacement::PoolPlacement(DaemonContext context, TableServiceFinder table_service,
-                             Pool pool, std::string token)
+PoolPlacement::PoolPlacement(DaemonContext context,
+                             TableServiceFinder table_service, Pool pool,
+                             std::string token)
     : context_(context),
       table_service_(std::move(table_service)),
       pool_(std::move(pool)),
--- a/source/supervisor/placement/pool_placement.h
+++ b/source/supervisor/placement/pool_placement.h
@@ -20,8 +20,8 @@
  public:
   /// `token` is unique for the process, so that a restarted child goes on with
   /// the lease of its predecessor.
-  PoolPlacement(DaemonContext context, TableServiceFinder table_service, Pool pool,
-                std::string token);
+  PoolPlacement(DaemonContext context, TableServiceFinder table_service,
+                Pool pool, std::string token);
 
   bool Start(LastReason& reason);
   void Stop(const std::function<void()>& done);
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -140,9 +140,8 @@
        {"host", fields.host},
        {"tables", std::to_string(state.version.number)},
        {"tables_age_us", age ? std::to_string(age->count()) : "unknown"}});
-  const bool temporary =
-      DescribeResultCode(code).http_status ==
-      DescribeResultCode(ResultCode::kNotReady).http_status;
+  const bool temporary = DescribeResultCode(code).http_status ==
+                         DescribeResultCode(ResultCode::kNotReady).http_status;
   caller->Respond(BuildRefusal(fields.attempt_id, code,
                                temporary ? kRetryAfter : Duration::zero()));
 }
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -112,8 +112,8 @@
   }
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
   if (pool == nullptr) return Decide(NoTarget{});
-  const TargetChoice choice = ChooseTarget(
-      context_, *pool, excluded_, request_.fields.prompt_tokens);
+  const TargetChoice choice =
+      ChooseTarget(context_, *pool, excluded_, request_.fields.prompt_tokens);
   if (!choice.target) return Decide(NoTarget{choice.code});
   Send(*choice.target);
 }
@@ -140,11 +140,11 @@
   limits.connect_timeout = std::min(kConnectTimeout, TimeLeft());
   limits.idle_timeout = TimeLeft();
   limits.reset_on_close = true;
-  call_ = HttpClientCall::Start(
-      context_.loop, target.endpoint, BuildAttempt(target), limits,
-      [self = shared_from_this()](CallEvent event) {
-        self->HandleCall(std::move(event));
-      });
+  call_ = HttpClientCall::Start(context_.loop, target.endpoint,
+                                BuildAttempt(target), limits,
+                                [self = shared_from_this()](CallEvent event) {
+                                  self->HandleCall(std::move(event));
+                                });
 }
 
 HttpRequest RelaySession::BuildAttempt(const RelayTarget& target) const {
@@ -160,14 +160,13 @@
 
 void RelaySession::HandleCall(CallEvent event) {
   if (ended_) return;
-  std::visit(
-      Overloaded{
-          [this](const CallHead& head) { HandleHead(head); },
-          [this](const CallPiece& piece) { HandlePiece(piece); },
-          [this](const CallEnd&) { HandleEnd(); },
-          [this](const CallFailure& failure) { HandleFailure(failure); },
-      },
-      event);
+  std::visit(Overloaded{
+                 [this](const CallHead& head) { HandleHead(head); },
+                 [this](const CallPiece& piece) { HandlePiece(piece); },
+                 [this](const CallEnd&) { HandleEnd(); },
+                 [this](const CallFailure& failure) { HandleFailure(failure); },
+             },
+             event);
 }
 
 void RelaySession::HandleHead(const CallHead& event) {
@@ -278,8 +277,8 @@
   if (ended_ || !target_ || held_back_) return;
   const Duration silence = context_.loop.Now() - progress_at_;
   if (!is_stream()) {
-    const bool hedged = request_.route.repeatable() &&
-                        attempts_ < request_.route.max_attempts;
+    const bool hedged =
+        request_.route.repeatable() && attempts_ < request_.route.max_attempts;
     const Duration patience =
         request_.route.latency_objective * kPatiencePerMille / 1000;
     if (!hedged || silence < patience) return;
@@ -394,10 +393,10 @@
   state.metrics.CountAnswer(code);
   state.metrics.Observe(LatencyKind::kRequestTime,
                         context_.loop.Now() - arrived_);
-  const bool good =
-      code == ResultCode::kOk || code == ResultCode::kCancelled;
+  const bool good = code == ResultCode::kOk || code == ResultCode::kCancelled;
   if (!good) return Record(LogLevel::kWarning, EventKind::kRequestFailed, code);
-  if (IsLate()) return Record(LogLevel::kWarning, EventKind::kRequestLate, code);
+  if (IsLate())
+    return Record(LogLevel::kWarning, EventKind::kRequestLate, code);
   if (state.requests_started % kLogEvery != 0) return;
   Record(LogLevel::kInfo, EventKind::kRequestAnswered, code);
 }
@@ -417,9 +416,8 @@
        {"route", request_.route.name.text()},
        {"attempts", std::to_string(attempts_)},
        {"age_us", std::to_string(age.count())},
-       {"first_event_us", first_event_after_
-                              ? std::to_string(first_event_after_->count())
-                              : ""},
+       {"first_event_us",
+        first_event_after_ ? std::to_string(first_event_after_->count()) : ""},
        {"longest_pause_us", std::to_string(longest_pause_.count())},
        {"last_event", last_event_ ? std::to_string(*last_event_) : ""},
        {"path", path_},
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -95,7 +95,7 @@
   RelayCourse course_;
   TimePoint arrived_;
   Duration time_limit_{};
-  std::set<UpstreamName> excluded_;  ///< Those that failed this request.
+  std::set<UpstreamName> excluded_;    ///< Those that failed this request.
   std::optional<RelayTarget> target_;  ///< Of the attempt under way.
   std::shared_ptr<HttpClientCall> call_;
   HttpResponseHead head_;  ///< Of the attempt's answer.
@@ -110,9 +110,9 @@
   TimePoint progress_at_;    ///< When the attempt last made progress.
   std::optional<TimePoint> doubted_at_;
   std::optional<Duration> first_event_after_;  ///< Since the arrival.
-  TimePoint delivered_at_;     ///< When the caller got its last event.
-  Duration longest_pause_{};   ///< Between two events for the caller.
-  std::string path_;           ///< Upstreams of the last attempt, for logs.
+  TimePoint delivered_at_;    ///< When the caller got its last event.
+  Duration longest_pause_{};  ///< Between two events for the caller.
+  std::string path_;          ///< Upstreams of the last attempt, for logs.
   unsigned attempts_ = 0;
   LoopTimerPtr time_timer_;
   bool ended_ = false;
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -44,8 +44,8 @@
         {.upstream = &upstream,
          .step_factor = kind->second.step_factor,
          .limit = CountPlaces(*pool.model, kind->second.memory_mb, upstream),
-         .in_flight = state.upstreams.CountInFlight(
-             upstream.name, state.peer_loads, now)});
+         .in_flight = state.upstreams.CountInFlight(upstream.name,
+                                                    state.peer_loads, now)});
   }
   return candidates;
 }
@@ -55,8 +55,7 @@
                double hidden_states) {
   if (hidden_states <= 0 || model.link_tokens_per_s <= 0) return true;
   RelayState& relay = context.state.relay;
-  const double rate =
-      kLinkShare * model.link_tokens_per_s / relay.most_daemons;
+  const double rate = kLinkShare * model.link_tokens_per_s / relay.most_daemons;
   return relay.links.TryTake(hidden_states, rate, context.loop.Now());
 }
 
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -37,9 +37,8 @@
   if (const auto peers = children_.Find<PeerLink>()) {
     peers->SetListedPeers(settings.EndpointsOf(SettingKey::kPeerSeeds));
   }
-  state_.timeline.Record(
-      LogLevel::kInfo, EventKind::kReloaded, ResultCode::kOk,
-      {{"seeds", settings.Text(SettingKey::kPeerSeeds)}});
+  state_.timeline.Record(LogLevel::kInfo, EventKind::kReloaded, ResultCode::kOk,
+                         {{"seeds", settings.Text(SettingKey::kPeerSeeds)}});
 }
 
 TableServiceFinder RootSupervisor::MakeTableServiceFinder() {
@@ -86,27 +85,26 @@
 
 template <typename Kind>
 bool RootSupervisor::AddPlain(const std::string& name, LastReason& reason) {
+  return children_.Add({.name = name,
+                        .create =
+                            [this](FailureHandler on_failure) {
+                              return Child(std::make_shared<Kind>(
+                                  Context(), std::move(on_failure)));
+                            }},
+                       reason);
+}
+
+bool RootSupervisor::AddOperators(LastReason& reason) {
   return children_.Add(
-      {.name = name,
+      {.name = "operators",
        .create =
            [this](FailureHandler on_failure) {
-             return Child(
-                 std::make_shared<Kind>(Context(), std::move(on_failure)));
+             return Child(std::make_shared<OperatorsPort>(
+                 Context(), MakeOperatorsHooks(), std::move(on_failure)));
            }},
       reason);
 }
 
-bool RootSupervisor::AddOperators(LastReason& reason) {
-  return children_.Add({.name = "operators",
-                        .create =
-                            [this](FailureHandler on_failure) {
-                              return Child(std::make_shared<OperatorsPort>(
-                                  Context(), MakeOperatorsHooks(),
-                                  std::move(on_failure)));
-                            }},
-                       reason);
-}
-
 bool RootSupervisor::AddPeers(LastReason& reason) {
   return AddPlain<PeerLink>("peers", reason);
 }
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -91,8 +91,8 @@
   // An empty answer to a wait was given at its end, all others possibly as
   // soon as the call was sent.
   const BootTime waited = sent + feed.wait - kWaitTolerance;
-  const bool idle = !whole && reply.page.rows.empty() &&
-                    context_.loop.BootNow() >= waited;
+  const bool idle =
+      !whole && reply.page.rows.empty() && context_.loop.BootNow() >= waited;
   if (&feed == &tables_ && document_good_) {
     context_.state.relay.freshness.RecordProof(idle ? waited : sent);
   }
@@ -106,9 +106,9 @@
         LogLevel::kWarning, EventKind::kStoreLost, reply.code,
         {{"table", feed.table}, {"reason", reply.message}});
   }
-  feed.retry_timer =
-      context_.loop.Schedule(RetryDelay(feed.failures),
-                             [this, &feed, handler] { Advance(feed, handler); });
+  feed.retry_timer = context_.loop.Schedule(
+      RetryDelay(feed.failures),
+      [this, &feed, handler] { Advance(feed, handler); });
 }
 
 void StoreFollower::RecordReturn(Feed& feed) {
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -27,7 +27,7 @@
     std::string table;
     Duration wait{};  ///< Longest time that one call waits for a change.
     std::uint64_t version = 0;
-    bool synced = false;  ///< Whether the whole table was read.
+    bool synced = false;    ///< Whether the whole table was read.
     unsigned failures = 0;  ///< In a row.
     LoopTimerPtr retry_timer;
   };
--- a/source/supervisor/table_service/table_service_client.cc
+++ b/source/supervisor/table_service/table_service_client.cc
@@ -24,7 +24,8 @@
 
 }  // namespace
 
-TableServiceClient::TableServiceClient(DaemonContext context, FailureHandler on_failure)
+TableServiceClient::TableServiceClient(DaemonContext context,
+                                       FailureHandler on_failure)
     : context_(context),
       on_failure_(std::move(on_failure)),
       endpoint_(context.settings.EndpointOf(SettingKey::kPlatformAddress)) {}
@@ -38,8 +39,8 @@
 }
 
 void TableServiceClient::WriteRecord(const std::string& key,
-                                 const std::string& value,
-                                 std::uint64_t expected, Done done) {
+                                     const std::string& value,
+                                     std::uint64_t expected, Done done) {
   Send({.method = "PUT",
         .target = "/records/" + key,
         .fields = {{std::string(kExpectedField), std::to_string(expected)}},
@@ -78,7 +79,8 @@
           const FetchResult& result) { self->HandleResult(result, done); });
 }
 
-void TableServiceClient::HandleResult(const FetchResult& result, const Done& done) {
+void TableServiceClient::HandleResult(const FetchResult& result,
+                                      const Done& done) {
   --running_;
   StoreReply reply = ToReply(result);
   RecordOutcome(reply);
--- a/source/supervisor/table_service/table_service_client.h
+++ b/source/supervisor/table_service/table_service_client.h
@@ -30,7 +30,8 @@
 /// Speaks with the platform's table service and object store. A child of the
 /// root. Runs a bounded number of calls at a time, queues a bounded number
 /// more, and fails calls at once while the store is down.
-class TableServiceClient : public std::enable_shared_from_this<TableServiceClient> {
+class TableServiceClient
+    : public std::enable_shared_from_this<TableServiceClient> {
  public:
   using Done = std::function<void(StoreReply)>;
 
--- a/source/supervisor/tables/table_keeper.cc
+++ b/source/supervisor/tables/table_keeper.cc
@@ -29,9 +29,9 @@
 
 }  // namespace
 
-TableKeeper::TableKeeper(DaemonContext context, TableServiceFinder table_service,
-                         PeerFinder peers, ChangeHandler on_change,
-                         FailureHandler on_failure)
+TableKeeper::TableKeeper(DaemonContext context,
+                         TableServiceFinder table_service, PeerFinder peers,
+                         ChangeHandler on_change, FailureHandler on_failure)
     : context_(context),
       table_service_(std::move(table_service)),
       peers_(std::move(peers)),
@@ -71,10 +71,10 @@
   ScheduleNextPoll();
   const auto table_service = table_service_();
   if (!table_service) return;
-  table_service->ReadRecord(kHeadKey,
-                       [self = shared_from_this()](const StoreReply& reply) {
-                         if (!self->stopped_) self->HandleHead(reply);
-                       });
+  table_service->ReadRecord(
+      kHeadKey, [self = shared_from_this()](const StoreReply& reply) {
+        if (!self->stopped_) self->HandleHead(reply);
+      });
 }
 
 void TableKeeper::ScheduleNextPoll() {
--- a/source/supervisor/tables/table_keeper.h
+++ b/source/supervisor/tables/table_keeper.h
@@ -20,8 +20,9 @@
   /// Called after other tables were put in force.
   using ChangeHandler = std::function<void()>;
 
-  TableKeeper(DaemonContext context, TableServiceFinder table_service, PeerFinder peers,
-              ChangeHandler on_change, FailureHandler on_failure);
+  TableKeeper(DaemonContext context, TableServiceFinder table_service,
+              PeerFinder peers, ChangeHandler on_change,
+              FailureHandler on_failure);
 
   bool Start(LastReason& reason);
   void Stop(const std::function<void()>& done);
--- /dev/null
+++ b/tests/decisions/fleet_test.cc
@@ -0,0 +1,76 @@
+#include "decisions/fleet.h"
+
+#include <doctest/doctest.h>
+
+namespace wisteriayoke {
+namespace {
+
+TimePoint At(int milliseconds) {
+  return TimePoint(std::chrono::milliseconds(milliseconds));
+}
+
+FleetEntry MakeEntry(const std::string& name) {
+  return {.upstream = {.name = UpstreamName(name)}, .pool = PoolName("p")};
+}
+
+}  // namespace
+
+TEST_CASE("an entry's changes are told apart") {
+  Fleet fleet;
+  FleetEntry entry = MakeEntry("a");
+  CHECK(fleet.Apply(entry) == FleetChange::kJoined);
+  CHECK(fleet.Apply(entry) == FleetChange::kNone);
+  entry.upstream.layers = {0, 8};
+  CHECK(fleet.Apply(entry) == FleetChange::kChanged);
+  entry.draining = true;
+  CHECK(fleet.Apply(entry) == FleetChange::kDraining);
+  entry.born_ms = 7;
+  entry.draining = false;
+  CHECK(fleet.Apply(entry) == FleetChange::kRestarted);
+}
+
+TEST_CASE("a draining upstream takes no new work") {
+  Fleet fleet;
+  FleetEntry entry = MakeEntry("a");
+  fleet.Apply(entry);
+  CHECK(fleet.ListOpen(PoolName("p")).size() == 1);
+  entry.draining = true;
+  fleet.Apply(entry);
+  CHECK(fleet.ListOpen(PoolName("p")).empty());
+  CHECK(fleet.Find(UpstreamName("a")) != nullptr);
+}
+
+TEST_CASE("an entry removed while the store is well is gone at once") {
+  Fleet fleet;
+  fleet.Apply(MakeEntry("a"));
+  CHECK(fleet.Remove(UpstreamName("a"), At(0)));
+  CHECK(fleet.Find(UpstreamName("a")) == nullptr);
+}
+
+TEST_CASE(
+    "an entry missing after an outage is kept until it had time to return") {
+  Fleet fleet;
+  fleet.Apply(MakeEntry("a"));
+  fleet.Apply(MakeEntry("b"));
+  fleet.RecordStoreReturn(At(1000));
+  CHECK_FALSE(fleet.Remove(UpstreamName("a"), At(1010)));
+  CHECK_FALSE(fleet.Remove(UpstreamName("b"), At(1010)));
+  CHECK(fleet.ListOpen(PoolName("p")).size() == 2);
+  CHECK(fleet.Apply(MakeEntry("a")) == FleetChange::kNone);
+  CHECK(fleet.Expire(At(2700)).empty());
+  const auto gone = fleet.Expire(At(2900));
+  REQUIRE(gone.size() == 1);
+  CHECK(gone.front() == UpstreamName("b"));
+  CHECK(fleet.Find(UpstreamName("a")) != nullptr);
+}
+
+TEST_CASE("a draining upstream isn't kept after an outage") {
+  Fleet fleet;
+  FleetEntry entry = MakeEntry("a");
+  entry.draining = true;
+  fleet.Apply(entry);
+  fleet.RecordStoreReturn(At(1000));
+  CHECK(fleet.Remove(UpstreamName("a"), At(1010)));
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/layer_placement/layer_placement_test.cc
@@ -0,0 +1,115 @@
+#include "supervisor/layer_placement/layer_placement.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/relay_tables_codec.h"
+#include "support/fake_row_store.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr auto kDocument = R"({"Version":1,"Routes":[],"Services":[{"Name":"w",
+  "Engine":{"KvTokenBytes":1000,"Layers":8,"LayerMb":10.0,"Models":[{"Name":"m"}],
+  "Kinds":[{"Name":"big","Mb":100.0,"pace":1.0}]}}]})";
+
+/// One upstream that takes orders as the platform says.
+struct PlacementFixture : DaemonFixture {
+  FakeRowStore store{loop};
+  std::vector<nlohmann::json> orders;
+  std::uint64_t sequence = 0;
+  bool busy = false;
+  FakeServer upstream{loop, TestPorts::kUpstream,
+                      [this](const HttpRequest& request,
+                             const std::shared_ptr<HttpServerSession>& caller) {
+                        if (request.target == "/-/report") {
+                          const nlohmann::json report = {{"Sequence", sequence},
+                                                         {"Busy", busy}};
+                          return caller->Respond({{200, {}}, report.dump()});
+                        }
+                        orders.push_back(nlohmann::json::parse(request.body));
+                        if (orders.back()["Precondition"] != sequence || busy) {
+                          return caller->Respond({{409, {}}, ""});
+                        }
+                        ++sequence;
+                        caller->Respond({{202, {}}, ""});
+                      }};
+  std::shared_ptr<LayerPlacement> placement =
+      std::make_shared<LayerPlacement>(Context(), [](const LastReason&) {});
+
+  PlacementFixture() {
+    LastReason reason;
+    auto spec = ParseRelaySpec(kDocument, reason);
+    REQUIRE_MESSAGE(spec.has_value(), reason.message());
+    state.relay.tables = std::make_shared<const RelayTables>(*spec);
+    state.relay.fleet_known = true;
+    SetLayers({});
+    REQUIRE(placement->Start(reason));
+  }
+  ~PlacementFixture() {
+    placement->Stop([] {});
+  }
+
+  void SetLayers(const LayerRange& layers) {
+    state.relay.fleet.Apply(
+        {.upstream = {.name = UpstreamName("i-1"),
+                      .endpoint = LocalEndpoint(TestPorts::kUpstream),
+                      .data_centre = DataCentreName("a"),
+                      .accelerator = "big",
+                      .layers = layers},
+         .pool = PoolName("w"),
+         .born_ms = 1});
+  }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(PlacementFixture, "the holder of the lease orders layers") {
+  RunUntil([this] { return orders.size() == 1; });
+  CHECK(orders[0]["From"] == 0);
+  CHECK(orders[0]["To"] == 8);
+  CHECK(orders[0]["Precondition"] == 0);
+  CHECK(store.ValueOf("wisteriayoke", "placement-lease").find("d1") !=
+        std::string::npos);
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "an order on a wrong sequence is asked for and repeated") {
+  sequence = 4;
+  RunUntil([this] { return orders.size() == 2; });
+  CHECK(orders[0]["Precondition"] == 0);
+  CHECK(orders[1]["Precondition"] == 4);
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "a busy upstream is asked, not ordered again") {
+  busy = true;
+  RunUntil([this] { return orders.size() == 1; });
+  bool waited = false;
+  const auto timer =
+      loop.Schedule(std::chrono::seconds(2), [&] { waited = true; });
+  RunUntil([&waited] { return waited; });
+  CHECK(orders.size() == 1);
+  busy = false;
+  RunUntil([this] { return orders.size() == 2; });
+}
+
+TEST_CASE("without the lease no order is sent") {
+  struct Fixture : DaemonFixture {
+    FakeRowStore store{loop};
+  } fixture;
+  fixture.store.set_fault(StoreFault::kRefusing);
+  const auto placement = std::make_shared<LayerPlacement>(
+      fixture.Context(), [](const LastReason&) {});
+  LastReason reason;
+  REQUIRE(placement->Start(reason));
+  fixture.RunUntil([&fixture] { return fixture.store.calls() > 1; });
+  for (const auto& event : fixture.state.timeline.events()) {
+    CHECK(event.kind != EventKind::kLeaseTaken);
+    CHECK(event.kind != EventKind::kOrderSent);
+  }
+  placement->Stop([] {});
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/platform/relay_fields_test.cc
@@ -0,0 +1,111 @@
+#include "platform/relay_fields.h"
+
+#include <doctest/doctest.h>
+
+namespace wisteriayoke {
+namespace {
+
+HttpRequest MakeRequest() {
+  return {.method = "POST",
+          .target = "/lohu/2f",
+          .fields = {{"Host", "a.example:80"},
+                     {"Attempt-Id", "9c41"},
+                     {"Last-Event-Id", "12"},
+                     {"Model", "m"},
+                     {"Token-Counts", "1460,80"},
+                     {"Deadline-Ms", "1500.5"},
+                     {"Authorization", "Bearer key1"},
+                     {"Tenant", "forged"},
+                     {"Expect-Instance", "forged"},
+                     {"Hop-Count", "forged"},
+                     {"Connection", "keep-alive, X-Private"},
+                     {"X-Private", "1"},
+                     {"Transfer-Encoding", "chunked"}}};
+}
+
+}  // namespace
+
+TEST_CASE("what a caller's fields say is decoded") {
+  const CallerFields fields = ReadCallerFields(MakeRequest());
+  CHECK(fields.host == "a.example");
+  CHECK(fields.attempt_id == "9c41");
+  CHECK(fields.key == "key1");
+  CHECK(fields.deadline == std::chrono::microseconds(1'500'500));
+  CHECK(fields.prompt_tokens == 1460);
+}
+
+TEST_CASE("bad numbers and schemes count as absent") {
+  HttpRequest request{.fields = {{"Deadline-Ms", "-5"},
+                                 {"Token-Counts", "x,1"},
+                                 {"Authorization", "Basic key1"}}};
+  const CallerFields fields = ReadCallerFields(request);
+  CHECK_FALSE(fields.deadline.has_value());
+  CHECK(fields.prompt_tokens == 0);
+  CHECK(fields.key.empty());
+}
+
+TEST_CASE("an attempt bears the router's fields and not the caller's key") {
+  const HttpRequest request = MakeRequest();
+  AttemptFields attempt{.upstream = UpstreamName("i-1"),
+                        .workspace = WorkspaceName("volta"),
+                        .time_left = std::chrono::milliseconds(900),
+                        .last_event_id = "40"};
+  attempt.chain = {{UpstreamName("i-1"), {"10.1.0.1", 80}, {0, 20}},
+                   {UpstreamName("i-2"), {"10.1.0.2", 80}, {20, 80}}};
+  const HttpFields fields = BuildAttemptFields(request.fields, attempt);
+  const auto value = [&fields](const char* name) {
+    return std::string(FindField(fields, name));
+  };
+  CHECK(value("Host") == "a.example:80");
+  CHECK(value("Attempt-Id") == "9c41");
+  CHECK(value("Deadline-Ms") == "900");
+  CHECK(value("Expect-Instance") == "i-1");
+  CHECK(value("Tenant") == "volta");
+  CHECK(value("Hop-Count") == "10.1.0.1:80=0-20,10.1.0.2:80=20-80");
+  CHECK(value("Last-Event-Id") == "40");
+  CHECK(value("Token-Counts") == "1460,80");
+  for (const char* absent :
+       {"Authorization", "Connection", "X-Private", "Transfer-Encoding"}) {
+    CHECK(value(absent).empty());
+  }
+  std::size_t last_ids = 0;
+  for (const auto& field : fields) {
+    if (field.name == "Last-Event-Id") ++last_ids;
+  }
+  CHECK(last_ids == 1);
+}
+
+TEST_CASE("without an event of its own an attempt keeps the caller's") {
+  const HttpFields fields = BuildAttemptFields(MakeRequest().fields, {});
+  CHECK(FindField(fields, "Last-Event-Id") == "12");
+  CHECK(FindField(fields, "Tenant").empty());
+}
+
+TEST_CASE("what an answer's fields say is decoded") {
+  const AnswerFields good =
+      ReadAnswerFields({200, {{"Attempt-Id", "9c41"}, {"Response-Seal", "s"}}});
+  CHECK(good.attempt_id == "9c41");
+  CHECK(good.sealed);
+  CHECK_FALSE(good.not_run);
+  const AnswerFields shed = ReadAnswerFields(
+      {503, {{"Not-Executed", "1"}, {"At-Server", "10.1.0.2:80"}}});
+  CHECK(shed.not_run);
+  CHECK(shed.culprit == Endpoint{"10.1.0.2", 80});
+  CHECK(ReadAnswerFields({421, {}}).not_run);
+  CHECK_FALSE(ReadAnswerFields({503, {}}).not_run);
+  CHECK(ReadAnswerFields({200, {{"Content-Encoding", "gzip"}}}).encoded);
+}
+
+TEST_CASE("the router's own answer has no receipt") {
+  const HttpResponse answer =
+      BuildOwnAnswer(503, "9c41", "overloaded", std::chrono::milliseconds(250));
+  CHECK(answer.head.status == 503);
+  CHECK(FindField(answer.head.fields, "Attempt-Id") == "9c41");
+  CHECK(FindField(answer.head.fields, "Retry-After") == "0.25");
+  CHECK(FindField(answer.head.fields, "Response-Seal").empty());
+  CHECK(FindField(BuildOwnAnswer(502, "", "x", Duration::zero()).head.fields,
+                  "Retry-After")
+            .empty());
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/platform/store_codecs_test.cc
@@ -0,0 +1,166 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "platform/fleet_codec.h"
+#include "platform/relay_tables_codec.h"
+#include "platform/row_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr auto kDocument = R"({"Version":7,"Routes":[
+  {"Name":"r1","Host":"a.example","Prefix":"/lohu/","Kind":"streaming",
+   "TimeoutMs":20000,"TargetLatencyMs":500,"GapAimMs":200,"Priority":1,
+   "TrafficSplit":[{"Service":"w","Weight":90},{"Service":"x","Weight":10}],
+   "MaxAttempts":2,"AllowAnonymous":false,"StreamResume":true},
+  {"Name":"r2","Host":"a.example","Prefix":"/","Kind":"non_idempotent",
+   "Service":"x","AllowAnonymous":true}],
+ "Services":[{"Name":"w","Engine":{"KvTokenBytes":590000,"Layers":80,
+   "LayerMb":1750.0,"ActBytes":29500,"PipeMbps":11000.0,"step_ms":0.85,
+   "loads_at_once":6,"usual":{"prompt":772,"answer":174},
+   "Models":[{"Name":"m"}],
+   "Kinds":[{"Name":"h100","Mb":72000.0,"pace":1.4}]}},{"Name":"x"}],
+ "Limits":{"MaxHeaderBytes":9000,"IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"volta","ApiKeys":["k1","k2"]}]})";
+
+constexpr auto kEntry = R"({"Service":"w","Address":"10.1.0.9:8080",
+  "Zone":"accra-a","Version":"v1","Slots":192,"State":"ready","Kind":"l4",
+  "Layers":{"From":0,"To":8,"Version":1},"Sequence":4,"born":1769306965007})";
+
+/// Text that comes close to what the codecs read.
+std::string DrawText() {
+  std::string text;
+  const int fragments = *rc::gen::inRange(0, 14);
+  for (int i = 0; i < fragments; ++i) {
+    text += *rc::gen::oneOf(
+        rc::gen::arbitrary<std::string>(),
+        rc::gen::element<std::string>(
+            "{", "}", "[", "]", ",", ":", "\"Version\":", "\"Ver\":",
+            "\"Rows\":", "\"Routes\":", "\"Value\":", "\"Key\":", "\"k\"",
+            "\"Layers\":", "-1", "1e999", "7", "18446744073709551616", "null",
+            "true", "\"====\"", "\"AAA\""));
+  }
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("the operator's document is decoded") {
+  LastReason reason;
+  const auto spec = ParseRelaySpec(kDocument, reason);
+  REQUIRE_MESSAGE(spec.has_value(), reason.message());
+  CHECK(spec->version == 7);
+  REQUIRE(spec->routes.size() == 2);
+  const RelayRoute& route = spec->routes[0];
+  CHECK(route.kind == RelayKind::kStreaming);
+  CHECK(route.repeatable());
+  CHECK(route.timeout == std::chrono::seconds(20));
+  CHECK(route.longest_pause == std::chrono::milliseconds(200));
+  CHECK(route.max_attempts == 2);
+  REQUIRE(route.pools.size() == 2);
+  CHECK(route.pools[1].weight == 10);
+  CHECK(spec->routes[1].anonymous);
+  CHECK_FALSE(spec->routes[1].repeatable());
+  CHECK(spec->limits.header_bytes == 9000);
+  CHECK(spec->limits.idle_timeout == std::chrono::seconds(15));
+  REQUIRE(spec->workspaces.size() == 1);
+  CHECK(spec->workspaces[0].keys.size() == 2);
+  REQUIRE(spec->pools.size() == 2);
+  CHECK_FALSE(spec->pools[1].model.has_value());
+  const LayeredModel& model = spec->pools[0].model.value();
+  CHECK(model.layer_count == 80);
+  CHECK(model.usual_tokens == 946);
+  CHECK(model.accelerators.at("h100").memory_mb == 72000);
+  CHECK(model.link_tokens_per_s == doctest::Approx(46610).epsilon(0.001));
+}
+
+TEST_CASE("a document with a bad route is refused whole, with the name") {
+  LastReason reason;
+  CHECK_FALSE(ParseRelaySpec("[]", reason).has_value());
+  CHECK(reason.code() == ResultCode::kTableInvalid);
+  const auto bad = R"({"Version":1,"Routes":[{"Name":"r9","Host":"h",
+    "Prefix":"/","Kind":"odd","Service":"x"}]})";
+  CHECK_FALSE(ParseRelaySpec(bad, reason).has_value());
+  CHECK(reason.message().find("r9") != std::string::npos);
+}
+
+TEST_CASE("an upstream's entry is decoded") {
+  LastReason reason;
+  const auto entry = ParseFleetEntry("i-7f", kEntry, reason);
+  REQUIRE_MESSAGE(entry.has_value(), reason.message());
+  CHECK(entry->upstream.name == UpstreamName("i-7f"));
+  CHECK(entry->upstream.endpoint == Endpoint{"10.1.0.9", 8080});
+  CHECK(entry->upstream.layers == LayerRange{0, 8});
+  CHECK(entry->upstream.accelerator == "l4");
+  CHECK(entry->pool == PoolName("w"));
+  CHECK(entry->born_ms == 1769306965007);
+  CHECK_FALSE(entry->draining);
+}
+
+TEST_CASE("an entry with a missing or mistyped field names no upstream") {
+  LastReason reason;
+  for (const char* field : {"Service", "Address", "Zone", "State", "Slots"}) {
+    auto json = nlohmann::json::parse(kEntry);
+    json.erase(field);
+    CHECK_FALSE(ParseFleetEntry("i", json.dump(), reason).has_value());
+    json[field] = nlohmann::json::array();
+    CHECK_FALSE(ParseFleetEntry("i", json.dump(), reason).has_value());
+  }
+  auto json = nlohmann::json::parse(kEntry);
+  json["State"] = "resting";
+  CHECK_FALSE(ParseFleetEntry("i", json.dump(), reason).has_value());
+  CHECK_FALSE(ParseFleetEntry("i", "\xff{", reason).has_value());
+  CHECK(reason.code() == ResultCode::kFieldInvalid);
+}
+
+TEST_CASE("a report and an order are coded as the platform wants") {
+  LastReason reason;
+  const auto report = ParseReport(
+      R"({"Busy":true,"Sequence":2,"Stalled":[{"Id":"x","Address":"10.1.0.2:80"}]})",
+      reason);
+  REQUIRE(report.has_value());
+  CHECK(report->orders == 2);
+  CHECK(report->loading);
+  REQUIRE(report->stalled_at.size() == 1);
+  const HttpRequest order = BuildLayerOrder({UpstreamName("i-1"), {20, 31}, 2});
+  const auto body = nlohmann::json::parse(order.body);
+  CHECK(order.target == "/-/order");
+  CHECK(body["Operation"] == "place");
+  CHECK(body["From"] == 20);
+  CHECK(body["To"] == 31);
+  CHECK(body["Precondition"] == 2);
+  CHECK(ReadOrderStatus(202) == LayerOrderResult::kAccepted);
+  CHECK(ReadOrderStatus(409) == LayerOrderResult::kMismatched);
+  CHECK(ReadOrderStatus(500) == LayerOrderResult::kLost);
+}
+
+TEST_CASE("any value survives a write and a read") {
+  CHECK(rc::check("values", [] {
+    const auto value = *rc::gen::arbitrary<std::string>();
+    const auto request = BuildWriteRequest({"t", "k", value, 3});
+    const auto body = nlohmann::json::parse(request.body);
+    RC_ASSERT(body["Precondition"][0]["Ver"] == 3);
+    LastReason reason;
+    const auto page = ParseRowPage(
+        nlohmann::json{{"Rows", body["Writes"]}, {"Ver", 9}}.dump(), reason);
+    RC_ASSERT(page.has_value());
+    RC_ASSERT(page->rows.size() == 1U);
+    RC_ASSERT(page->rows[0].value == value);
+  }));
+}
+
+TEST_CASE("no input ends the process") {
+  CHECK(rc::check("random texts", [] {
+    const std::string text = DrawText();
+    LastReason reason;
+    ParseRelaySpec(text, reason);
+    ParseFleetEntry("i", text, reason);
+    ParseReport(text, reason);
+    ParseRowPage(text, reason);
+  }));
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/relay/relay_test.cc
@@ -0,0 +1,354 @@
+#include <doctest/doctest.h>
+
+#include "platform/relay_tables_codec.h"
+#include "supervisor/relay/ready_port.h"
+#include "supervisor/relay/relay_front.h"
+#include "support/daemon_fixture.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr auto kDocument = R"({"Version":1,"Routes":[
+  {"Name":"read","Host":"h","Prefix":"/read/","Kind":"idempotent",
+   "Service":"s","MaxAttempts":2,"TimeoutMs":800,"TargetLatencyMs":300},
+  {"Name":"hold","Host":"h","Prefix":"/hold/","Kind":"non_idempotent",
+   "Service":"s","MaxAttempts":1,"TimeoutMs":400},
+  {"Name":"open","Host":"h","Prefix":"/open/","Kind":"idempotent",
+   "Service":"s","AllowAnonymous":true},
+  {"Name":"tale","Host":"h","Prefix":"/tale/","Kind":"streaming",
+   "Service":"w","MaxAttempts":2,"TimeoutMs":5000,"TargetLatencyMs":500,
+   "StreamResume":true}],
+ "Services":[{"Name":"s"},{"Name":"w","Engine":{"KvTokenBytes":1000,
+   "Layers":8,"LayerMb":10.0,"Models":[{"Name":"m"}],
+   "Kinds":[{"Name":"big","Mb":1000.0,"pace":1.0}]}}],
+ "Tenants":[{"Name":"volta","ApiKeys":["k1"]}]})";
+
+using CallerPtr = std::shared_ptr<HttpServerSession>;
+
+HttpResponse MakeSealed(const HttpRequest& request, int status,
+                        std::string body) {
+  return {
+      {status,
+       {{"Attempt-Id", std::string(FindField(request.fields, "Attempt-Id"))},
+        {"Response-Seal", "seal"}}},
+      std::move(body)};
+}
+
+HttpResponse MakeShed() { return {{503, {{"Not-Executed", "1"}}}, ""}; }
+
+std::string MakeEvent(int id) {
+  return "id: " + std::to_string(id) + "\ndata: t\n\n";
+}
+
+/// A relay before upstreams of which a test gives the answers. Two plain ones
+/// and two engines, each with all layers.
+struct RelayFixture : DaemonFixture {
+  std::vector<HttpRequest> seen;
+  /// Answers the next request at any upstream; the first is used first.
+  std::vector<std::function<void(const HttpRequest&, const CallerPtr&)>>
+      answers;
+  std::string report = R"({"Sequence":1})";
+  FakeServer first{loop, TestPorts::kUpstream,
+                   [this](const HttpRequest& request, const CallerPtr& caller) {
+                     Handle(request, caller);
+                   }};
+  FakeServer others{
+      loop, TestPorts::kPeers,
+      [this](const HttpRequest& request, const CallerPtr& caller) {
+        Handle(request, caller);
+      }};
+  std::shared_ptr<RelayFront> front =
+      std::make_shared<RelayFront>(Context(), [](const LastReason&) {});
+
+  RelayFixture() {
+    LastReason reason;
+    auto spec = ParseRelaySpec(kDocument, reason);
+    REQUIRE_MESSAGE(spec.has_value(), reason.message());
+    state.relay.tables = std::make_shared<const RelayTables>(*spec);
+    state.relay.fleet_known = true;
+    state.relay.freshness.RecordProof(loop.BootNow());
+    AddUpstream("s-1", "s", {}, TestPorts::kPeers);
+    AddUpstream("s-2", "s", {}, TestPorts::kPeers);
+    AddUpstream("w-1", "w", {0, 8}, TestPorts::kUpstream);
+    AddUpstream("w-2", "w", {0, 8}, TestPorts::kPeers);
+    REQUIRE(front->Start(reason));
+  }
+  ~RelayFixture() { front->CutSessions(); }
+
+  void Handle(const HttpRequest& request, const CallerPtr& caller) {
+    if (request.target == "/-/report") {
+      return caller->Respond({{200, {}}, report});
+    }
+    seen.push_back(request);
+    if (answers.empty()) {
+      return caller->Respond(MakeSealed(request, 200, "whole"));
+    }
+    const auto answer = answers.front();
+    answers.erase(answers.begin());
+    answer(request, caller);
+  }
+
+  void AddUpstream(const char* name, const char* pool, const LayerRange& layers,
+                   std::uint16_t port) {
+    state.relay.fleet.Apply({.upstream = {.name = UpstreamName(name),
+                                          .endpoint = LocalEndpoint(port),
+                                          .data_centre = DataCentreName("a"),
+                                          .accelerator = "big",
+                                          .layers = layers},
+                             .pool = PoolName(pool)});
+  }
+
+  HttpRequest MakeRequest(const std::string& target, const std::string& key) {
+    HttpRequest request{
+        .method = "POST",
+        .target = target,
+        .fields = {
+            {"Host", "h"}, {"Attempt-Id", "a1"}, {"Deadline-Ms", "5000"}}};
+    if (!key.empty()) {
+      request.fields.push_back({"Authorization", "Bearer " + key});
+    }
+    return request;
+  }
+
+  FetchResult Call(const std::string& target, const std::string& key = "k1") {
+    return Fetch(TestPorts::kFront, MakeRequest(target, key));
+  }
+
+  int StatusOf(const std::string& target, const std::string& key = "k1") {
+    return Call(target, key).response.head.status;
+  }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(RelayFixture, "an answer comes back whole and unchanged") {
+  const auto answer = Call("/read/7?x=1").response;
+  CHECK(answer.head.status == 200);
+  CHECK(answer.body == "whole");
+  CHECK(FindField(answer.head.fields, "Response-Seal") == "seal");
+  REQUIRE(seen.size() == 1);
+  CHECK(seen[0].target == "/read/7?x=1");
+  CHECK(FindField(seen[0].fields, "Tenant") == "volta");
+  CHECK(FindField(seen[0].fields, "Authorization").empty());
+  CHECK(FindField(seen[0].fields, "Host") == "h");
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "routes and keys that no table holds are denied") {
+  CHECK(StatusOf("/none") == 404);
+  CHECK(StatusOf("/read/1", "k9") == 401);
+  CHECK(StatusOf("/read/1", "") == 401);
+  CHECK(StatusOf("/open/1", "") == 200);
+  CHECK(seen.size() == 1);
+}
+
+TEST_CASE_FIXTURE(
+    RelayFixture,
+    "without fresh tables keys are refused and nothing is denied") {
+  state.relay.freshness =
+      Freshness({.revocation = std::chrono::milliseconds(1)});
+  CHECK(StatusOf("/read/1") == 503);
+  CHECK(StatusOf("/read/1", "k9") == 503);
+  CHECK(StatusOf("/none") == 503);
+  CHECK(StatusOf("/open/1", "") == 200);
+  CHECK(seen.size() == 1);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "what an upstream declined is sent to another") {
+  answers = {[](const HttpRequest&, const CallerPtr& caller) {
+    caller->Respond(MakeShed());
+  }};
+  CHECK(StatusOf("/hold/1") == 200);
+  REQUIRE(seen.size() == 2);
+  CHECK(FindField(seen[0].fields, "Expect-Instance") !=
+        FindField(seen[1].fields, "Expect-Instance"));
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "work that may have run isn't repeated and not refused") {
+  answers = {
+      [](const HttpRequest&, const CallerPtr& caller) { caller->Abort(); }};
+  CHECK(StatusOf("/hold/1") == 502);
+  CHECK(seen.size() == 1);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a busy status without the upstream's word is no refusal") {
+  answers = {[](const HttpRequest& request, const CallerPtr& caller) {
+    caller->Respond(MakeSealed(request, 503, ""));
+  }};
+  CHECK(StatusOf("/hold/1") == 502);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a refusal by all upstreams is passed on as one") {
+  for (int i = 0; i < 3; ++i) {
+    answers.emplace_back([](const HttpRequest&, const CallerPtr& caller) {
+      caller->Respond(MakeShed());
+    });
+  }
+  const auto answer = Call("/hold/1").response;
+  CHECK(answer.head.status == 503);
+  CHECK_FALSE(FindField(answer.head.fields, "Retry-After").empty());
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a failed read is repeated once, a failed hold passed on") {
+  const auto fail = [](const HttpRequest& request, const CallerPtr& caller) {
+    caller->Respond(MakeSealed(request, 500, "sorry"));
+  };
+  answers = {fail};
+  CHECK(StatusOf("/read/1") == 200);
+  CHECK(seen.size() == 2);
+  answers = {fail};
+  const auto answer = Call("/hold/1").response;
+  CHECK(answer.head.status == 500);
+  CHECK(answer.body == "sorry");
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "bytes that aren't the upstream's own answer don't count") {
+  answers = {[](const HttpRequest& request, const CallerPtr& caller) {
+               auto answer = MakeSealed(request, 200, "other");
+               answer.head.fields[0].value = "another-request";
+               caller->Respond(answer);
+             },
+             [](const HttpRequest&, const CallerPtr& caller) {
+               caller->Respond({{200, {}}, "unsealed"});
+             }};
+  CHECK(StatusOf("/read/1") == 502);
+  CHECK(seen.size() == 2);
+}
+
+TEST_CASE_FIXTURE(RelayFixture, "a silent upstream ends at the route's time") {
+  std::vector<CallerPtr> held;
+  answers = {[&held](const HttpRequest&, const CallerPtr& caller) {
+    held.push_back(caller);
+  }};
+  const TimePoint begin = loop.Now();
+  CHECK(StatusOf("/hold/1") == 504);
+  CHECK(loop.Now() - begin < std::chrono::milliseconds(700));
+}
+
+TEST_CASE_FIXTURE(RelayFixture, "a read that hangs is sent elsewhere in time") {
+  std::vector<CallerPtr> held;
+  answers = {[&held](const HttpRequest&, const CallerPtr& caller) {
+    held.push_back(caller);
+  }};
+  const TimePoint begin = loop.Now();
+  CHECK(StatusOf("/read/1") == 200);
+  CHECK(loop.Now() - begin < std::chrono::milliseconds(300));
+}
+
+TEST_CASE_FIXTURE(
+    RelayFixture,
+    "a stream that breaks goes on elsewhere after its last event") {
+  answers = {[](const HttpRequest& request, const CallerPtr& caller) {
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(1) + MakeEvent(2) + "id: 3\nda");
+               caller->BreakStream();
+             },
+             [](const HttpRequest& request, const CallerPtr& caller) {
+               CHECK(FindField(request.fields, "Last-Event-Id") == "2");
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(2) + MakeEvent(3));
+               caller->EndStream();
+             }};
+  const auto result = Call("/tale/1");
+  CHECK(result.code == ResultCode::kOk);
+  CHECK(result.response.body == MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
+  REQUIRE(seen.size() == 2);
+  CHECK(FindField(seen[0].fields, "Hop-Count").ends_with("=0-8"));
+}
+
+TEST_CASE_FIXTURE(RelayFixture, "a stream that can't go on is visibly broken") {
+  const auto cut = [](const HttpRequest& request, const CallerPtr& caller) {
+    caller->StartStream(MakeSealed(request, 200, "").head);
+    caller->WritePiece(MakeEvent(1));
+    caller->BreakStream();
+  };
+  answers = {cut, cut};
+  const auto result = Call("/tale/1");
+  CHECK(result.code == ResultCode::kConnectionBroken);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a stalled stream leaves the stage that its report names") {
+  std::vector<CallerPtr> held;
+  report = R"({"Sequence":1,"Stalled":[{"Id":"a1","Address":")" +
+           LocalEndpoint(TestPorts::kUpstream).ToString() + R"("}]})";
+  answers = {[&held](const HttpRequest& request, const CallerPtr& caller) {
+               held.push_back(caller);
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(1));
+             },
+             [](const HttpRequest& request, const CallerPtr& caller) {
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(2));
+               caller->EndStream();
+             }};
+  const TimePoint begin = loop.Now();
+  const auto result = Call("/tale/1");
+  CHECK(result.response.body == MakeEvent(1) + MakeEvent(2));
+  CHECK(loop.Now() - begin < std::chrono::milliseconds(900));
+  CHECK(FindField(seen[1].fields, "Expect-Instance") == "w-2");
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a caller that leaves ends the work at the upstream") {
+  bool left = false;
+  std::vector<CallerPtr> held;
+  answers = {[&](const HttpRequest&, const CallerPtr& caller) {
+    held.push_back(caller);
+    caller->set_on_closed([&left] { left = true; });
+  }};
+  const auto call = HttpClientCall::Start(
+      loop, LocalEndpoint(TestPorts::kFront), MakeRequest("/tale/1", "k1"), {},
+      [](const CallEvent&) {});
+  RunUntil([&held] { return !held.empty(); });
+  call->Cancel();
+  RunUntil([&left] { return left; });
+  CHECK(state.upstreams.StateOf(UpstreamName("w-1")).in_flight == 0);
+  CHECK(state.upstreams.StateOf(UpstreamName("w-2")).in_flight == 0);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a stop serves what still comes, then refuses") {
+  bool stopped = false;
+  state.draining = true;
+  front->Stop([&stopped] { stopped = true; });
+  const auto answer = Call("/read/1").response;
+  CHECK(answer.head.status == 200);
+  CHECK(FindField(answer.head.fields, "Connection") == "close");
+  RunUntil([&stopped] { return stopped; });
+  CHECK(Call("/read/1").code == ResultCode::kConnectFailed);
+}
+
+TEST_CASE("a daemon is ready with fresh tables and a list of upstreams") {
+  DaemonFixture fixture;
+  LastReason reason;
+  const auto settings = Settings::Create(
+      fixture.settings.Print() + "\n[front]\nready_address = " +
+          LocalEndpoint(TestPorts::kUpstream).ToString() + "\n",
+      reason);
+  REQUIRE_MESSAGE(settings.has_value(), reason.message());
+  const auto ready = std::make_shared<ReadyPort>(
+      DaemonContext{fixture.loop, *settings, fixture.state},
+      [](const LastReason&) {});
+  REQUIRE(ready->Start(reason));
+  const auto status = [&fixture] {
+    return fixture.Fetch(TestPorts::kUpstream, {}).response.head.status;
+  };
+  CHECK(status() == 503);
+  fixture.state.relay.tables = std::make_shared<const RelayTables>(RelaySpec{});
+  fixture.state.relay.fleet_known = true;
+  CHECK(status() == 503);
+  fixture.state.relay.freshness.RecordProof(fixture.loop.BootNow());
+  CHECK(status() == 200);
+  fixture.state.draining = true;
+  CHECK(status() == 503);
+  ready->Stop([] {});
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/tests/store_follower/store_follower_test.cc
@@ -0,0 +1,148 @@
+#include "supervisor/store_follower/store_follower.h"
+
+#include <doctest/doctest.h>
+
+#include "support/fake_row_store.h"
+
+namespace wisteriayoke {
+namespace {
+
+std::string MakeDocument(int version, const std::string& key) {
+  return R"({"Version":)" + std::to_string(version) +
+         R"(,"Routes":[{"Name":"r","Host":"h","Prefix":"/","Kind":"idempotent",
+            "Service":"s"}],"Services":[{"Name":"s"}],
+            "Tenants":[{"Name":"volta","ApiKeys":[")" +
+         key + R"("]}]})";
+}
+
+std::string MakeEntry(const std::string& state) {
+  return R"({"Service":"s","Address":"10.0.0.1:80","Zone":"a","Slots":6,
+             "State":")" +
+         state + R"(","born":1})";
+}
+
+struct FollowerFixture : DaemonFixture {
+  FakeRowStore store{loop};
+  std::shared_ptr<StoreFollower> follower =
+      std::make_shared<StoreFollower>(Context(), [](const LastReason&) {});
+
+  void Start() {
+    LastReason reason;
+    REQUIRE(follower->Start(reason));
+  }
+  ~FollowerFixture() {
+    follower->Stop([] {});
+  }
+
+  std::uint64_t Version() const {
+    return state.relay.tables ? state.relay.tables->spec().version : 0;
+  }
+  bool IsKnown(const char* name) const {
+    return state.relay.fleet.Find(UpstreamName(name)) != nullptr;
+  }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(FollowerFixture, "tables and entries are followed") {
+  store.Put("op", "config", MakeDocument(3, "k1"));
+  store.Put("servers", "i-1", MakeEntry("ready"));
+  Start();
+  RunUntil([this] { return Version() == 3 && IsKnown("i-1"); });
+  CHECK(state.relay.fleet_known);
+  CHECK(state.relay.freshness.AllowsKeys(loop.BootNow()));
+  store.Put("op", "config", MakeDocument(8, "k2"));
+  store.Put("servers", "i-1", MakeEntry("draining"));
+  RunUntil([this] {
+    return Version() == 8 && state.relay.fleet.ListOpen(PoolName("s")).empty();
+  });
+  CHECK(state.relay.tables->FindWorkspaceOfKey("k1") == nullptr);
+  store.Drop("servers", "i-1");
+  RunUntil([this] { return !IsKnown("i-1"); });
+}
+
+TEST_CASE_FIXTURE(FollowerFixture, "a version never goes down") {
+  store.Put("op", "config", MakeDocument(5, "k1"));
+  Start();
+  RunUntil([this] { return Version() == 5; });
+  store.Put("op", "config", MakeDocument(4, "k2"));
+  const int calls = store.calls();
+  RunUntil([this, calls] { return store.calls() > calls; });
+  CHECK(Version() == 5);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "without a store keys stop being accepted in time") {
+  store.Put("op", "config", MakeDocument(5, "k1"));
+  state.relay.freshness =
+      Freshness({.revocation = std::chrono::milliseconds(1500)});
+  Start();
+  RunUntil([this] { return Version() == 5; });
+  store.set_fault(StoreFault::kSilent);
+  RunUntil(
+      [this] { return !state.relay.freshness.AllowsKeys(loop.BootNow()); });
+  store.set_fault(StoreFault::kNone);
+  RunUntil([this] { return state.relay.freshness.AllowsKeys(loop.BootNow()); });
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a document that can't be read proves nothing") {
+  store.Put("op", "config", MakeDocument(5, "k1"));
+  Start();
+  RunUntil([this] { return Version() == 5; });
+  const auto before = state.relay.freshness.AgeAt(loop.BootNow());
+  store.Put("op", "config", R"({"Version":9,"Routes":[{}]})");
+  const int calls = store.calls();
+  RunUntil([this, calls] { return store.calls() > calls + 1; });
+  CHECK(Version() == 5);
+  REQUIRE(before.has_value());
+  CHECK(state.relay.freshness.AgeAt(loop.BootNow()) > *before);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture, "lost history is read anew") {
+  store.Put("op", "config", MakeDocument(5, "k1"));
+  store.Put("servers", "i-1", MakeEntry("ready"));
+  store.Put("servers", "i-2", MakeEntry("ready"));
+  Start();
+  RunUntil([this] { return IsKnown("i-1") && IsKnown("i-2"); });
+  store.set_fault(StoreFault::kForgetting);
+  store.Drop("servers", "i-1");
+  RunUntil([this] { return !IsKnown("i-1"); });
+  CHECK(IsKnown("i-2"));
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "an entry that can't be read disturbs no other") {
+  store.Put("op", "config", MakeDocument(5, "k1"));
+  store.Put("servers", "i-1", MakeEntry("ready"));
+  store.Put("servers", "zz", "\xff not an entry");
+  Start();
+  RunUntil([this] { return IsKnown("i-1"); });
+  CHECK_FALSE(IsKnown("zz"));
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "entries that lapse in an outage are kept for a while") {
+  store.Put("op", "config", MakeDocument(5, "k1"));
+  store.Put("servers", "i-1", MakeEntry("ready"));
+  Start();
+  RunUntil([this] { return IsKnown("i-1"); });
+  store.set_fault(StoreFault::kRefusing);
+  // The wait that is under way ends with this change; the next call fails.
+  store.Put("servers", "i-2", MakeEntry("ready"));
+  const int calls = store.calls();
+  RunUntil([this, calls] { return store.calls() > calls + 2; });
+  store.Drop("servers", "i-1");
+  store.set_fault(StoreFault::kNone);
+  const auto returned = [this] {
+    for (const auto& event : state.timeline.events()) {
+      if (event.kind == EventKind::kStoreReturned) return true;
+    }
+    return false;
+  };
+  RunUntil(returned);
+  CHECK(IsKnown("i-1"));
+  RunUntil([this] { return !IsKnown("i-1"); });
+}
+
+}  // namespace wisteriayoke
