--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -49,7 +49,9 @@
       0;                        ///< By a stop, before their answer was whole.
   std::size_t open_claims = 0;  ///< Ledger claims whose outcome is pending.
 
-  bool ready() const { return tables != nullptr && !draining; }
+  bool ready() const {
+    return (tables != nullptr || relay.tables != nullptr) && !draining;
+  }
 };
 
 /// What every child of the tree is made from.
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -80,6 +80,11 @@
 
 void RelayFront::Stop(std::function<void()> done) {
   server_->CloseAfterAnswers();
+  // A front end that is replaced leaves its address at once.
+  if (!context_.state.draining) {
+    server_->StopAccepting();
+    return server_->Drain(std::move(done));
+  }
   stop_timer_ = context_.loop.Schedule(
       kLingerTime, [self = shared_from_this(), done = std::move(done)] {
         self->refusing_ = true;
--- /dev/null
+++ b/tests/root/relay_root_test.cc
@@ -0,0 +1,138 @@
+#include <doctest/doctest.h>
+
+#include "supervisor/context/operators_codec.h"
+#include "supervisor/root/root_supervisor.h"
+#include "support/fake_row_store.h"
+
+namespace wisteriayoke {
+namespace {
+
+constexpr std::uint16_t kReadyPort = 31705;
+
+/// The tree of the relay's interface before a fake store and a fake upstream.
+struct RelayRootFixture : DaemonFixture {
+  FakeRowStore store{loop};
+  std::shared_ptr<HttpServerSession> held;
+  FakeServer upstream{loop, TestPorts::kUpstream,
+                      [this](const HttpRequest& request,
+                             const std::shared_ptr<HttpServerSession>& caller) {
+                        if (request.target == "/seats/hold") {
+                          held = caller;
+                          return;
+                        }
+                        Answer(caller);
+                      }};
+  Settings relay_settings = MakeSettings();
+  std::optional<LastReason> end;
+  RootSupervisor root{loop, relay_settings,
+                      [this](const LastReason& reason) { end = reason; }};
+
+  RelayRootFixture() {
+    store.Put("op", "config", R"({"Version":1,"Routes":[{"Name":"r","Host":"h",
+      "Prefix":"/seats/","Kind":"idempotent","Service":"s","TimeoutMs":9000,
+      "TargetLatencyMs":9000,"AllowAnonymous":true}],
+      "Services":[{"Name":"s"}]})");
+    store.Put("servers", "i-1",
+              R"({"Service":"s","Zone":"a","Slots":6,"State":"ready",
+                  "Address":")" +
+                  LocalEndpoint(TestPorts::kUpstream).ToString() + R"("})");
+    LastReason reason;
+    REQUIRE_MESSAGE(root.Start(reason), reason.message());
+    while (StatusOf(kReadyPort, "/-/ready") != 200) {
+    }
+  }
+  ~RelayRootFixture() {
+    if (end) return;
+    root.RequestStop();
+    RunUntil([this] { return end.has_value(); });
+  }
+
+  Settings MakeSettings() {
+    LastReason reason;
+    const auto made = Settings::Create(
+        settings.Print() + "[front]\ninterface = relay\nready_address = " +
+            LocalEndpoint(kReadyPort).ToString() + "\n",
+        reason);
+    REQUIRE_MESSAGE(made.has_value(), reason.message());
+    return *made;
+  }
+
+  static void Answer(const std::shared_ptr<HttpServerSession>& caller) {
+    caller->Respond(
+        {{200, {{"Attempt-Id", "a1"}, {"Response-Seal", "s"}}}, "good"});
+  }
+
+  int StatusOf(std::uint16_t port, const std::string& target) {
+    return Fetch(port, {.target = target}).response.head.status;
+  }
+
+  HttpRequest MakeRequest(const std::string& target) {
+    return {.target = target, .fields = {{"Host", "h"}, {"Attempt-Id", "a1"}}};
+  }
+
+  std::vector<ChildStatus> ListChildren() {
+    LastReason reason;
+    const auto answer = Fetch(TestPorts::kOperators, {.target = "/status"});
+    const auto status = ParseDaemonStatus(answer.response.body, reason);
+    REQUIRE_MESSAGE(status.has_value(), reason.message());
+    return status->children;
+  }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(RelayRootFixture,
+                  "each child of the relay is back and costs no request") {
+  std::optional<FetchResult> answer;
+  FetchWhole(loop, LocalEndpoint(TestPorts::kFront), MakeRequest("/seats/hold"),
+             {}, [&answer](const FetchResult& result) { answer = result; });
+  RunUntil([this] { return held != nullptr; });
+  const auto children = ListChildren();
+  CHECK(children.size() == 6);
+  for (const auto& child : children) {
+    CAPTURE(child.path);
+    CHECK(Fetch(TestPorts::kOperators,
+                {.method = "POST",
+                 .target = "/children/" + child.path + "/restart"})
+              .response.head.status == 202);
+    for (const auto& now : ListChildren()) {
+      if (now.path == child.path) CHECK(now.restarts == 1);
+    }
+    CHECK(StatusOf(kReadyPort, "/-/ready") == 200);
+    CHECK(Fetch(TestPorts::kFront, MakeRequest("/seats/1")).response.body ==
+          "good");
+  }
+  CHECK_FALSE(answer.has_value());
+  Answer(held);
+  RunUntil([&answer] { return answer.has_value(); });
+  CHECK(answer->response.body == "good");
+}
+
+TEST_CASE_FIXTURE(RelayRootFixture,
+                  "a planned stop of the relay says so, serves on and ends") {
+  std::optional<FetchResult> answer;
+  FetchWhole(loop, LocalEndpoint(TestPorts::kFront), MakeRequest("/seats/hold"),
+             {}, [&answer](const FetchResult& result) { answer = result; });
+  RunUntil([this] { return held != nullptr; });
+  root.RequestStop();
+  CHECK(StatusOf(kReadyPort, "/-/ready") == 503);
+  CHECK(Fetch(TestPorts::kFront, MakeRequest("/seats/1")).response.body ==
+        "good");
+  Answer(held);
+  RunUntil([&answer] { return answer.has_value(); });
+  CHECK(answer->response.body == "good");
+  RunUntil([this] { return end.has_value(); });
+  CHECK(end->code() == ResultCode::kOk);
+}
+
+TEST_CASE_FIXTURE(RelayRootFixture,
+                  "a reload takes over the addresses of other daemons") {
+  root.Reload(relay_settings);
+  bool told = false;
+  for (const auto& event : root.timeline().events()) {
+    told = told || event.kind == EventKind::kReloaded;
+  }
+  CHECK(told);
+}
+
+}  // namespace wisteriayoke
