relay: ask the stages of a stream sooner; lines and counters for each decision

Cause: after a stage in the middle of a path crashed, its streams were asked about after 200 ms and went on after 250 to 300 ms, over the pause that callers take for none. Ruled out: that the time is lost in the resumption; a path is read again in about 100 ms.

Change: a stream is doubted after three of its usual gaps, 70 to 200 ms; sessions are watched every 10 ms.

A dark stage is still found by the report of the one before it.

Logs: request-retried with its reason, keys-stale and keys-fresh, pool and status of the upstream's answer. Metrics: answers by route, pool, outcome and code (at most 200 pairs by name), calls to the store by kind and outcome, age of the tables, peers, suspects, upstreams by health, requests in flight. Labels are escaped.

--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -39,9 +39,11 @@
   kEntryRefused,
   kUpstreamSuspected,
   kStreamResumed,
+  kRequestRetried,
   kRequestAnswered,
   kRequestLate,
   kKeysStale,
+  kKeysFresh,
   kReloaded,
 };
 
@@ -78,9 +80,11 @@
     {EventKind::kEntryRefused, "entry-refused"},
     {EventKind::kUpstreamSuspected, "upstream-suspected"},
     {EventKind::kStreamResumed, "stream-resumed"},
+    {EventKind::kRequestRetried, "request-retried"},
     {EventKind::kRequestAnswered, "request-answered"},
     {EventKind::kRequestLate, "request-late"},
     {EventKind::kKeysStale, "keys-stale"},
+    {EventKind::kKeysFresh, "keys-fresh"},
     {EventKind::kReloaded, "reloaded"},
 });
 
--- a/source/supervisor/context/metrics.cc
+++ b/source/supervisor/context/metrics.cc
@@ -5,6 +5,8 @@
 #include <map>
 #include <utility>
 
+#include "supervisor/context/metrics_text.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -26,41 +28,29 @@
   double sum_seconds = 0;
 };
 
-std::string Label(std::string_view name, std::string_view value) {
-  return std::string(name) + "=\"" + std::string(value) + "\"";
-}
-
 std::string CodeLabel(ResultCode code) {
-  return Label("code", std::to_string(static_cast<int>(code)));
-}
-
-std::string Line(const std::string& name, const std::string& labels,
-                 const std::string& value) {
-  const std::string braced = labels.empty() ? "" : "{" + labels + "}";
-  return "wisteriayoke_" + name + braced + " " + value + "\n";
-}
-
-std::string TypeLine(const std::string& name, std::string_view type) {
-  return "# TYPE wisteriayoke_" + name + " " + std::string(type) + "\n";
+  return MetricLabel("code", std::to_string(static_cast<int>(code)));
 }
 
 std::string RenderDistribution(const std::string& name,
                                const Distribution& distribution) {
-  std::string text = TypeLine(name, "histogram");
+  std::string text = MetricType(name, "histogram");
   const auto& axis = distribution.counts.axis();
   double total = 0;
   // The bin before the first holds what is shorter than the least bucket.
   for (int i = -1; i < axis.size(); ++i) {
     total += distribution.counts.at(i);
     const double bound = i < 0 ? kLeastSeconds : axis.bin(i).upper();
-    text += Line(name + "_bucket", Label("le", std::to_string(bound)),
-                 std::to_string(static_cast<std::uint64_t>(total)));
+    text +=
+        MetricLine(name + "_bucket", MetricLabel("le", std::to_string(bound)),
+                   std::to_string(static_cast<std::uint64_t>(total)));
   }
   total += distribution.counts.at(axis.size());
   const std::string count = std::to_string(static_cast<std::uint64_t>(total));
-  text += Line(name + "_bucket", Label("le", "+Inf"), count);
-  text += Line(name + "_sum", "", std::to_string(distribution.sum_seconds));
-  return text + Line(name + "_count", "", count);
+  text += MetricLine(name + "_bucket", MetricLabel("le", "+Inf"), count);
+  text +=
+      MetricLine(name + "_sum", "", std::to_string(distribution.sum_seconds));
+  return text + MetricLine(name + "_count", "", count);
 }
 
 }  // namespace
@@ -93,20 +83,21 @@
 }
 
 std::string Metrics::Render() const {
-  std::string text = TypeLine("answers_total", "counter");
+  std::string text = MetricType("answers_total", "counter");
   for (const auto& [code, count] : state_->answers) {
     const Outcome outcome = DescribeResultCode(code).outcome;
-    text += Line(
-        "answers_total",
-        Label("outcome", kOutcomeNames.NameOf(outcome)) + "," + CodeLabel(code),
-        std::to_string(count));
+    text += MetricLine("answers_total",
+                       MetricLabel("outcome", kOutcomeNames.NameOf(outcome)) +
+                           "," + CodeLabel(code),
+                       std::to_string(count));
   }
-  text += TypeLine("events_total", "counter");
+  text += MetricType("events_total", "counter");
   for (const auto& [event, count] : state_->events) {
-    text += Line("events_total",
-                 Label("kind", kEventKindNames.NameOf(event.first)) + "," +
-                     CodeLabel(event.second),
-                 std::to_string(count));
+    text +=
+        MetricLine("events_total",
+                   MetricLabel("kind", kEventKindNames.NameOf(event.first)) +
+                       "," + CodeLabel(event.second),
+                   std::to_string(count));
   }
   for (const auto& [kind, distribution] : state_->distributions) {
     const std::string name(kLatencyKindNames.NameOf(kind));
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -1,40 +1,77 @@
 #include "supervisor/context/metrics_page.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 
 #include "base/invariant.h"
 #include "supervisor/context/log.h"
+#include "supervisor/context/metrics_text.h"
 
 namespace wisteriayoke {
 namespace {
 
 constexpr int kStatusOk = 200;
+/// Age of the tables before their first proof.
+constexpr double kUnknownAge = -1;
 
+/// Returns the only sample of a metric that counts.
 std::string Sample(std::string_view name, std::string_view type,
                    std::uint64_t value) {
-  const std::string full = "wisteriayoke_" + std::string(name);
-  return "# TYPE " + full + " " + std::string(type) + "\n" + full + " " +
-         std::to_string(value) + "\n";
+  return MetricSample(name, type, std::to_string(value));
 }
 
-/// Describes the relay; nothing while it has no tables. Names come from the
-/// operator's document alone, never from callers.
-std::string DescribeRelay(const RelayState& relay) {
-  if (!relay.tables) return "";
-  std::string text =
-      Sample("relay_upstreams", "gauge", relay.fleet.entries().size());
-  text += "# TYPE wisteriayoke_retry_budget gauge\n";
+/// Counts the upstreams of each pool by their health, and their requests.
+std::string DescribeUpstreams(const DaemonState& state, TimePoint now) {
+  std::map<std::string, std::uint64_t> by_health;
+  std::map<std::string, std::uint64_t> in_flight;
+  for (const auto& [name, entry] : state.relay.fleet.entries()) {
+    const std::string pool = MetricLabel("pool", entry.pool.text());
+    const auto health = kUpstreamHealthNames.NameOf(
+        state.upstreams.HealthOf(entry.upstream.name, now));
+    ++by_health[pool + "," + MetricLabel("health", health)];
+    in_flight[pool] += state.upstreams.StateOf(entry.upstream.name).in_flight;
+  }
+  std::string text = MetricType("relay_upstreams", "gauge");
+  for (const auto& [labels, count] : by_health) {
+    text += MetricLine("relay_upstreams", labels, std::to_string(count));
+  }
+  text += MetricType("relay_in_flight", "gauge");
+  for (const auto& [labels, count] : in_flight) {
+    text += MetricLine("relay_in_flight", labels, std::to_string(count));
+  }
+  return text;
+}
+
+std::string DescribeBudgets(const RelayState& relay) {
+  std::string text = MetricType("retry_budget", "gauge");
   for (const auto& [pool, budget] : relay.budgets) {
-    text += "wisteriayoke_retry_budget{pool=\"" + pool.text() + "\"} " +
-            std::to_string(budget.balance()) + "\n";
+    text += MetricLine("retry_budget", MetricLabel("pool", pool.text()),
+                       std::to_string(budget.balance()));
   }
   return text;
 }
 
+/// Describes the relay; nothing while it has no tables. Names come from the
+/// operator's document alone, never from callers.
+std::string DescribeRelay(const DaemonContext& context) {
+  const DaemonState& state = context.state;
+  const RelayState& relay = state.relay;
+  if (!relay.tables) return "";
+  const auto age = relay.freshness.AgeAt(context.loop.BootNow());
+  const double age_s =
+      age ? std::chrono::duration<double>(*age).count() : kUnknownAge;
+  return MetricSample("tables_age_seconds", "gauge", std::to_string(age_s)) +
+         Sample("peers", "gauge", state.peer_loads.CountDaemons()) +
+         Sample("suspect_requests", "gauge", state.quarantine.CountSuspects()) +
+         DescribeUpstreams(state, context.loop.Now()) + DescribeBudgets(relay) +
+         relay.metrics.Render();
+}
+
 }  // namespace
 
-HttpResponse BuildMetricsPage(const DaemonState& state) {
+HttpResponse BuildMetricsPage(const DaemonContext& context) {
+  const DaemonState& state = context.state;
   HttpResponse page;
   page.head.status = kStatusOk;
   page.head.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
@@ -44,7 +81,7 @@
       Sample("requests_total", "counter", state.requests_started) +
       Sample("invariants_broken_total", "counter", CountBrokenInvariants()) +
       Sample("log_lines_dropped_total", "counter", CountDroppedLogLines()) +
-      DescribeRelay(state.relay) + state.metrics.Render();
+      DescribeRelay(context) + state.metrics.Render();
   return page;
 }
 
--- a/source/supervisor/context/metrics_page.h
+++ b/source/supervisor/context/metrics_page.h
@@ -8,7 +8,7 @@
 
 /// Returns the daemon's metrics in Prometheus' text form, with gauges of its
 /// present state.
-HttpResponse BuildMetricsPage(const DaemonState& state);
+HttpResponse BuildMetricsPage(const DaemonContext& context);
 
 }  // namespace wisteriayoke
 
--- /dev/null
+++ b/source/supervisor/context/relay_metrics.cc
@@ -0,0 +1,53 @@
+#include "supervisor/context/relay_metrics.h"
+
+#include "supervisor/context/metrics_text.h"
+
+namespace wisteriayoke {
+namespace {
+
+/// Stands for the routes and pools that aren't counted by name.
+constexpr auto kOthers = "others";
+
+/// Returns the labels that tell how a request or call ended.
+std::string EndLabels(ResultCode code) {
+  const Outcome outcome = DescribeResultCode(code).outcome;
+  return MetricLabel("outcome", kOutcomeNames.NameOf(outcome)) + "," +
+         MetricLabel("code", std::to_string(static_cast<int>(code)));
+}
+
+}  // namespace
+
+void RelayMetrics::CountAnswer(const RouteName& route, const PoolName& pool,
+                               ResultCode code) {
+  Place place{route.text(), pool.text()};
+  const bool counted =
+      answers_.contains(place) || answers_.size() < kMostPlaces;
+  if (!counted) place = {kOthers, kOthers};
+  ++answers_[place][code];
+}
+
+void RelayMetrics::CountStoreCall(StoreCallKind kind, ResultCode code) {
+  ++store_calls_[{kind, code}];
+}
+
+std::string RelayMetrics::Render() const {
+  std::string text = MetricType("relay_answers_total", "counter");
+  for (const auto& [place, codes] : answers_) {
+    const std::string labels = MetricLabel("route", place.first) + "," +
+                               MetricLabel("pool", place.second) + ",";
+    for (const auto& [code, count] : codes) {
+      text += MetricLine("relay_answers_total", labels + EndLabels(code),
+                         std::to_string(count));
+    }
+  }
+  text += MetricType("store_calls_total", "counter");
+  for (const auto& [call, count] : store_calls_) {
+    const auto kind = kStoreCallKindNames.NameOf(call.first);
+    text += MetricLine("store_calls_total",
+                       MetricLabel("kind", kind) + "," + EndLabels(call.second),
+                       std::to_string(count));
+  }
+  return text;
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/context/relay_metrics.h
@@ -0,0 +1,55 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_RELAY_METRICS_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_RELAY_METRICS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "base/ids.h"
+#include "base/names_table.h"
+#include "base/result_code.h"
+
+namespace wisteriayoke {
+
+/// What a call to the platform's store asks for.
+enum class StoreCallKind { kRead, kFollow, kWrite };
+
+inline constexpr auto kStoreCallKindNames = MakeNamesTable<StoreCallKind>({
+    {StoreCallKind::kRead, "read"},
+    {StoreCallKind::kFollow, "follow"},
+    {StoreCallKind::kWrite, "write"},
+});
+
+/// Counts what the relay answered, by route and pool, and its calls to the
+/// store. Names come from the operator's tables, which may hold thousands of
+/// routes, so that the number of series is bounded. Not part of any decision.
+class RelayMetrics {
+ public:
+  /// Most pairs of route and pool that are counted by name; all others are
+  /// counted together. With a dozen result codes each, a page stays under 1 MB.
+  static constexpr std::size_t kMostPlaces = 200;
+
+  /// Counts a request of `route` for `pool` that was answered with `code`.
+  void CountAnswer(const RouteName& route, const PoolName& pool,
+                   ResultCode code);
+
+  /// Counts a call to the store that ended with `code`.
+  void CountStoreCall(StoreCallKind kind, ResultCode code);
+
+  /// Returns all counts in Prometheus' text form.
+  std::string Render() const;
+
+ private:
+  /// Labels of a route and its pool.
+  using Place = std::pair<std::string, std::string>;
+
+  std::map<Place, std::map<ResultCode, std::uint64_t>> answers_;
+  std::map<std::pair<StoreCallKind, ResultCode>, std::uint64_t> store_calls_;
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_RELAY_METRICS_H_
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -8,6 +8,7 @@
 #include "decisions/link_budget.h"
 #include "decisions/relay_tables.h"
 #include "decisions/retry_budget.h"
+#include "supervisor/context/relay_metrics.h"
 
 namespace wisteriayoke {
 
@@ -21,6 +22,7 @@
   std::map<PoolName, RetryBudget> budgets;
   LinkBudget links;         ///< Between data centres.
   double most_daemons = 1;  ///< Most members that were seen at a time.
+  RelayMetrics metrics;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -107,7 +107,7 @@
     return true;
   }
   if (path == "/metrics") {
-    caller->Respond(BuildMetricsPage(context_.state));
+    caller->Respond(BuildMetricsPage(context_));
     return true;
   }
   if (path == "/readyz") {
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -92,10 +92,15 @@
       ResultCode::kOk, {{"lease", kLeaseKey}});
 }
 
+void LayerPlacement::CountCall(StoreCallKind kind, ResultCode code) {
+  context_.state.relay.metrics.CountStoreCall(kind, code);
+}
+
 void LayerPlacement::Carry(const ReadLease& action) {
   store_->ReadTable(kLeaseTable,
                     [self = shared_from_this(),
                      operation = action.operation](const RowReply& reply) {
+                      self->CountCall(StoreCallKind::kRead, reply.code);
                       if (reply.code != ResultCode::kOk) {
                         return self->FeedLease(LeaseCallFailed{operation});
                       }
@@ -116,6 +121,7 @@
        action.expected},
       [self = shared_from_this(),
        operation = action.operation](const RowReply& reply) {
+        self->CountCall(StoreCallKind::kWrite, reply.code);
         if (reply.code == ResultCode::kOk) {
           return self->FeedLease(LeaseWritten{operation, reply.page.version});
         }
--- a/source/supervisor/layer_placement/layer_placement.h
+++ b/source/supervisor/layer_placement/layer_placement.h
@@ -29,6 +29,7 @@
  private:
   void TickLease();
   void FeedLease(const LeaseEvent& event);
+  void CountCall(StoreCallKind kind, ResultCode code);
   void Carry(const ReadLease& action);
   void Carry(const WriteLease& action);
 
--- a/source/supervisor/operators/operators_port.cc
+++ b/source/supervisor/operators/operators_port.cc
@@ -71,7 +71,7 @@
 }
 
 HttpResponse OperatorsPort::HandleGet(std::string_view path) {
-  if (path == "/metrics") return BuildMetricsPage(context_.state);
+  if (path == "/metrics") return BuildMetricsPage(context_);
   if (path == "/timeline") return BuildJson(kStatusOk, EncodeTimeline());
   if (path == "/status") {
     return BuildJson(kStatusOk, EncodeDaemonStatus(hooks_.describe()));
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -14,7 +14,7 @@
 
 /// How often the progress of the sessions is looked at: a fraction of the
 /// silence that is taken for trouble.
-constexpr Duration kWatchInterval = std::chrono::milliseconds(50);
+constexpr Duration kWatchInterval = std::chrono::milliseconds(10);
 /// Least time between two questions to one upstream that holds up a stream: the
 /// lag of what it reports.
 constexpr Duration kDoubtInterval = std::chrono::milliseconds(200);
@@ -146,6 +146,7 @@
                         ResultCode code) {
   DaemonState& state = context_.state;
   state.metrics.CountAnswer(code);
+  state.relay.metrics.CountAnswer({}, {}, code);
   const auto age = state.relay.freshness.AgeAt(context_.loop.BootNow());
   state.timeline.Record(
       LogLevel::kWarning, EventKind::kRequestFailed, code,
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -13,9 +13,13 @@
 /// How long a connection to an upstream may take; they are a few milliseconds
 /// away, and one that is dark never answers.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-/// Silence of a stream after which its stages are asked what holds it up:
-/// several times the usual time between events.
-constexpr Duration kDoubtAfter = std::chrono::milliseconds(200);
+/// Silence of a stream, as a multiple of its usual time between events, after
+/// which its stages are asked what holds it up.
+constexpr int kDoubtGaps = 3;
+/// Bounds of that silence: what a read prompt of another request adds to a gap,
+/// and the longest pause that callers take for none.
+constexpr Duration kLeastDoubt = std::chrono::milliseconds(70);
+constexpr Duration kMostDoubt = std::chrono::milliseconds(200);
 /// Silence after which a stream is given up although no stage is known to be
 /// at fault; callers leave after two seconds.
 constexpr Duration kGiveUpAfter = std::chrono::milliseconds(1100);
@@ -51,6 +55,16 @@
   return text;
 }
 
+/// Returns why the attempt ended, or why there was none.
+ResultCode CodeOf(const CourseEvent& event) {
+  return std::visit(
+      Overloaded{
+          [](const AttemptFailed&) { return ResultCode::kUpstreamFailed; },
+          [](const TimeOver&) { return ResultCode::kDeadlineExceeded; },
+          [](const auto& other) { return other.code; }},
+      event);
+}
+
 /// Returns what requests of one caller with the same content have in common.
 std::string ComputeFingerprint(const RelayedRequest& relayed) {
   const HttpRequest& request = relayed.request;
@@ -164,6 +178,7 @@
 void RelaySession::Send(const RelayTarget& target) {
   target_ = target;
   head_ = {};
+  status_.reset();
   event_stream_ = false;
   body_.clear();
   splitter_ = {};
@@ -214,6 +229,7 @@
 
 void RelaySession::HandleHead(const CallHead& event) {
   head_ = event.head;
+  status_ = head_.status;
   const AnswerFields fields = ReadAnswerFields(head_);
   if (fields.not_run) {
     const UpstreamName culprit = FindCulprit(fields);
@@ -256,6 +272,8 @@
   const TimePoint before = std::exchange(delivered_at_, now);
   if (delivering_) {
     longest_pause_ = std::max(longest_pause_, now - before);
+    gaps_time_ += now - before;
+    ++gaps_;
     context_.state.metrics.Observe(LatencyKind::kTimeBetweenTokens,
                                    now - before);
   } else {
@@ -334,11 +352,18 @@
   if (!request_.route.repeatable()) return;
   if (silence >= kGiveUpAfter) return GiveUpAttempt();
   const TimePoint since = doubted_at_.value_or(progress_at_);
-  if (context_.loop.Now() - since < kDoubtAfter) return;
+  const Duration patience = doubted_at_ ? kMostDoubt : DoubtAfter();
+  if (context_.loop.Now() - since < patience) return;
   doubted_at_ = context_.loop.Now();
   on_doubt_(target_->ListUpstreams());
 }
 
+/// Returns the silence after which the stages are doubted.
+Duration RelaySession::DoubtAfter() const {
+  if (gaps_ == 0) return kMostDoubt;
+  return std::clamp(kDoubtGaps * gaps_time_ / gaps_, kLeastDoubt, kMostDoubt);
+}
+
 /// Goes on elsewhere if there is a path without any of the present stages; if
 /// not, another attempt would only wait behind this one's.
 void RelaySession::GiveUpAttempt() {
@@ -406,14 +431,15 @@
 
 void RelaySession::Decide(const CourseEvent& event) {
   if (ended_) return;
+  end_code_ = CodeOf(event);
   const CourseAction action = course_.Handle(event, Budget());
   std::visit([this](const auto& step) { Carry(step); }, action);
 }
 
 void RelaySession::Carry(const SendAgain& /*action*/) {
-  if (delivering_) {
-    Record(LogLevel::kInfo, EventKind::kStreamResumed, ResultCode::kOk);
-  }
+  const auto kind =
+      delivering_ ? EventKind::kStreamResumed : EventKind::kRequestRetried;
+  Record(LogLevel::kInfo, kind, end_code_);
   StartAttempt();
 }
 
@@ -456,6 +482,7 @@
   time_timer_.reset();
   DaemonState& state = context_.state;
   state.metrics.CountAnswer(code);
+  state.relay.metrics.CountAnswer(request_.route.name, request_.pool, code);
   state.metrics.Observe(LatencyKind::kRequestTime,
                         context_.loop.Now() - arrived_);
   const bool good = code == ResultCode::kOk || code == ResultCode::kCancelled;
@@ -481,6 +508,7 @@
       level, kind, code,
       {{"request", request_.fields.attempt_id},
        {"route", request_.route.name.text()},
+       {"pool", request_.pool.text()},
        {"attempts", std::to_string(attempts_)},
        {"age_us", std::to_string(age.count())},
        {"first_event_us",
@@ -488,6 +516,7 @@
        {"longest_pause_us", std::to_string(longest_pause_.count())},
        {"last_event", last_event_ ? std::to_string(*last_event_) : ""},
        {"path", path_},
+       {"status", status_ ? std::to_string(*status_) : ""},
        {"tables", std::to_string(request_.tables->spec().version)}});
 }
 
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -76,6 +76,7 @@
   /// Those that failed this request and those that may have held it up.
   std::set<UpstreamName> ListShunned() const;
   TargetChoice Choose(const RelayPool& pool) const;
+  Duration DoubtAfter() const;
   void GiveUpAttempt();
   void LoseAttempt(ResultCode code, bool upstream_gone);
   UpstreamName FindCulprit(const AnswerFields& fields) const;
@@ -110,6 +111,8 @@
   std::optional<RelayTarget> target_;  ///< Of the attempt under way.
   std::shared_ptr<HttpClientCall> call_;
   HttpResponseHead head_;      ///< Of the attempt's answer.
+  std::optional<int> status_;  ///< Of that answer, once it has come.
+  ResultCode end_code_ = ResultCode::kOk;  ///< Why the last attempt ended.
   bool event_stream_ = false;  ///< Whether the answer is a good stream.
   std::string body_;           ///< Of an answer that is passed on whole.
   EventSplitter splitter_;
@@ -124,7 +127,9 @@
   std::optional<Duration> first_event_after_;  ///< Since the arrival.
   TimePoint delivered_at_;    ///< When the caller got its last event.
   Duration longest_pause_{};  ///< Between two events for the caller.
-  std::string path_;          ///< Upstreams of the last attempt, for logs.
+  Duration gaps_time_{};      ///< Sum of the times between events.
+  int gaps_ = 0;
+  std::string path_;  ///< Upstreams of the last attempt, for logs.
   unsigned attempts_ = 0;
   LoopTimerPtr time_timer_;
   bool ended_ = false;
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -77,6 +77,8 @@
 void StoreFollower::HandleReply(Feed& feed, Handler handler, BootTime sent,
                                 const RowReply& reply) {
   if (stopped_) return;
+  const auto kind = feed.synced ? StoreCallKind::kFollow : StoreCallKind::kRead;
+  context_.state.relay.metrics.CountStoreCall(kind, reply.code);
   if (reply.code == ResultCode::kObjectMissing) {
     feed.synced = false;
     return Advance(feed, handler);
@@ -210,8 +212,24 @@
   for (const auto& name : context_.state.relay.fleet.Expire(now)) {
     ForgetUpstream(name);
   }
+  FollowFreshness();
   expiry_timer_ =
       context_.loop.Schedule(kExpiryInterval, [this] { ExpireEntries(); });
 }
 
+/// Tells in the log when keys are no longer accepted and when they are again.
+void StoreFollower::FollowFreshness() {
+  const RelayState& relay = context_.state.relay;
+  const BootTime now = context_.loop.BootNow();
+  const bool fresh = relay.freshness.AllowsKeys(now);
+  if (fresh == std::exchange(keys_fresh_, fresh)) return;
+  const auto age = relay.freshness.AgeAt(now);
+  context_.state.timeline.Record(
+      fresh ? LogLevel::kInfo : LogLevel::kWarning,
+      fresh ? EventKind::kKeysFresh : EventKind::kKeysStale,
+      fresh ? ResultCode::kOk : ResultCode::kNotReady,
+      {{"tables", std::to_string(context_.state.version.number)},
+       {"tables_age_us", age ? std::to_string(age->count()) : "unknown"}});
+}
+
 }  // namespace wisteriayoke
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -47,12 +47,14 @@
   void RemoveEntry(const UpstreamName& name);
   void ForgetUpstream(const UpstreamName& name);
   void ExpireEntries();
+  void FollowFreshness();
 
   DaemonContext context_;
   std::shared_ptr<RowStore> store_;
   Feed tables_;
   Feed entries_;
   bool document_good_ = false;  ///< Whether the newest document was read.
+  bool keys_fresh_ = false;  ///< Whether keys were accepted when last looked.
   LoopTimerPtr expiry_timer_;
   bool stopped_ = false;
 };
--- a/tests/context/metrics_test.cc
+++ b/tests/context/metrics_test.cc
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include "supervisor/context/metrics_text.h"
+#include "supervisor/context/relay_metrics.h"
 #include "supervisor/context/timeline.h"
 
 namespace wisteriayoke {
@@ -44,4 +46,33 @@
         std::string::npos);
 }
 
+TEST_CASE("values of labels are escaped") {
+  CHECK(MetricLine("m", MetricLabel("a", "x\"y\\z\n"), "1") ==
+        "wisteriayoke_m{a=\"x\\\"y\\\\z\\n\"} 1\n");
+}
+
+TEST_CASE("routes over the bound are counted together") {
+  RelayMetrics metrics;
+  constexpr std::size_t kMore = 30;
+  for (std::size_t i = 0; i < RelayMetrics::kMostPlaces + kMore; ++i) {
+    metrics.CountAnswer(RouteName("r" + std::to_string(i)), PoolName("p"),
+                        ResultCode::kOk);
+  }
+  const std::string page = metrics.Render();
+  CHECK(page.find("route=\"others\",pool=\"others\",outcome=\"done\","
+                  "code=\"0\"} 30\n") != std::string::npos);
+  CHECK(page.find("route=\"r200\"") == std::string::npos);
+}
+
+TEST_CASE("calls to the store are counted by kind and code") {
+  RelayMetrics metrics;
+  metrics.CountStoreCall(StoreCallKind::kFollow, ResultCode::kOk);
+  metrics.CountStoreCall(StoreCallKind::kFollow, ResultCode::kTimedOut);
+  const std::string page = metrics.Render();
+  CHECK(page.find("store_calls_total{kind=\"follow\",outcome=\"done\","
+                  "code=\"0\"} 1\n") != std::string::npos);
+  CHECK(page.find("store_calls_total{kind=\"follow\",outcome=") !=
+        std::string::npos);
+}
+
 }  // namespace wisteriayoke
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "support/fake_row_store.h"
 
 namespace wisteriayoke {
@@ -37,6 +39,12 @@
   std::uint64_t Version() const {
     return state.relay.tables ? state.relay.tables->spec().version : 0;
   }
+  std::ptrdiff_t Count(EventKind kind) const {
+    const auto& events = state.timeline.events();
+    return std::count_if(
+        events.begin(), events.end(),
+        [kind](const auto& event) { return event.kind == kind; });
+  }
   bool IsKnown(const char* name) const {
     return state.relay.fleet.Find(UpstreamName(name)) != nullptr;
   }
@@ -83,6 +91,8 @@
       [this] { return !state.relay.freshness.AllowsKeys(loop.BootNow()); });
   store.set_fault(StoreFault::kNone);
   RunUntil([this] { return state.relay.freshness.AllowsKeys(loop.BootNow()); });
+  RunUntil([this] { return Count(EventKind::kKeysFresh) == 2; });
+  CHECK(Count(EventKind::kKeysStale) == 1);
 }
 
 TEST_CASE_FIXTURE(FollowerFixture,
@@ -134,13 +144,8 @@
   RunUntil([this, calls] { return store.calls() > calls + 2; });
   store.Drop("servers", "i-1");
   store.set_fault(StoreFault::kNone);
-  const auto returned = [this] {
-    for (const auto& event : state.timeline.events()) {
-      if (event.kind == EventKind::kStoreReturned) return true;
-    }
-    return false;
-  };
-  RunUntil(returned);
+  RunUntil([this] { return Count(EventKind::kStoreReturned) > 0; });
+  CHECK(Count(EventKind::kStoreLost) > 0);
   CHECK(IsKnown("i-1"));
   RunUntil([this] { return !IsKnown("i-1"); });
 }
