ctl, relay: explain a request from a saved log; a stop's cut has its own code

The course knows the stop as an event of its own; what was delivered in part ends as 706, anything else as before: 502 if it may have run, 503 if it was never sent.

--- a/scripts/update-docs.sh
+++ b/scripts/update-docs.sh
@@ -26,7 +26,7 @@
   rm -f "$page.help"
 }
 
-"$bin/ctl/wisteriayokectl" --help | sed -n 's/^  \(table [a-z]*\|[a-z]*\) .*/\1/p' |
+"$bin/ctl/wisteriayokectl" --help | sed -n 's/^  \(table [a-z]*\|[a-z-]*\) .*/\1/p' |
   while read -r command; do
     page="$docs/commands/${command// /-}.md"
     [ -e "$page" ] || printf '# wisteriayokectl %s\n\n```text\n```\n' \
--- a/source/ctl/command.cc
+++ b/source/ctl/command.cc
@@ -32,6 +32,8 @@
      "Print the latest events of all daemons in one order."},
     {kExplain, "explain", "REQUEST", 1, 1, kDaemons,
      "Print the events of one request over all daemons."},
+    {kExplainLog, "explain-log", "REQUEST FILE", 2, 2, kNone,
+     "Print the lines of a saved log that explain one request."},
     {kVersion, "version", "", 0, 0, kDaemons,
      "Print the release of this tool and of the daemons given."},
 });
--- a/source/ctl/command.h
+++ b/source/ctl/command.h
@@ -18,6 +18,7 @@
   kRestart,
   kTimeline,
   kExplain,
+  kExplainLog,
   kVersion,
 };
 
--- /dev/null
+++ b/source/ctl/log_commands.h
@@ -0,0 +1,14 @@
+#ifndef WISTERIAYOKE_CTL_LOG_COMMANDS_H_
+#define WISTERIAYOKE_CTL_LOG_COMMANDS_H_
+
+#include "ctl/command_result.h"
+#include "ctl/ctl_options.h"
+
+namespace wisteriayoke {
+
+/// Explains a request from lines that the daemons logged, in a file.
+CommandResult ExplainFromLog(const CtlOptions& options);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_CTL_LOG_COMMANDS_H_
--- a/source/ctl/run_command.cc
+++ b/source/ctl/run_command.cc
@@ -1,6 +1,7 @@
 #include "ctl/run_command.h"
 
 #include "ctl/daemon_commands.h"
+#include "ctl/log_commands.h"
 #include "ctl/table_commands.h"
 
 namespace wisteriayoke {
@@ -27,6 +28,8 @@
       return ShowTimeline(options);
     case Command::kExplain:
       return ExplainRequest(options);
+    case Command::kExplainLog:
+      return ExplainFromLog(options);
     case Command::kVersion:
       return ShowVersions(options);
   }
--- a/source/decisions/relay_course.cc
+++ b/source/decisions/relay_course.cc
@@ -26,6 +26,7 @@
           [this](const TimeOver&) {
             return End(ResultCode::kDeadlineExceeded);
           },
+          [this](const StopReached&) { return HandleStop(); },
       },
       event);
 }
@@ -57,6 +58,11 @@
   return PassAnswer{};
 }
 
+CourseAction RelayCourse::HandleStop() const {
+  if (delivering_) return BreakAnswer{ResultCode::kShutdownCut};
+  return End(ResultCode::kDraining);
+}
+
 CourseAction RelayCourse::End(ResultCode code) const {
   if (delivering_) return BreakAnswer{code};
   if (may_have_run()) {
--- a/source/decisions/relay_course.h
+++ b/source/decisions/relay_course.h
@@ -33,8 +33,11 @@
 /// The caller's time is over.
 struct TimeOver {};
 
+/// The daemon's stop cuts what hasn't ended.
+struct StopReached {};
+
 using CourseEvent = std::variant<NoTarget, AttemptRejected, AttemptLost,
-                                 AttemptFailed, TimeOver>;
+                                 AttemptFailed, TimeOver, StopReached>;
 
 /// Choose another upstream and send the request there.
 struct SendAgain {};
@@ -97,6 +100,7 @@
                                RetryBudget& budget);
   CourseAction HandleLoss(const AttemptLost& event, RetryBudget& budget);
   CourseAction HandleFailure(RetryBudget& budget);
+  CourseAction HandleStop() const;
   CourseAction End(ResultCode code) const;
 
   CourseRules rules_;
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -61,6 +61,7 @@
       Overloaded{
           [](const AttemptFailed&) { return ResultCode::kUpstreamFailed; },
           [](const TimeOver&) { return ResultCode::kDeadlineExceeded; },
+          [](const StopReached&) { return ResultCode::kShutdownCut; },
           [](const auto& other) { return other.code; }},
       event);
 }
@@ -114,7 +115,7 @@
     if (const auto self = weak.lock()) self->Leave();
   });
   request_.caller->set_on_cut([weak] {
-    if (const auto self = weak.lock()) self->Decide(TimeOver{});
+    if (const auto self = weak.lock()) self->Decide(StopReached{});
   });
   request_.caller->set_on_writable([weak] {
     const auto self = weak.lock();
--- a/tests/decisions/relay_course_test.cc
+++ b/tests/decisions/relay_course_test.cc
@@ -14,7 +14,7 @@
 }
 
 CourseEvent DrawEvent() {
-  switch (*rc::gen::inRange(0, 5)) {
+  switch (*rc::gen::inRange(0, 6)) {
     case 0:
       return AttemptRejected{};
     case 1:
@@ -23,6 +23,8 @@
       return AttemptFailed{};
     case 3:
       return NoTarget{};
+    case 4:
+      return StopReached{};
     default:
       return TimeOver{};
   }
@@ -91,6 +93,21 @@
   CHECK(Is<FailUnknown>(sent.Handle(TimeOver{}, budget)));
 }
 
+TEST_CASE("what a stop cuts is told as such, but never falsely as not run") {
+  RetryBudget budget;
+  RelayCourse unsent({.repeatable = true, .max_attempts = 2});
+  CHECK(Is<RefuseUnrun>(unsent.Handle(StopReached{}, budget)));
+  RelayCourse sent({.repeatable = true, .max_attempts = 2});
+  sent.RecordSent();
+  CHECK(Is<FailUnknown>(sent.Handle(StopReached{}, budget)));
+  RelayCourse begun({.repeatable = true, .max_attempts = 2});
+  begun.RecordSent();
+  begun.RecordDelivery();
+  const auto action = begun.Handle(StopReached{}, budget);
+  REQUIRE(Is<BreakAnswer>(action));
+  CHECK(std::get<BreakAnswer>(action).code == ResultCode::kShutdownCut);
+}
+
 TEST_CASE("an answer that was begun is broken off, not answered anew") {
   RetryBudget budget;
   RelayCourse course({.repeatable = false, .max_attempts = 1});
--- a/tests/relay/relay_log_test.cc
+++ b/tests/relay/relay_log_test.cc
@@ -91,6 +91,22 @@
   CHECK((*resumed)["path"].ends_with(":0-8"));
 }
 
+TEST_CASE_FIXTURE(RelayFixture, "a stream that a stop cuts leaves a line") {
+  std::vector<CallerPtr> held;
+  answers = {[&held](const HttpRequest& request, const CallerPtr& caller) {
+    held.push_back(caller);
+    caller->StartStream(MakeSealed(request, 200, "").head);
+    caller->WritePiece(MakeEvent(1));
+  }};
+  timer = loop.Schedule(std::chrono::milliseconds(60),
+                        [this] { front->CutSessions(); });
+  CHECK(Call("/tale/1").code != ResultCode::kOk);
+  auto fields = FindEvent(state, EventKind::kRequestFailed);
+  REQUIRE(fields);
+  CHECK((*fields)["code"] == "706");
+  CHECK((*fields)["last_event"] == "1");
+}
+
 TEST_CASE_FIXTURE(RelayFixture, "a late answer leaves a line with its pause") {
   answers = {[this](const HttpRequest& request, const CallerPtr& caller) {
     timer = loop.Schedule(std::chrono::milliseconds(600),
