paths: never name an upstream twice on a chain

Cause: parts of a held range may be run, so that a crowded upstream with a fast one inside its range was left and come back to: a chain that names it twice, which upstreams answer with 400. The property had all upstreams equally fast, so that it never came up.

Change: an upstream that a chain comes back to runs what lies between as well.

--- a/source/decisions/layer_path.cc
+++ b/source/decisions/layer_path.cc
@@ -40,6 +40,20 @@
          candidate.step_factor * share * (1.0 + kCrowding * load * load);
 }
 
+/// Lets an upstream that the chain comes back to run what lies between as well:
+/// it holds one range of layers, and no chain may name an upstream twice.
+void MergeRepeats(Chain& chain) {
+  for (std::size_t i = 0; i < chain.size(); ++i) {
+    std::size_t last = i;
+    for (std::size_t j = i + 1; j < chain.size(); ++j) {
+      if (chain[j].upstream == chain[i].upstream) last = j;
+    }
+    chain[i].layers.end = chain[last].layers.end;
+    const auto next = chain.begin() + static_cast<std::ptrdiff_t>(i) + 1;
+    chain.erase(next, next + static_cast<std::ptrdiff_t>(last - i));
+  }
+}
+
 /// Searches the cheapest path layer by layer.
 class PathSearch {
  public:
@@ -95,6 +109,7 @@
       best = &arrivals_.at(best->from);
     }
     std::reverse(chain.begin(), chain.end());
+    MergeRepeats(chain);
     return chain;
   }
 
--- a/tests/decisions/layer_path_test.cc
+++ b/tests/decisions/layer_path_test.cc
@@ -52,6 +52,7 @@
     auto candidates = MakeCandidates(upstreams);
     for (auto& candidate : candidates) {
       candidate.in_flight = *rc::gen::inRange<std::uint32_t>(0, 6);
+      candidate.step_factor = *rc::gen::element(1.0, 4.0, 16.0);
     }
     const PathChoice choice = ChoosePath(kLayers, candidates);
     std::vector<int> held(kLayers, 0);
@@ -117,6 +118,18 @@
         UpstreamName("u1"));
 }
 
+TEST_CASE("a fast upstream inside the range of a slow one isn't gone around") {
+  const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 12, "a"),
+                                               MakeUpstream(1, 2, 10, "a")};
+  auto candidates = MakeCandidates(upstreams);
+  candidates[0].step_factor = 16.0;
+  candidates[0].in_flight = 3;
+  const PathChoice choice = ChoosePath(kLayers, candidates);
+  REQUIRE(choice.chain.size() == 1);
+  CHECK(choice.chain.front().upstream == UpstreamName("u0"));
+  CHECK(choice.chain.front().layers == LayerRange{0, 12});
+}
+
 TEST_CASE("parts of ranges that don't meet make a path") {
   const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 5, "a"),
                                                MakeUpstream(1, 3, 9, "a"),
