--- a/tests/ctl/saved_log_test.cc
+++ b/tests/ctl/saved_log_test.cc
@@ -55,6 +55,7 @@
 TEST_CASE("a request is explained by its upstreams and its process") {
   const auto selected = SelectExplanation(MakeLog(), "r1");
   std::vector<std::string> events;
+  events.reserve(selected.size());
   for (const auto& line : selected) events.push_back(line.FieldOf("event"));
   CHECK(events == std::vector<std::string>{"upstream-suspected", "store-lost",
                                            "request-failed"});
