layers: judge a slow upstream against the slowest kind, not against itself

Ruled out: gaps; all layers were covered at all times.

Change: places and orders go by how many times slower an upstream is than the slowest kind of accelerator.

--- a/source/decisions/layered_model.h
+++ b/source/decisions/layered_model.h
@@ -35,6 +35,12 @@
 double TokensBesideLayers(const LayeredModel& model, double memory_mb,
                           std::uint32_t layers);
 
+/// Returns how many times slower than the slowest kind of accelerator an
+/// upstream is that has `accelerator` and works at `pace` times the usual time;
+/// 1 at least. A fast one that turned slow may still be faster than others are.
+double SlownessOf(const LayeredModel& model, const Accelerator& accelerator,
+                  double pace);
+
 }  // namespace wisteriayoke
 
 #endif  // WISTERIAYOKE_DECISIONS_LAYERED_MODEL_H_
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -14,8 +14,9 @@
 constexpr auto kLeaseKey = "placement-lease";
 /// A third of the lease, so that one lost renewal doesn't end it.
 constexpr Duration kLeaseInterval = std::chrono::milliseconds(700);
-/// Pace from which the layers of an upstream are given to others as well.
-constexpr double kSlowPace = 2;
+/// How much slower than the slowest kind an upstream is from which its layers
+/// are given to others as well.
+constexpr double kMostSlowness = 2;
 constexpr Duration kOrdersInterval = std::chrono::milliseconds(200);
 /// How long an upstream may take to answer an order or a question; it answers
 /// at once, without a slot.
@@ -162,9 +163,8 @@
     const auto health = context_.state.upstreams.HealthOf(upstream.name, now);
     if (health == UpstreamHealth::kEjected) continue;
     // Others are to hold what a slow one holds up.
-    if (context_.state.upstreams.PaceOf(upstream.name, now) >= kSlowPace) {
-      continue;
-    }
+    const double pace = context_.state.upstreams.PaceOf(upstream.name, now);
+    if (SlownessOf(model, accelerator->second, pace) >= kMostSlowness) continue;
     const auto& book = context_.state.upstreams;
     tick.upstreams.push_back(
         {{.name = upstream.name,
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -15,13 +15,15 @@
 constexpr double kLinkShare = 0.7;
 
 /// Returns how many usual requests `upstream` has memory for.
-std::uint32_t CountPlaces(const LayeredModel& model, double memory_mb,
+std::uint32_t CountPlaces(const LayeredModel& model,
+                          const Accelerator& accelerator,
                           const UpstreamSpec& upstream, double pace) {
   const std::uint32_t layers = upstream.layers.end - upstream.layers.first;
-  const double tokens = TokensBesideLayers(model, memory_mb, layers);
-  // A slow upstream keeps each request for longer.
-  const double places =
-      kMemoryShare * tokens / model.usual_tokens / std::max(1.0, pace);
+  const double tokens =
+      TokensBesideLayers(model, accelerator.memory_mb, layers);
+  // One that is slower than any usual one keeps each request for longer.
+  const double places = kMemoryShare * tokens / model.usual_tokens /
+                        SlownessOf(model, accelerator, pace);
   return std::clamp(static_cast<std::uint32_t>(places), 1U, upstream.slots);
 }
 
@@ -46,8 +48,7 @@
     candidates.push_back(
         {.upstream = &upstream,
          .step_factor = kind->second.step_factor * pace,
-         .limit =
-             CountPlaces(*pool.model, kind->second.memory_mb, upstream, pace),
+         .limit = CountPlaces(*pool.model, kind->second, upstream, pace),
          .in_flight = state.upstreams.CountInFlight(upstream.name,
                                                     state.peer_loads, now)});
   }
--- a/tests/decisions/layer_orders_test.cc
+++ b/tests/decisions/layer_orders_test.cc
@@ -205,4 +205,71 @@
   CHECK(world.CoversAll());
 }
 
+namespace {
+
+/// Counts what a tick asks for.
+struct TickCounts {
+  int orders = 0;
+  int questions = 0;
+};
+
+TickCounts Count(const std::vector<LayerOrderAction>& actions) {
+  TickCounts counts;
+  for (const auto& action : actions) {
+    std::visit(Overloaded{
+                   [&](const SendLayerOrder&) { ++counts.orders; },
+                   [&](const AskSequence&) { ++counts.questions; },
+               },
+               action);
+  }
+  return counts;
+}
+
+constexpr Duration kLater = std::chrono::seconds(5);
+
+/// One upstream of which the first order was sent.
+struct OneOrder {
+  LayerOrders orders{MakeModel()};
+  TimePoint now;
+  OrdersTick tick;
+
+  OneOrder() {
+    tick.upstreams.push_back({{.name = UpstreamName("u0"),
+                               .data_centre = DataCentreName("a"),
+                               .memory_mb = 2 * kMemoryMb},
+                              1});
+    orders.Handle(tick, now);
+    now += kLater;
+    CHECK(Count(orders.Handle(tick, now)).orders == 1);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("after an order without an answer the upstream is asked first") {
+  OneOrder world;
+  world.orders.Handle(
+      LayerOrderEnded{UpstreamName("u0"), LayerOrderResult::kLost}, world.now);
+  world.now += kLater;
+  const auto counts = Count(world.orders.Handle(world.tick, world.now));
+  CHECK(counts.orders == 0);
+  CHECK(counts.questions == 1);
+}
+
+TEST_CASE("a restarted upstream is asked before it gets an order") {
+  OneOrder world;
+  world.orders.Handle(
+      LayerOrderEnded{UpstreamName("u0"), LayerOrderResult::kAccepted},
+      world.now);
+  world.tick.upstreams[0].card.held = {0, 20};
+  world.now += kLater;
+  CHECK(Count(world.orders.Handle(world.tick, world.now)).orders == 0);
+  world.tick.upstreams[0].card.held = {};
+  world.tick.upstreams[0].born_ms = 2;
+  world.now += kLater;
+  const auto counts = Count(world.orders.Handle(world.tick, world.now));
+  CHECK(counts.orders == 0);
+  CHECK(counts.questions == 1);
+}
+
 }  // namespace wisteriayoke
--- a/tests/decisions/layer_plan_test.cc
+++ b/tests/decisions/layer_plan_test.cc
@@ -195,4 +195,47 @@
   CHECK(plan.at(UpstreamName("u2")) == LayerRange{0, 8});
 }
 
+TEST_CASE("a card isn't left with more layers than its memory holds") {
+  const LayeredModel model = MakeModel();
+  auto cards = MakeSite();
+  Hold(PlanLayers(model, cards), cards);
+  cards[1].held = {0, 40};
+  const auto plan = PlanLayers(model, cards);
+  const auto found = plan.find(cards[1].name);
+  if (found != plan.end()) {
+    CHECK(found->second.end - found->second.first <=
+          MostLayers(model, cards[1].memory_mb));
+  }
+}
+
+TEST_CASE("a gap that can't be closed uncovers nothing else") {
+  const LayeredModel model = MakeModel();
+  std::vector<LayerCard> cards;
+  for (const auto& card : MakeSite()) {
+    if (card.data_centre.text() == "b") cards.push_back(card);
+  }
+  Hold(PlanLayers(model, cards), cards);
+  while (cards.size() > 4) {
+    cards.erase(cards.begin() + static_cast<std::ptrdiff_t>(cards.size() / 2));
+    const auto before = CountHolders(cards, "");
+    Hold(PlanLayers(model, cards), cards);
+    const auto after = CountHolders(cards, "");
+    for (std::size_t i = 0; i < before.size(); ++i) {
+      if (before[i] > 0) CHECK(after[i] > 0);
+    }
+  }
+}
+
+TEST_CASE("a fast accelerator that turned slow may be faster than others") {
+  LayeredModel model = MakeModel();
+  model.accelerators = {{"fast", {.memory_mb = 72'000, .step_factor = 1.4}},
+                        {"usual", {.memory_mb = 21'600, .step_factor = 16}}};
+  const Accelerator& fast = model.accelerators.at("fast");
+  const Accelerator& usual = model.accelerators.at("usual");
+  CHECK(SlownessOf(model, fast, 4) == doctest::Approx(1));
+  CHECK(SlownessOf(model, usual, 1) == doctest::Approx(1));
+  CHECK(SlownessOf(model, usual, 4) == doctest::Approx(4));
+  CHECK(SlownessOf(MakeModel(), {}, 4) == doctest::Approx(1));
+}
+
 }  // namespace wisteriayoke
