--- a/source/decisions/relay_course.cc
+++ b/source/decisions/relay_course.cc
@@ -13,6 +13,16 @@
 
 }  // namespace
 
+ResultCode CodeOf(const CourseEvent& event) {
+  return std::visit(
+      Overloaded{
+          [](const AttemptFailed&) { return ResultCode::kUpstreamFailed; },
+          [](const TimeOver&) { return ResultCode::kDeadlineExceeded; },
+          [](const StopReached&) { return ResultCode::kShutdownCut; },
+          [](const auto& other) { return other.code; }},
+      event);
+}
+
 CourseAction RelayCourse::Handle(const CourseEvent& event,
                                  RetryBudget& budget) {
   return std::visit(
--- a/source/decisions/relay_course.h
+++ b/source/decisions/relay_course.h
@@ -39,6 +39,9 @@
 using CourseEvent = std::variant<NoTarget, AttemptRejected, AttemptLost,
                                  AttemptFailed, TimeOver, StopReached>;
 
+/// Returns why an attempt ended, or why there was none.
+ResultCode CodeOf(const CourseEvent& event);
+
 /// Choose another upstream and send the request there.
 struct SendAgain {};
 
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -15,6 +15,9 @@
 /// How often the progress of the sessions is looked at: a fraction of the
 /// silence that is taken for trouble.
 constexpr Duration kWatchInterval = std::chrono::milliseconds(10);
+/// How often upstreams in trouble and the members are looked at; nothing waits
+/// for it, and it goes over all upstreams.
+constexpr Duration kFollowInterval = std::chrono::milliseconds(50);
 /// Least time between two questions to one upstream that holds up a stream: the
 /// lag of what it reports.
 constexpr Duration kDoubtInterval = std::chrono::milliseconds(200);
@@ -70,6 +73,7 @@
       std::max(relay.most_daemons, CountListedDaemons(context_.settings));
   ShareBudgets();
   WatchSessions();
+  WatchOthers();
   return true;
 }
 
@@ -170,6 +174,11 @@
   for (const auto& weak : std::vector(sessions_)) {
     if (const auto session = weak.lock()) session->CheckProgress();
   }
+}
+
+void RelayFront::WatchOthers() {
+  follow_timer_ =
+      context_.loop.Schedule(kFollowInterval, [this] { WatchOthers(); });
   FollowTroubled();
   FollowMembers();
 }
--- a/source/supervisor/relay/relay_front.h
+++ b/source/supervisor/relay/relay_front.h
@@ -33,6 +33,7 @@
   void Refuse(const CallerFields& fields, const CallerPtr& caller,
               ResultCode code);
   void WatchSessions();
+  void WatchOthers();
   void FollowMembers();
   void ShareBudgets();
   void FollowTroubled();
@@ -54,6 +55,7 @@
   };
   std::map<UpstreamName, Question> questions_;
   LoopTimerPtr watch_timer_;
+  LoopTimerPtr follow_timer_;
   LoopTimerPtr stop_timer_;
   bool refusing_ = false;  ///< Whether new requests are refused.
 };
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -43,29 +43,6 @@
   return status >= kStatusOk && status < kStatusMultipleChoices;
 }
 
-/// Returns the stages of `target`, for logs.
-std::string DescribePath(const RelayTarget& target) {
-  if (target.chain.empty()) return target.upstream.text();
-  std::string text;
-  for (const auto& stage : target.chain) {
-    if (!text.empty()) text += ",";
-    text += stage.upstream.text() + ":" + std::to_string(stage.layers.first) +
-            "-" + std::to_string(stage.layers.end);
-  }
-  return text;
-}
-
-/// Returns why the attempt ended, or why there was none.
-ResultCode CodeOf(const CourseEvent& event) {
-  return std::visit(
-      Overloaded{
-          [](const AttemptFailed&) { return ResultCode::kUpstreamFailed; },
-          [](const TimeOver&) { return ResultCode::kDeadlineExceeded; },
-          [](const StopReached&) { return ResultCode::kShutdownCut; },
-          [](const auto& other) { return other.code; }},
-      event);
-}
-
 /// Returns what requests of one caller with the same content have in common.
 std::string ComputeFingerprint(const RelayedRequest& relayed) {
   const HttpRequest& request = relayed.request;
@@ -150,13 +127,11 @@
 /// A caller that has a part of its answer loses more by the end of the stream
 /// than by a pause, so that a stream that was begun waits for a path.
 void RelaySession::HandleNoTarget(ResultCode code) {
-  if (delivering_ && !waiting_since_) waiting_since_ = context_.loop.Now();
-  if (!MayWaitForTarget()) Decide(NoTarget{code});
-}
-
-bool RelaySession::MayWaitForTarget() const {
-  return waiting_since_ &&
-         context_.loop.Now() - *waiting_since_ < kLongestPathWait;
+  const TimePoint now = context_.loop.Now();
+  if (delivering_ && !waiting_since_) waiting_since_ = now;
+  const bool may_wait =
+      waiting_since_ && now - *waiting_since_ < kLongestPathWait;
+  if (!may_wait) Decide(NoTarget{code});
 }
 
 std::set<UpstreamName> RelaySession::ListShunned() const {
@@ -186,7 +161,7 @@
   sent_at_ = progress_at_ = context_.loop.Now();
   doubted_at_.reset();
   ++attempts_;
-  path_ = DescribePath(target);
+  path_ = target.Describe();
   course_.RecordSent();
   for (const auto& name : target.ListUpstreams()) {
     context_.state.upstreams.RecordStart(name);
@@ -325,16 +300,16 @@
 }
 
 void RelaySession::HandleFailure(const CallFailure& failure) {
+  const UpstreamName upstream = target_->upstream;
   if (!failure.sent) {
-    const UpstreamName upstream = target_->upstream;
     context_.state.upstreams.Eject(upstream, context_.loop.Now());
     return RejectAttempt(failure.code, upstream);
   }
-  const RelayTarget target = *target_;
-  guard_.HandleBreak(target.upstream, failure.code,
+  const bool on_chain = !target_->chain.empty();
+  guard_.HandleBreak(upstream, failure.code,
                      static_cast<TokenIndex>(last_event_.value_or(0)));
   LoseAttempt(failure.code, false);
-  if (!target.chain.empty()) on_doubt_({target.upstream});
+  if (on_chain) on_doubt_({upstream});
 }
 
 void RelaySession::CheckProgress() {
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -59,7 +59,6 @@
 
   void StartAttempt();
   void HandleNoTarget(ResultCode code);
-  bool MayWaitForTarget() const;
   void Send(const RelayTarget& target);
   HttpRequest BuildAttempt(const RelayTarget& target) const;
   void HandleCall(CallEvent event);
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -112,6 +112,17 @@
   return names;
 }
 
+std::string RelayTarget::Describe() const {
+  if (chain.empty()) return upstream.text();
+  std::string text;
+  for (const auto& stage : chain) {
+    if (!text.empty()) text += ",";
+    text += stage.upstream.text() + ":" + std::to_string(stage.layers.first) +
+            "-" + std::to_string(stage.layers.end);
+  }
+  return text;
+}
+
 TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
                           const std::set<UpstreamName>& excluded,
                           double tokens) {
--- a/source/supervisor/relay/relay_target.h
+++ b/source/supervisor/relay/relay_target.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <set>
+#include <string>
 
 #include "decisions/chain.h"
 #include "supervisor/context/daemon_context.h"
@@ -17,6 +18,9 @@
 
   /// Returns every upstream that works on the attempt.
   std::vector<UpstreamName> ListUpstreams() const;
+
+  /// Returns the upstreams with the layers that they run, for logs.
+  std::string Describe() const;
 };
 
 /// A target, or why there is none.
--- a/tests/decisions/layer_path_test.cc
+++ b/tests/decisions/layer_path_test.cc
@@ -31,6 +31,17 @@
   return candidates;
 }
 
+/// Chooses from two upstreams of data centre a, of which the second has
+/// `in_flight` requests, and an idle one of b that could stand in for it.
+PathChoice ChooseBeside(std::uint32_t in_flight) {
+  const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 6, "a"),
+                                               MakeUpstream(1, 6, 12, "a"),
+                                               MakeUpstream(2, 6, 12, "b")};
+  auto candidates = MakeCandidates(upstreams);
+  candidates[1].in_flight = in_flight;
+  return ChoosePath(kLayers, candidates);
+}
+
 std::vector<LayerRange> RangesOf(const Chain& chain) {
   std::vector<LayerRange> ranges;
   for (const auto& stage : chain) ranges.push_back(stage.layers);
@@ -85,24 +96,14 @@
 }
 
 TEST_CASE("a path stays in its data centre, however crowded") {
-  const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 6, "a"),
-                                               MakeUpstream(1, 6, 12, "a"),
-                                               MakeUpstream(2, 6, 12, "b")};
-  auto candidates = MakeCandidates(upstreams);
-  candidates[1].in_flight = 3;
-  const PathChoice choice = ChoosePath(kLayers, candidates);
+  const PathChoice choice = ChooseBeside(3);
   REQUIRE(choice.chain.size() == 2);
   CHECK(choice.chain[1].upstream == UpstreamName("u1"));
   CHECK(choice.cross_hops == 0);
 }
 
 TEST_CASE("a path crosses data centres when nothing else is open") {
-  const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 6, "a"),
-                                               MakeUpstream(1, 6, 12, "a"),
-                                               MakeUpstream(2, 6, 12, "b")};
-  auto candidates = MakeCandidates(upstreams);
-  candidates[1].in_flight = 4;
-  const PathChoice choice = ChoosePath(kLayers, candidates);
+  const PathChoice choice = ChooseBeside(4);
   REQUIRE(choice.chain.size() == 2);
   CHECK(choice.chain[1].upstream == UpstreamName("u2"));
   CHECK(choice.cross_hops == 1);
