quarantine: a crash's furthest token, trials' crashes and late rumours

The rumour of a crash now tells its token, and the furthest one counts. 3. A trial that crashed the same upstream as 1.6 s before was taken for the same crash by the peers, who then ran a third. The rumour tells crashes on trial. 4. A rumour of an earlier trial overtook one of a later trial on the upstream and ended it at the peer, who ran a second trial there. Older ones are ignored.

The version of the datagrams is 2.

--- a/source/decisions/quarantine.cc
+++ b/source/decisions/quarantine.cc
@@ -101,20 +101,28 @@
                                             TimePoint now) {
   const Trial* trial = FindTrial(fingerprint, request);
   const bool on_trial = trial != nullptr && trial->running;
-  AddCrash(fingerprint, {upstream, now}, on_trial);
-  auto& crash_token = suspects_[fingerprint].crash_token;
-  crash_token = std::max(crash_token.value_or(0), delivered);
+  AddCrash(fingerprint, {upstream, now, on_trial});
+  RaiseCrashToken(fingerprint, delivered);
   Rumours rumours = EndTrial(fingerprint, request, now);
-  rumours.emplace_back(SuspectRumour{fingerprint, upstream, {}});
+  rumours.emplace_back(
+      SuspectRumour{fingerprint, upstream, {}, delivered, on_trial});
   return rumours;
 }
 
-void Quarantine::AddCrash(const std::string& fingerprint, const Crash& crash,
-                          bool certainly_new) {
+void Quarantine::RaiseCrashToken(const std::string& fingerprint,
+                                 TokenIndex delivered) {
+  auto& crash_token = suspects_[fingerprint].crash_token;
+  crash_token = std::max(crash_token, delivered);
+}
+
+void Quarantine::AddCrash(const std::string& fingerprint, const Crash& crash) {
   if (!suspects_.contains(fingerprint)) ForgetOldest();
   Suspect& suspect = suspects_[fingerprint];
   for (auto& known : suspect.crashes) {
-    if (known.upstream != crash.upstream || certainly_new) continue;
+    // A trial begins after the crash before it, so that its own is another.
+    if (known.upstream != crash.upstream || known.trial != crash.trial) {
+      continue;
+    }
     if (Distance(known.time, crash.time) < kSameCrashWindow) return;
   }
   const auto later = std::find_if(
@@ -131,8 +139,8 @@
   Trial* trial = FindTrial(fingerprint, request);
   if (trial == nullptr) return {};
   const auto found = suspects_.find(fingerprint);
-  if (found != suspects_.end() && found->second.crash_token &&
-      delivered >= *found->second.crash_token + kTrialTokens) {
+  if (found != suspects_.end() &&
+      delivered >= found->second.crash_token + kTrialTokens) {
     found->second.cleared = true;
     return EndTrial(fingerprint, request, now);
   }
@@ -160,21 +168,27 @@
 
 void Quarantine::Learn(const SuspectRumour& rumour, TimePoint now) {
   if (rumour.age >= limits_.lifetime) return;
-  AddCrash(rumour.fingerprint, {rumour.upstream, now - rumour.age}, false);
+  AddCrash(rumour.fingerprint,
+           {rumour.upstream, now - rumour.age, rumour.trial});
+  RaiseCrashToken(rumour.fingerprint, rumour.delivered);
 }
 
 void Quarantine::Learn(const TrialRumour& rumour, TimePoint now) {
   if (rumour.daemon == self_) return;
-  const std::pair key(rumour.upstream, rumour.daemon);
-  const auto known = peer_trials_.find(key);
-  if (rumour.ended) {
-    if (known != peer_trials_.end() &&
-        known->second.fingerprint == rumour.fingerprint) {
-      peer_trials_.erase(known);
-    }
-    return;
-  }
-  peer_trials_[key] = {rumour.fingerprint, now - rumour.age};
+  const TimePoint said = now - rumour.age;
+  const auto [known, first] =
+      peer_trials_.try_emplace({rumour.upstream, rumour.daemon});
+  PeerTrial& trial = known->second;
+  // Rumours overtake each other; an older one says nothing of a later trial.
+  const bool same = trial.fingerprint == rumour.fingerprint;
+  const bool older = said < trial.seen ||
+                     (said == trial.seen && (rumour.ended ? !same : same));
+  if (!first && older) return;
+  trial = {rumour.fingerprint, said, rumour.ended};
+}
+
+bool Quarantine::IsUnderWay(const PeerTrial& trial, TimePoint now) {
+  return !trial.ended && now < trial.seen + kTrialLifetime;
 }
 
 std::set<UpstreamName> Quarantine::ListTrialUpstreams(TimePoint now) const {
@@ -183,7 +197,7 @@
     for (const auto& stage : trial.chain) upstreams.insert(stage.upstream);
   }
   for (const auto& [key, trial] : peer_trials_) {
-    if (now < trial.seen + kTrialLifetime) upstreams.insert(key.first);
+    if (IsUnderWay(trial, now)) upstreams.insert(key.first);
   }
   return upstreams;
 }
@@ -194,7 +208,7 @@
   return std::any_of(peer_trials_.begin(), peer_trials_.end(),
                      [&](const auto& entry) {
                        return entry.second.fingerprint == fingerprint &&
-                              now < entry.second.seen + kTrialLifetime;
+                              IsUnderWay(entry.second, now);
                      });
 }
 
@@ -203,7 +217,7 @@
 bool Quarantine::LosesToPeer(const std::string& fingerprint, const Trial& trial,
                              TimePoint now) const {
   for (const auto& [key, peer] : peer_trials_) {
-    if (now >= peer.seen + kTrialLifetime || self_ < key.second) continue;
+    if (!IsUnderWay(peer, now) || self_ < key.second) continue;
     if (peer.fingerprint == fingerprint) return true;
     for (const auto& stage : trial.chain) {
       if (stage.upstream == key.first) return true;
--- a/source/decisions/quarantine.h
+++ b/source/decisions/quarantine.h
@@ -128,11 +128,14 @@
   struct Crash {
     UpstreamName upstream;
     TimePoint time;
+    bool trial = false;  ///< Whether the request ran on trial.
   };
 
   struct Suspect {
     std::vector<Crash> crashes;
-    std::optional<TokenIndex> crash_token;  ///< Unknown for peers' crashes.
+    /// Most tokens that any request of this content had at a crash. Those that
+    /// ran beside the one that caused it had fewer, or none.
+    TokenIndex crash_token = 0;
     bool cleared = false;
   };
 
@@ -146,13 +149,14 @@
 
   struct PeerTrial {
     std::string fingerprint;
-    TimePoint seen;
+    TimePoint seen;      ///< When the peer said so.
+    bool ended = false;  ///< Kept, since older rumours may still come.
   };
 
   using Rumours = std::vector<Rumour>;
 
-  void AddCrash(const std::string& fingerprint, const Crash& crash,
-                bool certainly_new);
+  void AddCrash(const std::string& fingerprint, const Crash& crash);
+  void RaiseCrashToken(const std::string& fingerprint, TokenIndex delivered);
   void Forget(TimePoint now);
   void ForgetOldest();
   Trial* FindTrial(const std::string& fingerprint, const RequestId& request);
@@ -161,6 +165,7 @@
                            const TrialChainChooser& choose, TimePoint now);
   TrialDecision ContinueTrial(const std::string& fingerprint, Trial& trial,
                               TimePoint now);
+  static bool IsUnderWay(const PeerTrial& trial, TimePoint now);
   bool RunsElsewhere(const std::string& fingerprint, TimePoint now) const;
   bool LosesToPeer(const std::string& fingerprint, const Trial& trial,
                    TimePoint now) const;
--- a/source/decisions/rumour.cc
+++ b/source/decisions/rumour.cc
@@ -52,8 +52,10 @@
                    std::get<LeavingRumour>(known).age;
           },
           [&known](const SuspectRumour& rumour) {
-            return rumour.age + kRepeatWindow <
-                   std::get<SuspectRumour>(known).age;
+            const auto& other = std::get<SuspectRumour>(known);
+            return rumour.delivered > other.delivered ||
+                   (rumour.trial && !other.trial) ||
+                   rumour.age + kRepeatWindow < other.age;
           },
           [&known](const LoadRumour& rumour) {
             return rumour.in_flight != std::get<LoadRumour>(known).in_flight;
--- a/source/decisions/rumour.h
+++ b/source/decisions/rumour.h
@@ -32,7 +32,9 @@
 struct SuspectRumour {
   std::string fingerprint;  ///< Identifies the request's content.
   UpstreamName upstream;
-  Duration age{};  ///< Time since the crash.
+  Duration age{};             ///< Time since the crash.
+  TokenIndex delivered = 0;  ///< Tokens that its caller had.
+  bool trial = false;        ///< Whether the request ran on trial.
 
   friend bool operator==(const SuspectRumour&, const SuspectRumour&) = default;
 };
--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint16_t kMagic = 0x5759;
-constexpr std::uint8_t kVersion = 1;
+constexpr std::uint8_t kVersion = 2;
 constexpr std::size_t kMaxTextBytes = std::numeric_limits<std::uint8_t>::max();
 
 using Output = cereal::PortableBinaryOutputArchive;
@@ -79,7 +79,8 @@
   void Code(TableHeadRumour& rumour) { Code(rumour.version); }
   void Code(LeavingRumour& rumour) { CodeAll(rumour.upstream, rumour.age); }
   void Code(SuspectRumour& rumour) {
-    CodeAll(rumour.fingerprint, rumour.upstream, rumour.age);
+    CodeAll(rumour.fingerprint, rumour.upstream, rumour.age, rumour.delivered,
+            rumour.trial);
   }
   void Code(LoadRumour& rumour) {
     CodeAll(rumour.daemon, rumour.upstream, rumour.in_flight);
