tests: wait until the third daemon reaches the ledger as well

The test waited for daemon1 and daemon2 only before it used daemon3.

Ruled out: an untrue answer; a daemon without the record can't know of earlier sends, and an unnumbered one is told of itself.

--- a/tests/system/at_most_once.sh
+++ b/tests/system/at_most_once.sh
@@ -86,7 +86,10 @@
 set_faults '{}'
 wait_until done_at 1 late seat=7 || fail "the abandoned claim wasn't released"
 expect done/0 seat=7 "send after the abandoned claim" 1
-wait_until done_at 2 late seat=7 || fail "daemon2 does not reach the ledger"
+for daemon in 2 3; do
+  wait_until done_at $daemon late seat=7 ||
+    fail "daemon$daemon does not reach the ledger"
+done
 
 hold 2 killed seat=8 -H 'Fake-Fault: answer-late' -H 'Fake-Delay-Ms: 3000' &
 caller=$!
