peers: tell all in-flight counts to a few in turn and scale them to the group

Counts went to four fixed neighbours by name, twenty of a daemon's about sixty in a message, so that a daemon saw those of four of 26 others, and some of these lapsed before their turn. It took the group for five daemons, and with that its share of the budget and of the links.

Weighed: counts of all to all (40 KB/s a daemon at 27) and sums along a ring (up to five hops of 300 ms, double counts when members change).

Change: one message holds all of a daemon's counts, four bytes for the name and two for the count, and goes to four others in turn; those heard within 1.2 s stand for all, in proportion. Sums are kept, not computed for each candidate.

--- a/source/bench/bench_daemon.cc
+++ b/source/bench/bench_daemon.cc
@@ -60,14 +60,17 @@
 }
 
 void BenchDaemon::AnnounceLoads() {
+  InFlightCounts counts;
   for (const auto& upstream : pool_.upstreams) {
-    const LoadRumour rumour{name_, upstream.name,
-                            book_.StateOf(upstream.name).in_flight};
-    for (BenchDaemon* peer : peers_) {
-      time_.Schedule(kLinkDelay, [peer, rumour, this] {
-        if (peer->alive_) peer->peer_loads_.Record(rumour, time_.Now());
-      });
-    }
+    const std::uint32_t count = book_.StateOf(upstream.name).in_flight;
+    counts.push_back(
+        {DigestOf(upstream.name), static_cast<std::uint16_t>(count)});
+  }
+  for (BenchDaemon* peer : peers_) {
+    time_.Schedule(kLinkDelay, [peer, counts, this] {
+      if (!peer->alive_) return;
+      peer->peer_loads_.Record(name_, counts, time_.Now());
+    });
   }
   peer_loads_.Expire(time_.Now());
   After(kAnnounceInterval, [this] { AnnounceLoads(); });
--- a/source/decisions/chain.cc
+++ b/source/decisions/chain.cc
@@ -21,7 +21,7 @@
 double StageCost(const UpstreamSpec& upstream, const ChainInputs& inputs) {
   const UpstreamState& state = inputs.book.StateOf(upstream.name);
   const double in_flight =
-      inputs.book.CountInFlight(upstream.name, inputs.peer_loads, inputs.now);
+      inputs.book.CountInFlight(upstream.name, inputs.peer_loads);
   const double load =
       (in_flight + 1.0) /
       std::max(1U, inputs.book.CountSlots(upstream, inputs.now));
--- /dev/null
+++ b/source/decisions/in_flight_counts.h
@@ -0,0 +1,32 @@
+#ifndef WISTERIAYOKE_DECISIONS_IN_FLIGHT_COUNTS_H_
+#define WISTERIAYOKE_DECISIONS_IN_FLIGHT_COUNTS_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace wisteriayoke {
+
+/// Stands for an upstream's name in what daemons tell each other, since counts
+/// are told often and names are long. Two names of a few hundred share one with
+/// a chance of one in 100,000; their counts are then added up.
+using UpstreamDigest = std::uint32_t;
+
+/// Returns the digest of `name`; the same in every daemon.
+UpstreamDigest DigestOf(const UpstreamName& name);
+
+/// How many requests one daemon has in flight on an upstream.
+struct InFlightCount {
+  UpstreamDigest upstream = 0;
+  std::uint16_t in_flight = 0;
+
+  friend bool operator==(const InFlightCount&, const InFlightCount&) = default;
+};
+
+/// All counts of one daemon; an upstream that isn't named has none.
+using InFlightCounts = std::vector<InFlightCount>;
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_DECISIONS_IN_FLIGHT_COUNTS_H_
--- a/source/decisions/member_table.cc
+++ b/source/decisions/member_table.cc
@@ -116,21 +116,14 @@
   return dead.empty() ? nullptr : dead[random_() % dead.size()];
 }
 
-std::vector<Member> MemberTable::Neighbours(const DaemonName& self,
-                                            std::size_t count) const {
+std::vector<Member> MemberTable::TakeInTurn(std::size_t count) {
   std::vector<Member> present = ListPresent();
   if (present.size() <= count) return present;
-  const auto place = static_cast<std::size_t>(
-      std::find_if(present.begin(), present.end(),
-                   [&self](const Member& m) { return m.name > self; }) -
-      present.begin());
-  std::vector<Member> neighbours;
-  for (std::size_t i = 0; i < count / 2; ++i) {
-    neighbours.push_back(present[(place + i) % present.size()]);
-    neighbours.push_back(
-        present[(place + present.size() - 1 - i) % present.size()]);
+  std::vector<Member> taken;
+  for (std::size_t i = 0; i < count; ++i) {
+    taken.push_back(present[next_turn_++ % present.size()]);
   }
-  return neighbours;
+  return taken;
 }
 
 void MemberTable::Expire(TimePoint now) {
--- a/source/decisions/member_table.h
+++ b/source/decisions/member_table.h
@@ -19,7 +19,8 @@
   /// How long an absent member is kept, so that it can be found again.
   static constexpr Duration kAbsentMemory = std::chrono::hours(1);
 
-  explicit MemberTable(std::uint64_t seed) : random_(seed) {}
+  explicit MemberTable(std::uint64_t seed)
+      : next_turn_(seed % kLargestFirstTurn), random_(seed) {}
 
   /// Takes `record` if it is newer than what is known. Returns whether it is.
   bool Merge(const Member& record, TimePoint now);
@@ -45,10 +46,9 @@
   /// Returns one member that is dead, at random, or null.
   const Member* SampleDead();
 
-  /// Returns at most `count` present members whose names are nearest to
-  /// `self`, on both sides. The choice is mutual.
-  std::vector<Member> Neighbours(const DaemonName& self,
-                                 std::size_t count) const;
+  /// Returns the next `count` present members, or all if there are fewer, in
+  /// the order of their names and from the first again after the last.
+  std::vector<Member> TakeInTurn(std::size_t count);
 
   /// Forgets members that have been absent for long.
   void Expire(TimePoint now);
@@ -57,6 +57,10 @@
   std::size_t CountPresent() const { return present_; }
 
  private:
+  /// Bound on where the turns begin: daemons that start together begin at
+  /// different members.
+  static constexpr std::size_t kLargestFirstTurn = 1000;
+
   struct Entry {
     Member member;
     TimePoint changed;
@@ -71,6 +75,7 @@
   std::map<Endpoint, DaemonName> by_endpoint_;
   std::vector<DaemonName> round_;
   std::size_t next_in_round_ = 0;
+  std::size_t next_turn_;
   std::size_t present_ = 0;
   std::mt19937_64 random_;
 };
--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -166,6 +166,10 @@
                  },
                  [&](const Ack& ack) { HandleAck(ack); },
                  [](const Notice&) {},
+                 [&](const CountsNotice& notice) {
+                   actions_.emplace_back(
+                       CountsHeard{message.sender.name, notice.counts});
+                 },
              },
              message.content);
 }
@@ -191,10 +195,6 @@
 }
 
 void Membership::HandleRumour(const Rumour& rumour, const Endpoint& teller) {
-  if (std::holds_alternative<LoadRumour>(rumour)) {
-    actions_.emplace_back(RumourHeard{rumour, teller});
-    return;
-  }
   const RumourNovelty novelty = gossip_.AddRumour(rumour, now_);
   if (novelty == RumourNovelty::kKnown) return;
   actions_.emplace_back(RumourHeard{rumour, teller});
@@ -202,15 +202,14 @@
 }
 
 void Membership::HandleLoads(const LoadsCounted& event) {
-  const std::size_t total = event.loads.size();
-  PeerMessage message{.sender = self_, .content = Notice{}};
-  const std::size_t count = std::min(kLoadsInMessage, total);
-  for (std::size_t i = 0; i < count; ++i) {
-    message.rumours.emplace_back(event.loads[(next_load_ + i) % total]);
-  }
-  if (total > 0) next_load_ = (next_load_ + count) % total;
-  if (message.rumours.empty()) return;
-  for (const auto& peer : members_.Neighbours(self_.name, kLoadNeighbours)) {
+  CountsNotice notice{event.counts};
+  std::sort(notice.counts.begin(), notice.counts.end(),
+            [](const InFlightCount& a, const InFlightCount& b) {
+              return a.in_flight > b.in_flight;
+            });
+  if (notice.counts.size() > kMostCounts) notice.counts.resize(kMostCounts);
+  const PeerMessage message{.sender = self_, .content = std::move(notice)};
+  for (const auto& peer : members_.TakeInTurn(kCountReceivers)) {
     actions_.emplace_back(SendPeerMessage{peer.endpoint, message});
   }
 }
--- a/source/decisions/membership.h
+++ b/source/decisions/membership.h
@@ -34,9 +34,9 @@
   Rumour rumour;
 };
 
-/// This daemon's own in-flight counts, to be told to its neighbours.
+/// This daemon's own in-flight counts, to be told to some others.
 struct LoadsCounted {
-  std::vector<LoadRumour> loads;
+  InFlightCounts counts;
 };
 
 /// Other tables are in force in this daemon.
@@ -74,8 +74,14 @@
   Endpoint teller;
 };
 
-using PeerAction =
-    std::variant<SendPeerMessage, MemberChanged, RumourHeard, HeadHeard>;
+/// A peer told its in-flight counts.
+struct CountsHeard {
+  DaemonName daemon;
+  InFlightCounts counts;
+};
+
+using PeerAction = std::variant<SendPeerMessage, MemberChanged, RumourHeard,
+                                HeadHeard, CountsHeard>;
 
 /// Keeps the group of daemons: each probes one other in a period, asks others
 /// to probe one that doesn't answer, suspects it, and declares it dead unless
@@ -91,10 +97,12 @@
   static constexpr std::size_t kIndirectProbes = 3;
   /// Members that are told of something new at once.
   static constexpr std::size_t kFanout = 3;
-  /// Members that are told of this daemon's in-flight counts.
-  static constexpr std::size_t kLoadNeighbours = 4;
-  /// Most in-flight counts in one message; the rest takes turns.
-  static constexpr std::size_t kLoadsInMessage = 20;
+  /// Members that are told of this daemon's in-flight counts at a time; the
+  /// others take turns.
+  static constexpr std::size_t kCountReceivers = 4;
+  /// Most in-flight counts in one message, which a datagram holds; the smallest
+  /// are left out.
+  static constexpr std::size_t kMostCounts = 200;
   /// Records of random members in each message, against lost news.
   static constexpr std::size_t kRandomRecords = 2;
   /// Records in each part of the list that a joining daemon gets.
@@ -169,7 +177,6 @@
   std::uint32_t next_sequence_ = 1;
   unsigned periods_ = 0;
   TimePoint joined_{-kJoinTime};  ///< Latest try to join.
-  std::size_t next_load_ = 0;
   TimePoint now_;
   std::vector<PeerAction> actions_;
 };
--- a/source/decisions/peer_loads.h
+++ b/source/decisions/peer_loads.h
@@ -3,42 +3,55 @@
 
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 
-#include "decisions/rumour.h"
+#include "base/time_types.h"
+#include "decisions/in_flight_counts.h"
 
 namespace wisteriayoke {
 
-/// Keeps the in-flight counts that other daemons told of each upstream.
+/// Keeps the in-flight counts that other daemons told lately.
 ///
-/// A daemon that falls silent loses its counts after `kLifetime`, so that the
-/// slots of a lost daemon are free for its peers within a second.
+/// Each daemon tells a few others in turn, so that in a large group only some
+/// have told lately. They are taken for a sample of all, which makes the cost
+/// of the counts the same for a group of any size.
 class PeerLoads {
  public:
-  /// Longest time for which a count stands without being renewed.
-  static constexpr Duration kLifetime = std::chrono::milliseconds(800);
+  /// How long counts stand: long enough for a sample of a dozen daemons, short
+  /// against the time for which streams run. The counts of one that died go
+  /// earlier, by `Drop`.
+  static constexpr Duration kLifetime = std::chrono::milliseconds(1200);
 
-  /// Takes a count that came at `now`.
-  void Record(const LoadRumour& rumour, TimePoint now);
+  /// Takes all counts of `daemon`, told at `now`, in place of its former ones.
+  void Record(const DaemonName& daemon, const InFlightCounts& counts,
+              TimePoint now);
 
-  /// Forgets all counts of `daemon`.
+  /// Forgets the counts of `daemon`.
   void Drop(const DaemonName& daemon);
 
   /// Forgets the counts that were not renewed in time.
   void Expire(TimePoint now);
 
-  /// Returns the sum of the other daemons' requests on `upstream`.
-  std::uint32_t InFlightOf(const UpstreamName& upstream, TimePoint now) const;
+  /// Takes in how many other daemons there are.
+  void SetPeers(std::size_t peers) { peers_ = peers; }
 
-  /// Returns how many daemons told a count for any upstream.
+  /// Returns an estimate of the other daemons' requests on `upstream`.
+  std::uint32_t InFlightOf(const UpstreamName& upstream) const;
+
+  /// Returns how many other daemons there are.
   std::size_t CountDaemons() const;
 
  private:
-  struct Entry {
-    std::uint32_t in_flight = 0;
-    TimePoint seen;
+  struct Told {
+    InFlightCounts counts;
+    TimePoint time;
   };
 
-  std::map<UpstreamName, std::map<DaemonName, Entry>> loads_;
+  void Subtract(const InFlightCounts& counts);
+
+  std::map<DaemonName, Told> told_;
+  std::unordered_map<UpstreamDigest, std::uint32_t> sums_;  ///< Over `told_`.
+  std::size_t peers_ = 0;
 };
 
 }  // namespace wisteriayoke
--- a/source/decisions/peer_message.h
+++ b/source/decisions/peer_message.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "decisions/in_flight_counts.h"
 #include "decisions/member.h"
 #include "decisions/rumour.h"
 
@@ -38,7 +39,14 @@
   friend bool operator==(const Notice&, const Notice&) = default;
 };
 
-using PeerContent = std::variant<Ping, PingRequest, Ack, Notice>;
+/// Tells all of the sender's in-flight counts.
+struct CountsNotice {
+  InFlightCounts counts;
+
+  friend bool operator==(const CountsNotice&, const CountsNotice&) = default;
+};
+
+using PeerContent = std::variant<Ping, PingRequest, Ack, Notice, CountsNotice>;
 
 /// One datagram between daemons. Whatever its content, it tells of its sender,
 /// of the tables that the sender has in force, and of some news.
--- a/source/decisions/pool_share.cc
+++ b/source/decisions/pool_share.cc
@@ -49,7 +49,7 @@
     for (const auto* upstream : usable) {
       if (!Holds(pool, *upstream, layer)) continue;
       use.slots += book.CountSlots(*upstream, now);
-      use.others += peer_loads.InFlightOf(upstream->name, now);
+      use.others += peer_loads.InFlightOf(upstream->name);
     }
     const PoolShare share = ShareOf(use, daemons);
     if (!least || share.slots < least->slots) least = share;
--- a/source/decisions/routing.cc
+++ b/source/decisions/routing.cc
@@ -120,7 +120,7 @@
         {.upstream = upstream,
          .slots = book.CountSlots(*upstream, now),
          .own_in_flight = state.in_flight,
-         .in_flight = book.CountInFlight(upstream->name, peer_loads, now),
+         .in_flight = book.CountInFlight(upstream->name, peer_loads),
          .reported = state.report ? state.report->in_flight : 0,
          .latency = state.latency});
     Duration& known = latency_of_kind[upstream->accelerator];
--- a/source/decisions/rumour.cc
+++ b/source/decisions/rumour.cc
@@ -25,11 +25,6 @@
                           return rumour.fingerprint == other.fingerprint &&
                                  rumour.upstream == other.upstream;
                         },
-                        [&b](const LoadRumour& rumour) {
-                          const auto& other = std::get<LoadRumour>(b);
-                          return rumour.daemon == other.daemon &&
-                                 rumour.upstream == other.upstream;
-                        },
                         [&b](const TrialRumour& rumour) {
                           const auto& other = std::get<TrialRumour>(b);
                           return rumour.daemon == other.daemon &&
@@ -57,9 +52,6 @@
                    (rumour.trial && !other.trial) ||
                    rumour.age + kRepeatWindow < other.age;
           },
-          [&known](const LoadRumour& rumour) {
-            return rumour.in_flight != std::get<LoadRumour>(known).in_flight;
-          },
           [&known](const TrialRumour& rumour) {
             const auto& other = std::get<TrialRumour>(known);
             if (rumour.age >= other.age) return false;
--- a/source/decisions/rumour.h
+++ b/source/decisions/rumour.h
@@ -32,7 +32,7 @@
 struct SuspectRumour {
   std::string fingerprint;  ///< Identifies the request's content.
   UpstreamName upstream;
-  Duration age{};             ///< Time since the crash.
+  Duration age{};            ///< Time since the crash.
   TokenIndex delivered = 0;  ///< Tokens that its caller had.
   bool trial = false;        ///< Whether the request ran on trial.
 
@@ -51,20 +51,10 @@
   friend bool operator==(const TrialRumour&, const TrialRumour&) = default;
 };
 
-/// A daemon has this many requests in flight on an upstream. It isn't passed
-/// on; each daemon tells its own counts.
-struct LoadRumour {
-  DaemonName daemon;
-  UpstreamName upstream;
-  std::uint32_t in_flight = 0;
-
-  friend bool operator==(const LoadRumour&, const LoadRumour&) = default;
-};
-
 /// What daemons tell one another besides their membership. Ages replace
 /// points in time, since daemons share no clock; they grow with each hop.
-using Rumour = std::variant<TableHeadRumour, LeavingRumour, SuspectRumour,
-                            LoadRumour, TrialRumour>;
+using Rumour =
+    std::variant<TableHeadRumour, LeavingRumour, SuspectRumour, TrialRumour>;
 
 /// Tells whether both rumours speak of the same thing, so that one of them
 /// replaces the other.
--- a/source/decisions/upstream_book.cc
+++ b/source/decisions/upstream_book.cc
@@ -160,10 +160,9 @@
 }
 
 std::uint32_t UpstreamBook::CountInFlight(const UpstreamName& name,
-                                          const PeerLoads& peer_loads,
-                                          TimePoint now) const {
+                                          const PeerLoads& peer_loads) const {
   const UpstreamState& state = StateOf(name);
-  const std::uint32_t told = peer_loads.InFlightOf(name, now);
+  const std::uint32_t told = peer_loads.InFlightOf(name);
   const bool peers_tell = peer_loads.CountDaemons() > 0;
   if (peers_tell || !state.report) return state.in_flight + told;
   return state.in_flight + CountReportedOthers(*state.report);
--- a/source/decisions/upstream_book.h
+++ b/source/decisions/upstream_book.h
@@ -113,7 +113,7 @@
   /// ones and those that the peers told of, or, where no peer tells, the
   /// upstream's report corrected by what this daemon did since.
   std::uint32_t CountInFlight(const UpstreamName& name,
-                              const PeerLoads& peer_loads, TimePoint now) const;
+                              const PeerLoads& peer_loads) const;
 
   /// Returns the slots of `upstream` that may be used now: one while probing,
   /// a rising part of all during a slow start.
--- a/source/supervisor/front/model_session.cc
+++ b/source/supervisor/front/model_session.cc
@@ -132,8 +132,8 @@
   auto usable = state.upstreams.ListUsable(pool_, excluded, now);
   if (idle_only) {
     std::erase_if(usable, [&](const UpstreamSpec* upstream) {
-      return state.upstreams.CountInFlight(upstream->name, state.peer_loads,
-                                           now) > 0;
+      return state.upstreams.CountInFlight(upstream->name, state.peer_loads) >
+             0;
     });
   }
   return ChooseChain(
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -166,14 +166,13 @@
     const double pace = context_.state.upstreams.PaceOf(upstream.name, now);
     if (SlownessOf(model, accelerator->second, pace) >= kMostSlowness) continue;
     const auto& book = context_.state.upstreams;
-    tick.upstreams.push_back(
-        {{.name = upstream.name,
-          .data_centre = upstream.data_centre,
-          .memory_mb = accelerator->second.memory_mb,
-          .held = upstream.layers,
-          .in_flight = book.CountInFlight(upstream.name,
-                                          context_.state.peer_loads, now)},
-         entry->born_ms});
+    tick.upstreams.push_back({{.name = upstream.name,
+                               .data_centre = upstream.data_centre,
+                               .memory_mb = accelerator->second.memory_mb,
+                               .held = upstream.layers,
+                               .in_flight = book.CountInFlight(
+                                   upstream.name, context_.state.peer_loads)},
+                              entry->born_ms});
   }
   return tick;
 }
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -1,6 +1,8 @@
 #include "supervisor/peers/peer_link.h"
 
+#include <algorithm>
 #include <chrono>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -12,6 +14,9 @@
 namespace {
 
 constexpr Duration kLoadInterval = std::chrono::milliseconds(300);
+/// Largest count that a message holds.
+constexpr std::uint32_t kMostInFlight =
+    std::numeric_limits<std::uint16_t>::max();
 constexpr std::size_t kMaxContentConnections = 32;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
@@ -99,10 +104,11 @@
 
 void PeerLink::ShareLoads() {
   LoadsCounted counted;
-  const DaemonName& self = membership_.self().name;
   for (const auto& [upstream, state] : context_.state.upstreams.states()) {
     if (state.in_flight == 0) continue;
-    counted.loads.push_back({self, upstream, state.in_flight});
+    counted.counts.push_back(
+        {DigestOf(upstream),
+         static_cast<std::uint16_t>(std::min(state.in_flight, kMostInFlight))});
   }
   Feed(counted);
   load_timer_ = context_.loop.Schedule(kLoadInterval, [this] { ShareLoads(); });
@@ -133,6 +139,10 @@
                    [this](const HeadHeard& heard) {
                      HandleHead(heard.head, heard.teller);
                    },
+                   [this](const CountsHeard& heard) {
+                     context_.state.peer_loads.Record(
+                         heard.daemon, heard.counts, context_.loop.Now());
+                   },
                },
                action);
   }
@@ -151,7 +161,9 @@
 }
 
 void PeerLink::HandleMember(const Member& member) {
-  if (!member.present()) context_.state.peer_loads.Drop(member.name);
+  PeerLoads& loads = context_.state.peer_loads;
+  loads.SetPeers(membership_.group_size() - 1);
+  if (!member.present()) loads.Drop(member.name);
   context_.state.timeline.Record(
       LogLevel::kInfo, EventKind::kMemberChanged, ResultCode::kOk,
       {{"member", member.name.text()},
@@ -160,9 +172,6 @@
 }
 
 void PeerLink::HandleRumour(const RumourHeard& heard) {
-  if (const auto* load = std::get_if<LoadRumour>(&heard.rumour)) {
-    context_.state.peer_loads.Record(*load, context_.loop.Now());
-  }
   if (const auto* head = std::get_if<TableHeadRumour>(&heard.rumour)) {
     return HandleHead(head->version, heard.teller);
   }
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -49,8 +49,8 @@
         {.upstream = &upstream,
          .step_factor = kind->second.step_factor * pace,
          .limit = CountPlaces(*pool.model, kind->second, upstream, pace),
-         .in_flight = state.upstreams.CountInFlight(upstream.name,
-                                                    state.peer_loads, now)});
+         .in_flight =
+             state.upstreams.CountInFlight(upstream.name, state.peer_loads)});
   }
   return candidates;
 }
--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -75,6 +75,8 @@
   void Code(PingRequest& request) { CodeAll(request.sequence, request.target); }
   void Code(Ack& ack) { Code(ack.sequence); }
   void Code(Notice& /*notice*/) {}
+  void Code(CountsNotice& notice) { Code(notice.counts); }
+  void Code(InFlightCount& count) { CodeAll(count.upstream, count.in_flight); }
 
   void Code(TableHeadRumour& rumour) { Code(rumour.version); }
   void Code(LeavingRumour& rumour) { CodeAll(rumour.upstream, rumour.age); }
@@ -82,10 +84,6 @@
     CodeAll(rumour.fingerprint, rumour.upstream, rumour.age, rumour.delivered,
             rumour.trial);
   }
-  void Code(LoadRumour& rumour) {
-    CodeAll(rumour.daemon, rumour.upstream, rumour.in_flight);
-  }
-
   void Code(TrialRumour& rumour) {
     CodeAll(rumour.fingerprint, rumour.upstream, rumour.daemon, rumour.ended,
             rumour.age);
@@ -109,10 +107,8 @@
   }
 
   void Code(PeerMessage& message) {
-    if constexpr (!kReads) NameLoads(message, message.sender.name, {});
     CodeAll(message.sender, message.head, message.content, message.members,
             message.rumours, message.clock_us, message.clock_counter);
-    if constexpr (kReads) NameLoads(message, {}, message.sender.name);
   }
 
   template <typename... Parts>
@@ -121,15 +117,6 @@
   }
 
  private:
-  /// The sender's own counts travel without its name.
-  static void NameLoads(PeerMessage& message, const DaemonName& from,
-                        const DaemonName& to) {
-    for (auto& rumour : message.rumours) {
-      auto* load = std::get_if<LoadRumour>(&rumour);
-      if (load != nullptr && load->daemon == from) load->daemon = to;
-    }
-  }
-
   void CodeSize(std::size_t& size) {
     if (size > kMaxTextBytes) throw cereal::Exception("too long");
     auto byte = static_cast<std::uint8_t>(size);
--- a/tests/decisions/peer_loads_test.cc
+++ b/tests/decisions/peer_loads_test.cc
@@ -1,6 +1,11 @@
 #include "decisions/peer_loads.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
 
 namespace wisteriayoke {
 namespace {
@@ -9,26 +14,69 @@
 
 const UpstreamName kEngine("engine1");
 
+InFlightCounts CountsOf(const UpstreamName& upstream, std::uint16_t count) {
+  return {{DigestOf(upstream), count}};
+}
+
 }  // namespace
 
-TEST_CASE("counts of a silent daemon are gone within a second") {
+TEST_CASE("counts of a silent daemon are forgotten") {
   PeerLoads loads;
   const TimePoint start;
-  loads.Record({DaemonName("a"), kEngine, 3}, start);
-  loads.Record({DaemonName("b"), kEngine, 4}, start + milliseconds(500));
-  CHECK(loads.InFlightOf(kEngine, start + milliseconds(700)) == 7);
-  CHECK(loads.InFlightOf(kEngine, start + milliseconds(1000)) == 4);
-  loads.Expire(start + milliseconds(1000));
+  loads.Record(DaemonName("a"), CountsOf(kEngine, 3), start);
+  loads.Record(DaemonName("b"), CountsOf(kEngine, 4),
+               start + milliseconds(500));
+  loads.Expire(start + milliseconds(1100));
+  CHECK(loads.InFlightOf(kEngine) == 7);
+  loads.Expire(start + PeerLoads::kLifetime);
+  CHECK(loads.InFlightOf(kEngine) == 4);
   CHECK(loads.CountDaemons() == 1);
 }
 
 TEST_CASE("a renewed count replaces the former one") {
   PeerLoads loads;
-  loads.Record({DaemonName("a"), kEngine, 3}, TimePoint{});
-  loads.Record({DaemonName("a"), kEngine, 1}, TimePoint{});
-  CHECK(loads.InFlightOf(kEngine, TimePoint{}) == 1);
+  loads.Record(DaemonName("a"), CountsOf(kEngine, 3), TimePoint{});
+  loads.Record(DaemonName("a"), CountsOf(kEngine, 1), TimePoint{});
+  CHECK(loads.InFlightOf(kEngine) == 1);
+  loads.Record(DaemonName("a"), {}, TimePoint{});
+  CHECK(loads.InFlightOf(kEngine) == 0);
+  CHECK(loads.CountDaemons() == 1);
   loads.Drop(DaemonName("a"));
-  CHECK(loads.InFlightOf(kEngine, TimePoint{}) == 0);
+  CHECK(loads.CountDaemons() == 0);
+}
+
+TEST_CASE("daemons that told nothing lately count as the others do") {
+  PeerLoads loads;
+  loads.SetPeers(26);
+  loads.Record(DaemonName("a"), CountsOf(kEngine, 3), TimePoint{});
+  loads.Record(DaemonName("b"), CountsOf(kEngine, 1), TimePoint{});
+  CHECK(loads.InFlightOf(kEngine) == 52);
+  CHECK(loads.CountDaemons() == 26);
+}
+
+TEST_CASE("sums are those of the counts told last") {
+  const bool held = rc::check([] {
+    PeerLoads loads;
+    std::map<int, std::uint32_t> last;
+    const auto told = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(-1, 50)));
+    for (const auto& [daemon, count] : told) {
+      const DaemonName name(std::to_string(daemon));
+      if (count < 0) {
+        loads.Drop(name);
+        last.erase(daemon);
+      } else {
+        const auto number = static_cast<std::uint16_t>(count);
+        loads.Record(name, CountsOf(kEngine, number), TimePoint{});
+        last[daemon] = number;
+      }
+      std::uint32_t sum = 0;
+      for (const auto& [ignored, number] : last) sum += number;
+      RC_ASSERT(loads.InFlightOf(kEngine) == sum);
+      RC_ASSERT(loads.CountDaemons() == last.size());
+    }
+  });
+  CHECK(held);
 }
 
 }  // namespace wisteriayoke
--- a/tests/decisions/upstream_book_test.cc
+++ b/tests/decisions/upstream_book_test.cc
@@ -85,13 +85,13 @@
   book.RecordStart(name);
   book.RecordReport(name, 3);
   book.RecordStart(name);
-  CHECK(book.CountInFlight(name, peers, At(0)) == 4);
-  peers.Record({DaemonName("d2"), name, 5}, At(0));
-  CHECK(book.CountInFlight(name, peers, At(100)) == 7);
+  CHECK(book.CountInFlight(name, peers) == 4);
+  peers.Record(DaemonName("d2"), {{DigestOf(name), 5}}, At(0));
+  CHECK(book.CountInFlight(name, peers) == 7);
   peers.Drop(DaemonName("d2"));
   book.RecordEnd(name);
   peers.Expire(At(1000));
-  CHECK(book.CountInFlight(name, peers, At(1000)) == 3);
+  CHECK(book.CountInFlight(name, peers) == 3);
 }
 
 TEST_CASE("an upstream that declines work gets none for a while, then longer") {
--- a/tests/peers/membership_cost_test.cc
+++ b/tests/peers/membership_cost_test.cc
@@ -12,7 +12,8 @@
 namespace wisteriayoke {
 namespace {
 
-constexpr std::size_t kUpstreams = 24;
+/// Upstreams that one daemon's requests are on at the crest of a day.
+constexpr std::size_t kUpstreams = 60;
 /// Time in which all that start at once come to know each other.
 constexpr Duration kJoinTime = std::chrono::seconds(90);
 constexpr Duration kMeasured = std::chrono::seconds(6);
@@ -30,13 +31,13 @@
   double core_share = 0;  ///< Deciders and codec, both ways.
 };
 
-std::vector<LoadRumour> MakeLoads(std::size_t daemon) {
-  std::vector<LoadRumour> loads;
+InFlightCounts MakeCounts() {
+  InFlightCounts counts;
   for (std::size_t i = 0; i < kUpstreams; ++i) {
-    loads.push_back({GroupDriver::NameOf(daemon),
-                     UpstreamName("engine" + std::to_string(100 + i)), 3});
+    counts.push_back(
+        {DigestOf(UpstreamName("engine" + std::to_string(100 + i))), 3});
   }
-  return loads;
+  return counts;
 }
 
 double ProcessorSeconds() {
@@ -64,7 +65,7 @@
   const double start = ProcessorSeconds();
   for (Duration time{}; time < kMeasured; time += kLoadInterval) {
     for (std::size_t i = 0; i < count; ++i) {
-      group.Feed(i, LoadsCounted{MakeLoads(i)});
+      group.Feed(i, LoadsCounted{MakeCounts()});
     }
     group.RunFor(kLoadInterval);
   }
--- a/tests/wire/datagram_codec_test.cc
+++ b/tests/wire/datagram_codec_test.cc
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "decisions/membership.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -14,13 +16,12 @@
   message.content = PingRequest{9, {"127.0.0.2", 7002}};
   message.members = {
       {DaemonName("daemon2"), {"127.0.0.2", 7002}, 4, MemberStatus::kSuspect}};
-  message.rumours = {TableHeadRumour{{4, "next"}},
-                     LeavingRumour{UpstreamName("engine1"), Duration(5)},
-                     SuspectRumour{"print", UpstreamName("e"), Duration(6), 9,
-                                   true},
-                     LoadRumour{DaemonName("d"), UpstreamName("e"), 7},
-                     TrialRumour{"print", UpstreamName("e"), DaemonName("d"),
-                                 true, Duration(8)}};
+  message.rumours = {
+      TableHeadRumour{{4, "next"}},
+      LeavingRumour{UpstreamName("engine1"), Duration(5)},
+      SuspectRumour{"print", UpstreamName("e"), Duration(6), 9, true},
+      TrialRumour{"print", UpstreamName("e"), DaemonName("d"), true,
+                  Duration(8)}};
   message.clock_us = 11;
   return message;
 }
@@ -42,6 +43,29 @@
   CHECK(message->clock_us == sent.clock_us);
 }
 
+TEST_CASE("in-flight counts come back as they were sent") {
+  LastReason reason;
+  PeerMessage message = MakeMessage();
+  message.content = CountsNotice{{{7, 1}, {0xffffffff, 0xffff}}};
+  const auto data = EncodeDatagram(message, reason);
+  REQUIRE(data.has_value());
+  const auto parsed = ParseDatagram(*data, reason);
+  REQUIRE(parsed.has_value());
+  CHECK(parsed->content == message.content);
+}
+
+TEST_CASE("the most counts that are told fit into one datagram") {
+  LastReason reason;
+  PeerMessage message = MakeMessage();
+  message.members.clear();
+  message.rumours.clear();
+  message.content =
+      CountsNotice{InFlightCounts(Membership::kMostCounts, {1, 1})};
+  const auto data = EncodeDatagram(message, reason);
+  REQUIRE(data.has_value());
+  CHECK(data->size() <= kMaxDatagramBytes);
+}
+
 TEST_CASE("cut, foreign and random datagrams are refused with their code") {
   LastReason reason;
   const std::string data = *EncodeDatagram(MakeMessage(), reason);
