store: look at the lease by rank, pause between changes of the entries

Change: the daemon with the n-th name looks in each n-th interval, at most eight; the holder renews in each. After an answer with changes the next call waits for 200 ms. Ruled out: a longer lease (it delays the repair of a lost stage) and a feed of the lease's row (each renewal would wake all).

--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -41,6 +41,13 @@
   return sample.front().endpoint;
 }
 
+std::size_t Membership::CountBefore() const {
+  const std::vector<Member> present = members_.ListPresent();
+  return static_cast<std::size_t>(
+      std::count_if(present.begin(), present.end(),
+                    [this](const Member& m) { return m.name < self_.name; }));
+}
+
 void Membership::HandleTick() {
   ExpireSuspects();
   std::erase_if(relays_, [this](const auto& item) {
--- a/source/decisions/membership.h
+++ b/source/decisions/membership.h
@@ -123,6 +123,8 @@
   const MemberTable& members() const { return members_; }
   /// Returns the address of a present member, at random, if there is any.
   std::optional<Endpoint> SampleMember();
+  /// Present members whose names come before this daemon's.
+  std::size_t CountBefore() const;
   /// Members that are present, this one included.
   std::size_t group_size() const { return members_.CountPresent() + 1; }
 
--- a/source/supervisor/context/daemon_context.h
+++ b/source/supervisor/context/daemon_context.h
@@ -33,6 +33,7 @@
   UpstreamBook upstreams;
   LeavingTracker leaving;  ///< Which upstreams are leaving.
   PeerLoads peer_loads;    ///< In-flight counts told by other daemons.
+  std::size_t rank = 0;    ///< Present daemons with lesser names than this.
   RumourExchange rumours;  ///< What daemons tell one another.
   ChainSpeeds speeds;
   Quarantine quarantine;
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -1,5 +1,6 @@
 #include "supervisor/layer_placement/layer_placement.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -14,6 +15,10 @@
 constexpr auto kLeaseKey = "placement-lease";
 /// A third of the lease, so that one lost renewal doesn't end it.
 constexpr Duration kLeaseInterval = std::chrono::milliseconds(700);
+/// Most intervals between two looks at another's lease. The first daemon by
+/// name looks in each interval, the next in every second one, and so on, so
+/// that the calls of a group hardly grow with it.
+constexpr std::size_t kMostLeaseIntervals = 8;
 /// How much slower than the slowest kind an upstream is from which its layers
 /// are given to others as well.
 constexpr double kMostSlowness = 2;
@@ -75,8 +80,11 @@
 }
 
 void LayerPlacement::TickLease() {
+  const std::size_t intervals =
+      std::min(context_.state.rank + 1, kMostLeaseIntervals);
+  const bool due = held_ || ticks_++ % intervals == 0;
   // A daemon that stops lets its lease run out, so that another takes it over.
-  if (!context_.state.draining) FeedLease(LeaseTick{});
+  if (due && !context_.state.draining) FeedLease(LeaseTick{});
   lease_timer_ =
       context_.loop.Schedule(kLeaseInterval, [this] { TickLease(); });
 }
--- a/source/supervisor/layer_placement/layer_placement.h
+++ b/source/supervisor/layer_placement/layer_placement.h
@@ -47,7 +47,8 @@
   std::shared_ptr<RowStore> store_;
   LeaseKeeper lease_;
   std::map<PoolName, LayerOrders> orders_;
-  bool held_ = false;  ///< As last told to operators.
+  bool held_ = false;      ///< As last told to operators.
+  std::size_t ticks_ = 0;  ///< Intervals in which the lease wasn't held.
   LoopTimerPtr lease_timer_;
   LoopTimerPtr orders_timer_;
   bool stopped_ = false;
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -163,6 +163,7 @@
 void PeerLink::HandleMember(const Member& member) {
   PeerLoads& loads = context_.state.peer_loads;
   loads.SetPeers(membership_.group_size() - 1);
+  context_.state.rank = membership_.CountBefore();
   if (!member.present()) loads.Drop(member.name);
   context_.state.timeline.Record(
       LogLevel::kInfo, EventKind::kMemberChanged, ResultCode::kOk,
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -17,6 +17,10 @@
 constexpr int kTablesWaitPerMille = 300;
 /// How long a call waits for changes of the entries; they need no proof.
 constexpr Duration kEntriesWait = std::chrono::seconds(5);
+/// Time between an answer with changes of the entries and the next call, so
+/// that many changes in a row cost few calls. A leaving upstream may get work
+/// for two seconds.
+constexpr Duration kEntriesPause = std::chrono::milliseconds(200);
 /// How much earlier than asked a wait of the store may end.
 constexpr Duration kWaitTolerance = std::chrono::milliseconds(5);
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(50);
@@ -44,7 +48,9 @@
           .table = kDocumentTable,
           .wait = context.settings.Milliseconds(SettingKey::kRevocationTime) *
                   kTablesWaitPerMille / 1000},
-      entries_{.table = kEntriesTable, .wait = kEntriesWait} {}
+      entries_{.table = kEntriesTable,
+               .wait = kEntriesWait,
+               .pause = kEntriesPause} {}
 
 bool StoreFollower::Start(LastReason& /*reason*/) {
   Advance(tables_, &StoreFollower::TakeTables);
@@ -55,8 +61,8 @@
 
 void StoreFollower::Stop(const std::function<void()>& done) {
   stopped_ = true;
-  tables_.retry_timer.reset();
-  entries_.retry_timer.reset();
+  tables_.timer.reset();
+  entries_.timer.reset();
   expiry_timer_.reset();
   done();
 }
@@ -97,7 +103,13 @@
   if (&feed == &tables_ && document_good_) {
     context_.state.relay.freshness.RecordProof(idle ? waited : sent);
   }
-  Advance(feed, handler);
+  if (reply.page.rows.empty()) return Advance(feed, handler);
+  AdvanceAfter(feed.pause, feed, handler);
+}
+
+void StoreFollower::AdvanceAfter(Duration delay, Feed& feed, Handler handler) {
+  feed.timer = context_.loop.Schedule(
+      delay, [this, &feed, handler] { Advance(feed, handler); });
 }
 
 void StoreFollower::HandleFailure(Feed& feed, Handler handler,
@@ -107,9 +119,7 @@
         LogLevel::kWarning, EventKind::kStoreLost, reply.code,
         {{"table", feed.table}, {"reason", reply.message}});
   }
-  feed.retry_timer = context_.loop.Schedule(
-      RetryDelay(feed.failures),
-      [this, &feed, handler] { Advance(feed, handler); });
+  AdvanceAfter(RetryDelay(feed.failures), feed, handler);
 }
 
 void StoreFollower::RecordReturn(Feed& feed) {
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -25,11 +25,12 @@
   /// The position in the changes of one table of the store.
   struct Feed {
     std::string table;
-    Duration wait{};  ///< Longest time that one call waits for a change.
+    Duration wait{};   ///< Longest time that one call waits for a change.
+    Duration pause{};  ///< Between an answer with changes and the next call.
     std::uint64_t version = 0;
     bool synced = false;    ///< Whether the whole table was read.
     unsigned failures = 0;  ///< In a row.
-    LoopTimerPtr retry_timer;
+    LoopTimerPtr timer;     ///< Until the next call.
   };
 
   using Handler = void (StoreFollower::*)(const RowPage&, bool whole);
@@ -37,6 +38,7 @@
   void Advance(Feed& feed, Handler handler);
   void HandleReply(Feed& feed, Handler handler, BootTime sent,
                    const RowReply& reply);
+  void AdvanceAfter(Duration delay, Feed& feed, Handler handler);
   void HandleFailure(Feed& feed, Handler handler, const RowReply& reply);
   void RecordReturn(Feed& feed);
 
--- a/tests/decisions/membership_test.cc
+++ b/tests/decisions/membership_test.cc
@@ -119,6 +119,18 @@
   }
 }
 
+TEST_CASE("daemons of a group know their ranks by name") {
+  GroupDriver group(5, 3);
+  group.RunFor(seconds(3));
+  for (std::size_t i = 0; i < 5; ++i) {
+    CHECK(group.membership(i).CountBefore() == i);
+  }
+  group.Crash(1);
+  group.RunFor(seconds(1));
+  CHECK(group.membership(0).CountBefore() == 0);
+  CHECK(group.membership(4).CountBefore() == 3);
+}
+
 TEST_CASE("a rumour reaches every daemon of 64 once and within half a second") {
   GroupDriver group(64, 1);
   group.RunFor(seconds(10));
--- a/tests/layer_placement/layer_placement_test.cc
+++ b/tests/layer_placement/layer_placement_test.cc
@@ -95,6 +95,28 @@
   RunUntil([this] { return orders.size() == 2; });
 }
 
+TEST_CASE("a daemon with others before it seldom looks at the lease") {
+  struct Fixture : DaemonFixture {
+    FakeRowStore store{loop};
+  } fixture;
+  fixture.store.set_fault(StoreFault::kRefusing);
+  fixture.state.rank = 3;
+  const auto placement = std::make_shared<LayerPlacement>(
+      fixture.Context(), [](const LastReason&) {});
+  LastReason reason;
+  REQUIRE(placement->Start(reason));
+  bool over = false;
+  const auto timer = fixture.loop.Schedule(std::chrono::milliseconds(2500),
+                                           [&] { over = true; });
+  fixture.RunUntil([&over] { return over; });
+  // Once at the start; the next look is due after four intervals of 700 ms.
+  CHECK(fixture.store.calls() == 1);
+  // Those before it are gone.
+  fixture.state.rank = 0;
+  fixture.RunUntil([&fixture] { return fixture.store.calls() >= 3; });
+  placement->Stop([] {});
+}
+
 TEST_CASE("without the lease no order is sent") {
   struct Fixture : DaemonFixture {
     FakeRowStore store{loop};
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -69,6 +69,25 @@
   RunUntil([this] { return !IsKnown("i-1"); });
 }
 
+TEST_CASE_FIXTURE(FollowerFixture, "many changes in a row cost few calls") {
+  store.Put("op", "config", MakeDocument(3, "k1"));
+  Start();
+  RunUntil([this] { return state.relay.fleet_known; });
+  const int before = store.calls();
+  // Fifty upstreams appear one after the other, over half a second.
+  int written = 0;
+  LoopTimerPtr timer;
+  std::function<void()> write = [&] {
+    if (written == 50) return;
+    store.Put("servers", "i-" + std::to_string(written++), MakeEntry("ready"));
+    timer = loop.Schedule(std::chrono::milliseconds(10), write);
+  };
+  write();
+  RunUntil([this] { return IsKnown("i-49"); });
+  // At most one call each 200 ms, one for the tables, and one more.
+  CHECK(store.calls() - before <= 6);
+}
+
 TEST_CASE_FIXTURE(FollowerFixture, "a version never goes down") {
   store.Put("op", "config", MakeDocument(5, "k1"));
   Start();
