layers: spread requests over all paths before any is near its limit

A full upstream cost four times an idle one of its kind, so that a fast one was taken until its memory was full and its requests waited for it, and slow paths, which answer in time as well, idled.

Change: the cost of a load is three token steps on the slowest kind at the limit and falls with the fourth power. Test: slow upstreams are taken before fast ones are full (fails with the former cost).

--- a/source/decisions/layer_path.cc
+++ b/source/decisions/layer_path.cc
@@ -1,6 +1,7 @@
 #include "decisions/layer_path.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <set>
@@ -16,8 +17,12 @@
 /// More than any path inside a data centre costs, however crowded: the hidden
 /// states of all prompts share the link.
 constexpr double kCrossHopCost = 1000.0;
-/// How much a full upstream is slower than an idle one.
+/// Cost of full upstreams, against a token step on the slowest kind. Half full
+/// ones cost a sixteenth of it, so that the fastest path is taken at low load
+/// and the load is spread over all paths before any is full.
 constexpr double kCrowding = 3.0;
+/// How steeply that cost rises with the load.
+constexpr double kCrowdingPower = 4.0;
 
 /// A point of a path: the next layer to run and where the last stage ran.
 using Position = std::pair<std::uint32_t, DataCentreName>;
@@ -30,14 +35,18 @@
   Position from;
 };
 
-double CostOf(const PathCandidate& candidate, const LayerRange& layers,
-              std::uint32_t layer_count) {
-  const double share =
-      static_cast<double>(layers.end - layers.first) / layer_count;
-  const double load =
-      static_cast<double>(candidate.in_flight) / std::max(1U, candidate.limit);
-  return kHopCost * (1.0 + load) +
-         candidate.step_factor * share * (1.0 + kCrowding * load * load);
+double LoadOf(const PathCandidate& candidate) {
+  return static_cast<double>(candidate.in_flight) /
+         std::max(1U, candidate.limit);
+}
+
+/// Returns the time of a token step of the whole model on the slowest kind.
+double SlowestStep(const std::vector<const PathCandidate*>& candidates) {
+  double slowest = 0;
+  for (const auto* candidate : candidates) {
+    slowest = std::max(slowest, candidate->step_factor);
+  }
+  return slowest;
 }
 
 /// Lets an upstream that the chain comes back to run what lies between as well:
@@ -59,7 +68,9 @@
  public:
   PathSearch(std::uint32_t layer_count,
              std::vector<const PathCandidate*> candidates)
-      : layer_count_(layer_count), candidates_(std::move(candidates)) {
+      : layer_count_(layer_count),
+        candidates_(std::move(candidates)),
+        crowding_cost_(kCrowding * SlowestStep(candidates_)) {
     for (const auto* candidate : candidates_) {
       cuts_.insert(candidate->upstream->layers.first);
       cuts_.insert(std::min(candidate->upstream->layers.end, layer_count_));
@@ -87,10 +98,20 @@
     }
   }
 
+  double CostOf(const PathCandidate& candidate,
+                const LayerRange& layers) const {
+    const double share =
+        static_cast<double>(layers.end - layers.first) / layer_count_;
+    const double load = LoadOf(candidate);
+    return kHopCost * (1.0 + load) +
+           share * (candidate.step_factor * candidate.pace +
+                    crowding_cost_ * std::pow(load, kCrowdingPower));
+  }
+
   void Offer(const Position& from, double cost, const PathCandidate& candidate,
              const LayerRange& layers) {
     const DataCentreName& here = candidate.upstream->data_centre;
-    cost += CostOf(candidate, layers, layer_count_);
+    cost += CostOf(candidate, layers);
     if (from.first > 0 && here != from.second) cost += kCrossHopCost;
     Arrival& arrival = arrivals_[{layers.end, here}];
     if (cost < arrival.cost) arrival = {cost, &candidate, layers, from};
@@ -115,6 +136,7 @@
 
   std::uint32_t layer_count_;
   std::vector<const PathCandidate*> candidates_;
+  double crowding_cost_;
   std::set<std::uint32_t> cuts_;
   std::map<Position, Arrival> arrivals_;
 };
--- a/source/decisions/layer_path.h
+++ b/source/decisions/layer_path.h
@@ -12,7 +12,8 @@
 /// An upstream that may run some of its layers for a request.
 struct PathCandidate {
   const UpstreamSpec* upstream = nullptr;
-  double step_factor = 1;       ///< Time of a token step, against the model's.
+  double step_factor = 1;       ///< Time of its kind for a token step.
+  double pace = 1;              ///< How many times slower it is than its kind.
   std::uint32_t limit = 0;      ///< Requests that it takes at once.
   std::uint32_t in_flight = 0;  ///< Estimate for all daemons.
 };
@@ -38,6 +39,8 @@
 };
 
 /// Chooses the path over all layers with the least expected time for a token.
+/// The nearer an upstream is to its limit, the more it costs: paths over slow
+/// upstreams answer in time as well, crowded ones don't.
 ///
 /// Unlike `ChooseChain`, a stage may run a part of the layers that its upstream
 /// holds, so that ranges need not meet. A hop to another data centre costs far
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -47,7 +47,8 @@
     if (kind == pool.model->accelerators.end()) continue;
     candidates.push_back(
         {.upstream = &upstream,
-         .step_factor = kind->second.step_factor * pace,
+         .step_factor = kind->second.step_factor,
+         .pace = pace,
          .limit = CountPlaces(*pool.model, kind->second, upstream, pace),
          .in_flight =
              state.upstreams.CountInFlight(upstream.name, state.peer_loads)});
--- a/tests/decisions/layer_path_test.cc
+++ b/tests/decisions/layer_path_test.cc
@@ -119,6 +119,23 @@
         UpstreamName("u1"));
 }
 
+TEST_CASE("slow upstreams are taken before fast ones are full") {
+  const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 12, "a"),
+                                               MakeUpstream(1, 0, 12, "a")};
+  auto candidates = MakeCandidates(upstreams);
+  candidates[1].step_factor = 16.0;
+  for (auto& candidate : candidates) candidate.limit = 100;
+  const auto chosen = [&](std::uint32_t in_flight) {
+    candidates[0].in_flight = in_flight;
+    return ChoosePath(kLayers, candidates).chain[0].upstream;
+  };
+  CHECK(chosen(50) == UpstreamName("u0"));
+  CHECK(chosen(85) == UpstreamName("u1"));
+  // One that is slower than its kind is no way out.
+  candidates[1].pace = 12.0;
+  CHECK(chosen(85) == UpstreamName("u0"));
+}
+
 TEST_CASE("a fast upstream inside the range of a slow one isn't gone around") {
   const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 12, "a"),
                                                MakeUpstream(1, 2, 10, "a")};
