standins: a store of rows and a layered worker; the relay over real processes

Change: fake_row_store (reads, feeds, conditional writes; faults silent, refusing, losing, forgetting) and fake_layered_worker (registers itself, takes orders, streams over a chain, stalls with a lost stage and reports it, answers plain calls) are stand-ins. tests/system/relay.sh runs three daemons on them: a lost stage, a key taken away, work that may run once, a leaving upstream, an outage of the store, a planned stop, the loss of all daemons.

The unit tests of store_follower, layer_placement and root run on the same store as before.

--- /dev/null
+++ b/source/standins/fake_row_store.cc
@@ -0,0 +1,177 @@
+#include "standins/fake_row_store.h"
+
+#include <algorithm>
+
+#include "platform/row_codec.h"
+
+namespace wisteriayoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kRowsPrefix = "/rows/";
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kConflict = 412;
+constexpr int kUnavailable = 503;
+
+std::string ReadParameter(const std::string& target, const std::string& name) {
+  const std::size_t at = target.find(name + "=");
+  if (at == std::string::npos) return "";
+  const std::size_t begin = at + name.size() + 1;
+  return target.substr(begin, target.find('&', begin) - begin);
+}
+
+}  // namespace
+
+FakeRowStore::FakeRowStore(EventLoop& loop, const StandinOptions& /*options*/)
+    : loop_(loop) {}
+
+void FakeRowStore::Put(const std::string& table, const std::string& key,
+                       const std::string& value) {
+  rows_[{table, key}] = {value, ++version_, false};
+  AnswerWaiting();
+}
+
+void FakeRowStore::Drop(const std::string& table, const std::string& key) {
+  rows_[{table, key}] = {"", ++version_, true};
+  AnswerWaiting();
+}
+
+std::string FakeRowStore::ValueOf(const std::string& table,
+                                  const std::string& key) const {
+  const auto found = rows_.find({table, key});
+  return found == rows_.end() ? "" : found->second.value;
+}
+
+void FakeRowStore::Handle(const HttpRequest& request, const Caller& caller) {
+  if (HandleControl(request, caller)) return;
+  ++calls_;
+  if (fault_ == StoreFault::kSilent) return held_.push_back(caller);
+  if (fault_ == StoreFault::kRefusing) {
+    return caller->Respond({{kUnavailable, {}}, ""});
+  }
+  const std::string_view path = PathOf(request.target);
+  if (path == "/-/rows-get") return AnswerGet(request, caller);
+  if (path == "/-/rows-feed") return AnswerFeed(request, caller);
+  if (path == "/-/rows-tx") return AnswerWrite(request, caller);
+  caller->Respond({{kNotFound, {}}, ""});
+}
+
+bool FakeRowStore::HandleControl(const HttpRequest& request,
+                                 const Caller& caller) {
+  if (request.target == "/fault") {
+    const auto fault = kStoreFaultNames.Find(request.body);
+    if (fault) fault_ = *fault;
+    caller->Respond({{fault ? kOk : kNotFound, {}}, ""});
+    return true;
+  }
+  if (!request.target.starts_with(kRowsPrefix)) return false;
+  HandleRow(request, caller);
+  return true;
+}
+
+void FakeRowStore::HandleRow(const HttpRequest& request, const Caller& caller) {
+  const std::string name = request.target.substr(kRowsPrefix.size());
+  const std::size_t slash = name.find('/');
+  if (slash == std::string::npos) return caller->Respond({{kNotFound, {}}, ""});
+  const std::string table = name.substr(0, slash);
+  const std::string key = name.substr(slash + 1);
+  if (request.method == "PUT") Put(table, key, request.body);
+  if (request.method == "DELETE") Drop(table, key);
+  caller->Respond({{kOk, {}}, ValueOf(table, key)});
+}
+
+Json FakeRowStore::List(const std::string& table, std::uint64_t after,
+                        bool with_removed) const {
+  Json rows = Json::array();
+  for (const auto& [name, row] : rows_) {
+    if (name.first != table || row.version <= after) continue;
+    if (row.removed && !with_removed) continue;
+    Json json = {{"Table", name.first},
+                 {"part", ""},
+                 {"Key", name.second},
+                 {"Ver", row.version}};
+    if (row.removed) {
+      json["Removed"] = true;
+    } else {
+      // The codec's own encoding, read back from a write request.
+      const auto write = Json::parse(
+          BuildWriteRequest({name.first, name.second, row.value, 0}).body);
+      json["Value"] = write["Writes"][0]["Value"];
+    }
+    rows.push_back(std::move(json));
+  }
+  return rows;
+}
+
+void FakeRowStore::Answer(const Caller& caller, int status,
+                          const Json& rows) const {
+  const Json body = {{"Rows", rows}, {"HasMore", false}, {"Ver", version_}};
+  caller->Respond({{status, {}}, body.dump()});
+}
+
+void FakeRowStore::AnswerGet(const HttpRequest& request,
+                             const Caller& caller) const {
+  Answer(caller, kOk, List(ReadParameter(request.target, "Table"), 0, false));
+}
+
+void FakeRowStore::AnswerFeed(const HttpRequest& request,
+                              const Caller& caller) {
+  if (fault_ == StoreFault::kForgetting) {
+    fault_ = StoreFault::kNone;
+    return caller->Respond({{kGone, {}}, ""});
+  }
+  const std::string table = ReadParameter(request.target, "Table");
+  const auto after = std::stoull(ReadParameter(request.target, "After"));
+  const Json rows = List(table, after, true);
+  if (!rows.empty()) return Answer(caller, kOk, rows);
+  const auto wait = std::chrono::milliseconds(
+      std::stoll(ReadParameter(request.target, "WaitMs")));
+  // One that left needs no answer.
+  std::erase_if(waiting_, [](const Waiter& w) { return w.caller->closed(); });
+  waiting_.push_back({caller, table, after, nullptr});
+  waiting_.back().timer =
+      loop_.Schedule(wait, [this, caller] { EndWait(caller); });
+}
+
+/// Takes a copy, since the waiter that goes away holds the callback's own.
+void FakeRowStore::EndWait(Caller caller) {
+  std::erase_if(waiting_, [&](const Waiter& w) { return w.caller == caller; });
+  Answer(caller, kOk, Json::array());
+}
+
+void FakeRowStore::AnswerWaiting() {
+  if (fault_ == StoreFault::kSilent) return;
+  for (auto& waiter : std::exchange(waiting_, {})) {
+    const Json rows = List(waiter.table, waiter.after, true);
+    if (rows.empty()) {
+      waiting_.push_back(std::move(waiter));
+    } else {
+      Answer(waiter.caller, kOk, rows);
+    }
+  }
+}
+
+void FakeRowStore::AnswerWrite(const HttpRequest& request,
+                               const Caller& caller) {
+  const Json body = Json::parse(request.body);
+  for (const auto& condition : body["Precondition"]) {
+    const RowName name(condition["Table"], condition["Key"]);
+    const Row row = rows_.contains(name) ? rows_.at(name) : Row{};
+    if (row.version == condition["Ver"]) continue;
+    return Answer(caller, kConflict, List(name.first, 0, false));
+  }
+  LastReason reason;
+  const auto page =
+      ParseRowPage(Json{{"Rows", body["Writes"]}, {"Ver", 0}}.dump(), reason);
+  if (!page) return caller->Respond({{kNotFound, {}}, reason.message()});
+  for (const auto& row : page->rows) {
+    rows_[{row.table, row.key}] = {row.value, ++version_, false};
+  }
+  if (fault_ == StoreFault::kLosing) return caller->Abort();
+  Answer(caller, kOk, Json::array());
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/standins/fake_row_store.h
@@ -0,0 +1,102 @@
+#ifndef WISTERIAYOKE_STANDINS_FAKE_ROW_STORE_H_
+#define WISTERIAYOKE_STANDINS_FAKE_ROW_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/names_table.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_server_session.h"
+#include "standins/standin_options.h"
+
+namespace wisteriayoke {
+
+/// What the store does with the calls that it gets.
+enum class StoreFault {
+  kNone,
+  kSilent,      ///< It never answers.
+  kRefusing,    ///< It answers 503 and does nothing.
+  kLosing,      ///< It does what it is asked and closes without an answer.
+  kForgetting,  ///< It has lost its history; once.
+};
+
+inline constexpr auto kStoreFaultNames = MakeNamesTable<StoreFault>({
+    {StoreFault::kNone, "none"},
+    {StoreFault::kSilent, "silent"},
+    {StoreFault::kRefusing, "refusing"},
+    {StoreFault::kLosing, "losing"},
+    {StoreFault::kForgetting, "forgetting"},
+});
+
+/// Stand-in for the platform's store of rows: reads, feeds that wait, and
+/// writes under a condition.
+///
+/// PUT, GET and DELETE of /rows/TABLE/KEY act as the operator or an upstream
+/// would; PUT /fault sets the fault that its body names.
+class FakeRowStore {
+ public:
+  explicit FakeRowStore(EventLoop& loop, const StandinOptions& options = {});
+
+  void Handle(const HttpRequest& request,
+              const std::shared_ptr<HttpServerSession>& caller);
+
+  /// Writes a row as the operator or an upstream does.
+  void Put(const std::string& table, const std::string& key,
+           const std::string& value);
+
+  void Drop(const std::string& table, const std::string& key);
+
+  /// Returns the value of a row, or "".
+  std::string ValueOf(const std::string& table, const std::string& key) const;
+
+  void set_fault(StoreFault fault) { fault_ = fault; }
+  /// Calls of the platform's protocol that came.
+  int calls() const { return calls_; }
+
+ private:
+  using Json = nlohmann::json;
+  using Caller = std::shared_ptr<HttpServerSession>;
+  /// Table and key.
+  using RowName = std::pair<std::string, std::string>;
+
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool removed = false;
+  };
+
+  struct Waiter {
+    Caller caller;
+    std::string table;
+    std::uint64_t after = 0;
+    LoopTimerPtr timer;
+  };
+
+  bool HandleControl(const HttpRequest& request, const Caller& caller);
+  void HandleRow(const HttpRequest& request, const Caller& caller);
+  Json List(const std::string& table, std::uint64_t after,
+            bool with_removed) const;
+  void Answer(const Caller& caller, int status, const Json& rows) const;
+  void AnswerGet(const HttpRequest& request, const Caller& caller) const;
+  void AnswerFeed(const HttpRequest& request, const Caller& caller);
+  void EndWait(Caller caller);
+  void AnswerWaiting();
+  void AnswerWrite(const HttpRequest& request, const Caller& caller);
+
+  EventLoop& loop_;
+  std::map<RowName, Row> rows_;
+  std::uint64_t version_ = 0;
+  StoreFault fault_ = StoreFault::kNone;
+  int calls_ = 0;
+  std::vector<Waiter> waiting_;
+  std::vector<Caller> held_;  ///< Callers that get no answer.
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_STANDINS_FAKE_ROW_STORE_H_
--- a/source/standins/standin_options.cc
+++ b/source/standins/standin_options.cc
@@ -8,11 +8,26 @@
 #include "wire/table_codec.h"
 
 namespace wisteriayoke {
+namespace {
+
+/// Takes over what popt allocated, or nothing.
+std::string TakeText(char* text) {
+  std::string taken = text == nullptr ? "" : text;
+  std::free(text);
+  return taken;
+}
+
+}  // namespace
 
 std::optional<StandinOptions> ParseStandinOptions(const char* program, int argc,
                                                   const char** argv,
                                                   LastReason& reason) {
   char* listen = nullptr;
+  char* name = nullptr;
+  char* pool = nullptr;
+  char* accelerator = nullptr;
+  char* data_centre = nullptr;
+  char* store = nullptr;
   int first_layer = 0;
   int end_layer = 1;
   int slots = 8;
@@ -29,24 +44,40 @@
        "Time for one token, in microseconds", "N"},
       {"checks-fencing", 0, POPT_ARG_NONE, &checks_fencing, 0,
        "Refuse orders with an old fencing number", nullptr},
+      {"name", 0, POPT_ARG_STRING, &name, 0, "Id of the upstream", "ID"},
+      {"pool", 0, POPT_ARG_STRING, &pool, 0, "Pool that it serves", "NAME"},
+      {"accelerator", 0, POPT_ARG_STRING, &accelerator, 0,
+       "Kind of its accelerator; none for a plain service", "KIND"},
+      {"data-centre", 0, POPT_ARG_STRING, &data_centre, 0, "Where it is",
+       "NAME"},
+      {"store", 0, POPT_ARG_STRING, &store, 0, "Store to register itself in",
+       "IP:PORT"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext(program, argc, argv, table, 0);
   const int result = poptGetNextOpt(context);
-  const std::string address = listen == nullptr ? "" : listen;
-  std::free(listen);
   poptFreeContext(context);
+  StandinOptions options{.slots = static_cast<unsigned>(slots),
+                         .token_time = std::chrono::microseconds(token_us),
+                         .checks_fencing = checks_fencing != 0,
+                         .name = TakeText(name),
+                         .pool = TakeText(pool),
+                         .accelerator = TakeText(accelerator),
+                         .data_centre = TakeText(data_centre)};
+  const std::string address = TakeText(listen);
+  const std::string store_address = TakeText(store);
   if (result < -1) {
     reason.Set(ResultCode::kUsage, "unknown option: see --help.");
     return std::nullopt;
   }
   const auto endpoint = ParseEndpoint(address, reason);
   if (!endpoint) return std::nullopt;
-  return StandinOptions{.listen = *endpoint,
-                        .layers = {static_cast<std::uint32_t>(first_layer),
-                                   static_cast<std::uint32_t>(end_layer)},
-                        .slots = static_cast<unsigned>(slots),
-                        .token_time = std::chrono::microseconds(token_us),
-                        .checks_fencing = checks_fencing != 0};
+  options.listen = *endpoint;
+  options.layers = {static_cast<std::uint32_t>(first_layer),
+                    static_cast<std::uint32_t>(end_layer)};
+  if (store_address.empty()) return options;
+  options.store = ParseEndpoint(store_address, reason);
+  if (!options.store) return std::nullopt;
+  return options;
 }
 
 int ExplainStandinFailure(const char* program, const LastReason& reason) {
--- a/source/standins/standin_options.h
+++ b/source/standins/standin_options.h
@@ -18,6 +18,12 @@
   unsigned slots = 8;
   Duration token_time = std::chrono::milliseconds(5);
   bool checks_fencing = false;
+  /// What a layered worker registers itself as, and in which store.
+  std::string name;
+  std::string pool;
+  std::string accelerator;  ///< Empty for a plain service.
+  std::string data_centre;
+  std::optional<Endpoint> store;
 };
 
 /// Parses the command line of `program`. Fails with kUsage or kFieldInvalid.
