relay: a silent stream leaves a stage that leaves a question open for 60 ms

Cause: streams on a stage that goes dark paused for 0.28 to 0.83 s. Their stages are asked after 70 to 200 ms of silence; a dark one was known by the report of the stage before it, which lags by 200 ms, or after two questions of 200 ms. An answer takes a few ms, and a lost packet is repeated after 200 ms, so that a silent stream and an open question together are enough for that stream.

Change: after 60 ms the upstream is ejected, as long as it doesn't answer, and the streams that are in doubt and run on it go on elsewhere, if there is a path. The others stay. Two questions without an answer end all its work, as before. Test: a silent stream leaves an upstream that doesn't answer (fails before: it waited for the question to be given up).

--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -25,6 +25,11 @@
 constexpr Duration kTroubleInterval = std::chrono::seconds(1);
 /// How long an upstream may take to answer a question; it needs no slot.
 constexpr Duration kReportTimeout = std::chrono::milliseconds(200);
+/// How long a question may stay open before the upstream gets no new work and
+/// streams that it may hold up go on elsewhere: many times what an answer
+/// takes, and so much less than a pause that callers notice that little is lost
+/// by it.
+constexpr Duration kQuietTime = std::chrono::milliseconds(60);
 /// Questions in a row without an answer after which an upstream is suspected;
 /// a single one may be the loss of a packet.
 constexpr unsigned kMostUnanswered = 2;
@@ -107,7 +112,7 @@
       [weak = weak_from_this()](const std::vector<UpstreamName>& doubted) {
         const auto self = weak.lock();
         if (!self) return;
-        for (const auto& name : doubted) self->Ask(name, kDoubtInterval);
+        for (const auto& name : doubted) self->Doubt(name);
       });
   sessions_.push_back(session);
   session->Start();
@@ -226,6 +231,15 @@
   }
 }
 
+/// Asks an upstream that may hold up a stream, or, if it hasn't answered for a
+/// while, lets the stream go on elsewhere.
+void RelayFront::Doubt(const UpstreamName& upstream) {
+  Ask(upstream, kDoubtInterval);
+  const Question& question = questions_[upstream];
+  const Duration open = context_.loop.Now() - question.asked_at;
+  if (question.pending && open >= kQuietTime) TellQuiet(upstream);
+}
+
 /// Asks `upstream` for its report unless it was asked less than `interval` ago.
 void RelayFront::Ask(const UpstreamName& upstream, Duration interval) {
   const TimePoint now = context_.loop.Now();
@@ -241,6 +255,8 @@
   const FleetEntry* entry = context_.state.relay.fleet.Find(upstream);
   if (entry == nullptr) return Suspect(upstream, "its entry is gone");
   questions_[upstream].pending = true;
+  questions_[upstream].quiet_timer = context_.loop.Schedule(
+      kQuietTime, [this, upstream] { TellQuiet(upstream); });
   HttpCallLimits limits;
   limits.connect_timeout = kReportTimeout;
   limits.idle_timeout = kReportTimeout;
@@ -253,10 +269,19 @@
              });
 }
 
+/// Takes in that `upstream` has left a question open for `kQuietTime`.
+void RelayFront::TellQuiet(const UpstreamName& upstream) {
+  RecordSuspect(upstream, "it left a question open");
+  for (const auto& weak : std::vector(sessions_)) {
+    if (const auto session = weak.lock()) session->HandleQuiet(upstream);
+  }
+}
+
 void RelayFront::HandleReport(const UpstreamName& upstream,
                               const FetchResult& result) {
   Question& question = questions_[upstream];
   question.pending = false;
+  question.quiet_timer.reset();
   LastReason reason;
   const auto report = ParseReport(result.response.body, reason);
   if (result.code != ResultCode::kOk || !report) {
@@ -285,12 +310,17 @@
   Suspect(upstream, why);
 }
 
-void RelayFront::Suspect(const UpstreamName& upstream, const std::string& why) {
+void RelayFront::RecordSuspect(const UpstreamName& upstream,
+                               const std::string& why) {
   DaemonState& state = context_.state;
   state.upstreams.Eject(upstream, context_.loop.Now());
   state.timeline.Record(LogLevel::kWarning, EventKind::kUpstreamSuspected,
                         ResultCode::kUpstreamFailed,
                         {{"upstream", upstream.text()}, {"reason", why}});
+}
+
+void RelayFront::Suspect(const UpstreamName& upstream, const std::string& why) {
+  RecordSuspect(upstream, why);
   for (const auto& weak : std::vector(sessions_)) {
     if (const auto session = weak.lock()) session->HandleSuspect(upstream);
   }
--- a/source/supervisor/relay/relay_front.h
+++ b/source/supervisor/relay/relay_front.h
@@ -37,10 +37,13 @@
   void FollowMembers();
   void ShareBudgets();
   void FollowTroubled();
+  void Doubt(const UpstreamName& upstream);
   void Ask(const UpstreamName& upstream, Duration interval);
   void SendQuestion(const UpstreamName& upstream);
+  void TellQuiet(const UpstreamName& upstream);
   void HandleReport(const UpstreamName& upstream, const FetchResult& result);
   void HandleNoReport(const UpstreamName& upstream, const std::string& why);
+  void RecordSuspect(const UpstreamName& upstream, const std::string& why);
   void Suspect(const UpstreamName& upstream, const std::string& why);
 
   DaemonContext context_;
@@ -51,6 +54,7 @@
   struct Question {
     TimePoint asked_at;
     bool pending = false;
+    LoopTimerPtr quiet_timer;
     unsigned unanswered = 0;  ///< In a row.
   };
   std::map<UpstreamName, Question> questions_;
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -353,10 +353,24 @@
   avoided_ = before;
 }
 
-void RelaySession::HandleSuspect(const UpstreamName& upstream) {
-  if (ended_ || !target_ || target_->chain.empty()) return;
+bool RelaySession::RunsOn(const UpstreamName& upstream) const {
+  if (ended_ || !target_ || target_->chain.empty()) return false;
   const auto names = target_->ListUpstreams();
-  if (std::find(names.begin(), names.end(), upstream) == names.end()) return;
+  return std::find(names.begin(), names.end(), upstream) != names.end();
+}
+
+void RelaySession::HandleQuiet(const UpstreamName& upstream) {
+  if (!doubted_at_ || !RunsOn(upstream)) return;
+  avoided_.insert(upstream);
+  const RelayPool* pool = request_.tables->FindPool(request_.pool);
+  const bool elsewhere =
+      pool != nullptr &&
+      ChooseTarget(context_, *pool, ListShunned(), 0).target.has_value();
+  if (elsewhere) LoseAttempt(ResultCode::kTimedOut, false);
+}
+
+void RelaySession::HandleSuspect(const UpstreamName& upstream) {
+  if (!RunsOn(upstream)) return;
   excluded_.insert(upstream);
   LoseAttempt(ResultCode::kUpstreamFailed, upstream == target_->upstream);
 }
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -45,6 +45,10 @@
   /// Looks whether the attempt makes progress; fed several times a second.
   void CheckProgress();
 
+  /// Takes in that `upstream` has left a question open; a stream that is silent
+  /// at the same time goes on without it.
+  void HandleQuiet(const UpstreamName& upstream);
+
   /// Takes in that `upstream` is dead or cut off.
   void HandleSuspect(const UpstreamName& upstream);
 
@@ -76,6 +80,7 @@
   std::set<UpstreamName> ListShunned() const;
   TargetChoice Choose(const RelayPool& pool) const;
   Duration DoubtAfter() const;
+  bool RunsOn(const UpstreamName& upstream) const;
   void GiveUpAttempt();
   void LoseAttempt(ResultCode code, bool upstream_gone);
   UpstreamName FindCulprit(const AnswerFields& fields) const;
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -55,6 +55,8 @@
       answers;
   LoopTimerPtr timer;  ///< Of an answer that comes later.
   std::string report = R"({"Sequence":1})";
+  std::vector<CallerPtr> unanswered;  ///< Questions that are left open.
+  bool answers_questions = true;
   FakeServer first{loop, TestPorts::kUpstream,
                    [this](const HttpRequest& request, const CallerPtr& caller) {
                      Handle(request, caller);
@@ -85,6 +87,7 @@
 
   void Handle(const HttpRequest& request, const CallerPtr& caller) {
     if (request.target == "/-/report") {
+      if (!answers_questions) return unanswered.push_back(caller);
       return caller->Respond({{200, {}}, report});
     }
     seen.push_back(request);
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -241,6 +241,34 @@
         UpstreamHealth::kHealthy);
 }
 
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a silent stream leaves an upstream that doesn't answer") {
+  answers_questions = false;
+  std::vector<std::string> reasons;  // Up to the second attempt.
+  answers = {[](const HttpRequest& request, const CallerPtr& caller) {
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(1) + MakeEvent(2));
+             },
+             [&](const HttpRequest& request, const CallerPtr& caller) {
+               for (const auto& event : state.timeline.events()) {
+                 if (event.kind != EventKind::kUpstreamSuspected) continue;
+                 for (const auto& field : event.fields) {
+                   if (field.first == "reason") reasons.push_back(field.second);
+                 }
+               }
+               answers_questions = true;
+               caller->StartStream(MakeSealed(request, 200, "").head);
+               caller->WritePiece(MakeEvent(3));
+               caller->EndStream();
+             }};
+  const FetchResult result = Call("/tale/1");
+  CHECK(result.response.body == MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
+  REQUIRE(seen.size() == 2);
+  CHECK(FindField(seen[1].fields, "Last-Event-Id") == "2");
+  // It went on before the question was given up.
+  CHECK(reasons == std::vector<std::string>{"it left a question open"});
+}
+
 TEST_CASE_FIXTURE(RelayFixture, "a stream that was begun waits for a path") {
   LoopTimerPtr back;
   answers = {[&](const HttpRequest& request, const CallerPtr& caller) {
