layers: spread prompts that are read at once over several paths

Cause: when a stage goes dark its sixty streams go on elsewhere within a few ms, and all of them took the path that was cheapest before: their prompts were read one after the other, and the pauses were 205 to 459 ms although the stage was known after 118 ms.

Test: thirty prompts at once are spread over three paths.

--- a/source/decisions/layer_path.cc
+++ b/source/decisions/layer_path.cc
@@ -20,6 +20,11 @@
 /// ones cost a sixteenth of it, so that the fastest path is taken at low load
 /// and the load is spread over all paths before any is full.
 constexpr double kCrowding = 3.0;
+/// Cost of each prompt that is read before this one, on the whole model at
+/// factor
+/// 1. It counts once against the objective of the first event, a step at each
+/// token: one that takes 4 ms to read costs as much as half a step more.
+constexpr double kReadingCost = 0.55;
 /// How steeply that cost rises with the load.
 constexpr double kCrowdingPower = 4.0;
 
@@ -124,8 +129,10 @@
     const LayerRange& held = upstream.layers;
     if (held.first >= held.end || held.first >= layer_count_) return;
     const double load = LoadOf(candidate);
-    const double step = candidate.step_factor * candidate.pace +
-                        crowding_cost_ * std::pow(load, kCrowdingPower);
+    const double step =
+        candidate.step_factor * candidate.pace +
+        crowding_cost_ * std::pow(load, kCrowdingPower) +
+        kReadingCost * candidate.reading * candidate.read_factor;
     starting_at_[CutAt(held.first)].push_back(
         {.candidate = &candidate,
          .centre = centres_.try_emplace(upstream.data_centre, centres_.size())
--- a/source/decisions/layered_model.h
+++ b/source/decisions/layered_model.h
@@ -11,6 +11,7 @@
 struct Accelerator {
   double memory_mb = 0;
   double step_factor = 1;  ///< Time of a token step, against the model's.
+  double read_factor = 1;  ///< Time to read a prompt, against the model's.
 };
 
 /// A model whose layers are spread over several upstreams.
--- a/source/decisions/upstream_book.cc
+++ b/source/decisions/upstream_book.cc
@@ -65,6 +65,15 @@
   ++states_[name].in_flight;
 }
 
+void UpstreamBook::RecordReading(const UpstreamName& name) {
+  ++states_[name].reading;
+}
+
+void UpstreamBook::RecordRead(const UpstreamName& name) {
+  UpstreamState& state = states_[name];
+  if (state.reading > 0) --state.reading;
+}
+
 void UpstreamBook::RecordEnd(const UpstreamName& name) {
   UpstreamState& state = states_[name];
   if (state.in_flight > 0) --state.in_flight;
@@ -122,8 +131,9 @@
 }
 
 void UpstreamBook::Reset(const UpstreamName& name) {
-  const std::uint32_t in_flight = StateOf(name).in_flight;
-  states_[name] = UpstreamState{.in_flight = in_flight};
+  const UpstreamState& former = StateOf(name);
+  states_[name] =
+      UpstreamState{.in_flight = former.in_flight, .reading = former.reading};
 }
 
 void UpstreamBook::RecordPace(const UpstreamName& name, double pace,
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -163,8 +163,10 @@
   ++attempts_;
   path_ = target.Describe();
   course_.RecordSent();
+  reading_ = true;
   for (const auto& name : target.ListUpstreams()) {
     context_.state.upstreams.RecordStart(name);
+    context_.state.upstreams.RecordReading(name);
   }
   HttpCallLimits limits;
   limits.message.open_ended = true;
@@ -238,6 +240,7 @@
     text += event.text;
   }
   if (events.empty()) return;
+  EndReading();
   progress_at_ = context_.loop.Now();
   doubted_at_.reset();
   Forward(text);
@@ -398,12 +401,20 @@
 
 void RelaySession::EndAttempt(AttemptVerdict verdict) {
   if (!target_) return;
+  EndReading();
   for (const auto& name : target_->ListUpstreams()) EndWork(name, verdict);
   target_.reset();
   if (call_) call_->Cancel();
   call_.reset();
 }
 
+void RelaySession::EndReading() {
+  if (!std::exchange(reading_, false)) return;
+  for (const auto& name : target_->ListUpstreams()) {
+    context_.state.upstreams.RecordRead(name);
+  }
+}
+
 void RelaySession::EndWork(const UpstreamName& upstream,
                            AttemptVerdict verdict) {
   UpstreamBook& book = context_.state.upstreams;
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -89,6 +89,7 @@
   enum class AttemptVerdict { kGood, kPoor, kNone };
 
   void EndAttempt(AttemptVerdict verdict);
+  void EndReading();
   void EndWork(const UpstreamName& upstream, AttemptVerdict verdict);
   void Decide(const CourseEvent& event);
   void Carry(const SendAgain& action);
@@ -113,6 +114,7 @@
   std::set<UpstreamName> excluded_;    ///< Those that failed this request.
   std::set<UpstreamName> avoided_;     ///< Those that may have held it up.
   std::optional<RelayTarget> target_;  ///< Of the attempt under way.
+  bool reading_ = false;  ///< Whether its prompt may still be being read.
   std::shared_ptr<HttpClientCall> call_;
   HttpResponseHead head_;      ///< Of the attempt's answer.
   std::optional<int> status_;  ///< Of that answer, once it has come.
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -48,10 +48,12 @@
     candidates.push_back(
         {.upstream = &upstream,
          .step_factor = kind->second.step_factor,
+         .read_factor = kind->second.read_factor,
          .pace = pace,
          .limit = CountPlaces(*pool.model, kind->second, upstream, pace),
          .in_flight =
-             state.upstreams.CountInFlight(upstream.name, state.peer_loads)});
+             state.upstreams.CountInFlight(upstream.name, state.peer_loads),
+         .reading = state.upstreams.StateOf(upstream.name).reading});
   }
   return candidates;
 }
--- a/tests/decisions/layer_path_test.cc
+++ b/tests/decisions/layer_path_test.cc
@@ -136,6 +136,29 @@
   CHECK(chosen(85) == UpstreamName("u0"));
 }
 
+TEST_CASE("prompts that are read at once are spread over several paths") {
+  const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 12, "a"),
+                                               MakeUpstream(1, 0, 12, "a"),
+                                               MakeUpstream(2, 0, 12, "a")};
+  auto candidates = MakeCandidates(upstreams);
+  for (auto& candidate : candidates) {
+    candidate.limit = 100;
+    candidate.step_factor = 16;
+    candidate.read_factor = 8;
+  }
+  candidates[0].step_factor = 8;
+  for (int i = 0; i < 30; ++i) {
+    const Chain chain = ChoosePath(kLayers, candidates).chain;
+    REQUIRE(chain.size() == 1);
+    for (auto& candidate : candidates) {
+      if (candidate.upstream->name != chain[0].upstream) continue;
+      ++candidate.in_flight;
+      ++candidate.reading;
+    }
+  }
+  for (const auto& candidate : candidates) CHECK(candidate.reading >= 9);
+}
+
 TEST_CASE("a fast upstream inside the range of a slow one isn't gone around") {
   const std::vector<UpstreamSpec> upstreams = {MakeUpstream(0, 0, 12, "a"),
                                                MakeUpstream(1, 2, 10, "a")};
