--- a/tests/decisions/quarantine_test.cc
+++ b/tests/decisions/quarantine_test.cc
@@ -75,7 +75,8 @@
   int LostTo(const std::string& fingerprint) { return lost_[fingerprint]; }
 
   /// Returns how many upstreams `fingerprint` may cost: two, or as many as it
-  /// crashed at daemons that couldn't know of a crash before, if these are more.
+  /// crashed at daemons that couldn't know of a crash before, if these are
+  /// more.
   int MostLostTo(const std::string& fingerprint) {
     return std::max(2, unforeseen_[fingerprint]);
   }
@@ -356,8 +357,8 @@
   // Two daemons tell of one crash; it counts once.
   quarantine.Learn(SuspectRumour{"f", upstream, {}, 5}, start);
   CHECK(quarantine.Judge("f", start) == RunPermit::kTrial);
-  const SuspectRumour second{.fingerprint = "f", .upstream = upstream,
-                             .trial = true};
+  const SuspectRumour second{
+      .fingerprint = "f", .upstream = upstream, .trial = true};
   quarantine.Learn(second, start + std::chrono::milliseconds(1600));
   CHECK(quarantine.Judge("f", start + std::chrono::milliseconds(1600)) ==
         RunPermit::kRefused);
