placement: don't call an unreachable store's answer a damaged lease record

Only answers that carry a record are parsed now; the decisions are the same.

Also a comment in layer_path.cc that the formatter had broken in two.

--- a/source/decisions/layer_path.cc
+++ b/source/decisions/layer_path.cc
@@ -20,13 +20,12 @@
 /// ones cost a sixteenth of it, so that the fastest path is taken at low load
 /// and the load is spread over all paths before any is full.
 constexpr double kCrowding = 3.0;
-/// Cost of each prompt that is read before this one, on the whole model at
-/// factor
-/// 1. It counts once against the objective of the first event, a step at each
-/// token: one that takes 4 ms to read costs as much as half a step more.
-constexpr double kReadingCost = 0.55;
 /// How steeply that cost rises with the load.
 constexpr double kCrowdingPower = 4.0;
+/// Cost of each prompt that is read before this one, by the whole model at the
+/// factor one. It counts once against the objective of the first event, a step
+/// counts at each token: one that takes 4 ms to read costs about half a step.
+constexpr double kReadingCost = 0.55;
 
 double LoadOf(const PathCandidate& candidate) {
   return static_cast<double>(candidate.in_flight) /
--- a/source/supervisor/placement/pool_placement.cc
+++ b/source/supervisor/placement/pool_placement.cc
@@ -39,6 +39,9 @@
   if (reply.code == ResultCode::kObjectMissing && !write) {
     return LeaseRead{operation};
   }
+  const bool has_record =
+      reply.code == ResultCode::kOk || reply.code == ResultCode::kStoreConflict;
+  if (!has_record) return LeaseCallFailed{operation};
   auto record = ParseLeaseRecord(reply.value, reason);
   if (record && reply.code == ResultCode::kOk) {
     return LeaseRead{operation, std::move(record), reply.version};
