--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,5 +8,8 @@
   exit
 fi
 clang-format --dry-run --Werror "${files[@]}" || exit 1
-printf '%s\n' "${files[@]}" | grep '\.cc$' | grep -v '_implementation\.cc$' |
-  xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p build/release 2>/dev/null
+# The largest files first, so that no core is left with one of them at the end.
+mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cc$' |
+  grep -v '_implementation\.cc$')
+du -b "${sources[@]}" | sort -rn | cut -f 2 |
+  xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build/release 2>/dev/null
--- a/source/decisions/quarantine.cc
+++ b/source/decisions/quarantine.cc
@@ -5,8 +5,6 @@
 namespace wisteriayoke {
 namespace {
 
-/// Crashes after which a request is refused.
-constexpr std::size_t kCrashLimit = 2;
 /// Reports of one upstream's crash that are closer than this are one crash.
 constexpr Duration kSameCrashWindow = std::chrono::seconds(2);
 constexpr Duration kRenewInterval = std::chrono::milliseconds(500);
@@ -23,7 +21,7 @@
   if (suspect.crashes.back().time + limits_.lifetime <= now) {
     return RunPermit::kShared;
   }
-  if (suspect.crashes.size() >= kCrashLimit) return RunPermit::kRefused;
+  if (suspect.crashes.size() >= limits_.crashes) return RunPermit::kRefused;
   return suspect.cleared ? RunPermit::kShared : RunPermit::kTrial;
 }
 
--- a/source/decisions/quarantine.h
+++ b/source/decisions/quarantine.h
@@ -22,7 +22,7 @@
 enum class RunPermit {
   kShared,   ///< With any others.
   kTrial,    ///< Away from other suspects, on one daemon at a time.
-  kRefused,  ///< Not at all: it crashed two upstreams.
+  kRefused,  ///< Not at all: it crashed as many upstreams as are allowed.
 };
 
 inline constexpr auto kRunPermitNames = MakeNamesTable<RunPermit>({
@@ -51,6 +51,8 @@
 struct QuarantineLimits {
   /// Time after its last crash until a request's content is forgotten.
   Duration lifetime = std::chrono::hours(1);
+  /// Crashes after which a request is refused.
+  std::size_t crashes = 2;
   std::size_t suspects = 4096;
 };
 
--- a/source/decisions/retry_budget.cc
+++ b/source/decisions/retry_budget.cc
@@ -3,7 +3,7 @@
 namespace wisteriayoke {
 
 void RetryBudget::RecordRequest() {
-  balance_ = std::min(max_balance_, balance_ + kShare);
+  balance_ = std::min(limits_.max_balance, balance_ + limits_.share);
 }
 
 RetryVerdict RetryBudget::TakeRetry(const RetryQuestion& question) {
--- a/source/decisions/retry_budget.h
+++ b/source/decisions/retry_budget.h
@@ -26,15 +26,22 @@
   bool may_have_run = true;
 };
 
+/// Bounds of one pool's budget.
+struct RetryLimits {
+  /// Retries that each first attempt allows: a fifth, the usual bound on what
+  /// retries may add to a load.
+  double share = 0.2;
+  /// Most retries that can be saved up; also what a new budget holds, so that
+  /// the loss of one instance's requests is covered.
+  double max_balance = 64.0;
+};
+
 /// Bounds retries and hedges of a pool to a share of its first attempts, so
 /// that a failing pool isn't loaded further by its own failures.
 class RetryBudget {
  public:
-  /// Retries that each first attempt allows.
-  static constexpr double kShare = 0.2;
-  /// Most retries that can be saved up; also what a new budget holds, so that
-  /// the loss of one instance's requests is covered.
-  static constexpr double kMaxBalance = 64.0;
+  explicit RetryBudget(RetryLimits limits = {})
+      : limits_(limits), balance_(limits.max_balance) {}
 
   /// Counts a first attempt.
   void RecordRequest();
@@ -48,15 +55,15 @@
 
   double balance() const { return balance_; }
 
-  /// Bounds what can be saved up, for a budget that several daemons share.
-  void set_max_balance(double max_balance) {
-    max_balance_ = max_balance;
-    balance_ = std::min(balance_, max_balance);
+  /// Sets other bounds, for a budget that several daemons share.
+  void set_limits(RetryLimits limits) {
+    limits_ = limits;
+    balance_ = std::min(balance_, limits.max_balance);
   }
 
  private:
-  double max_balance_ = kMaxBalance;
-  double balance_ = kMaxBalance;
+  RetryLimits limits_;
+  double balance_;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -17,6 +17,7 @@
   Fleet fleet;
   bool fleet_known = false;  ///< Whether the list of upstreams was read.
   Freshness freshness;       ///< Of `tables`.
+  RetryLimits retry_limits;  ///< This daemon's share of each pool's.
   std::map<PoolName, RetryBudget> budgets;
   LinkBudget links;         ///< Between data centres.
   double most_daemons = 1;  ///< Most members that were seen at a time.
--- a/source/supervisor/front/suspect_guard.cc
+++ b/source/supervisor/context/suspect_guard.cc
@@ -1,15 +1,33 @@
-#include "supervisor/front/suspect_guard.h"
+#include "supervisor/context/suspect_guard.h"
 
 #include <utility>
 
 namespace wisteriayoke {
 
+RumourExchange::Subscription FollowSuspects(const DaemonContext& context) {
+  return context.state.rumours.Subscribe([context](const Rumour& rumour) {
+    Quarantine& quarantine = context.state.quarantine;
+    const TimePoint now = context.loop.Now();
+    if (const auto* suspect = std::get_if<SuspectRumour>(&rumour)) {
+      quarantine.Learn(*suspect, now);
+    }
+    if (const auto* trial = std::get_if<TrialRumour>(&rumour)) {
+      quarantine.Learn(*trial, now);
+    }
+  });
+}
+
 SuspectGuard::SuspectGuard(DaemonContext context, std::string fingerprint,
                            RequestId request)
     : context_(context),
       fingerprint_(std::move(fingerprint)),
       request_(std::move(request)) {}
 
+bool SuspectGuard::IsRefused() const {
+  return context_.state.quarantine.Judge(fingerprint_, context_.loop.Now()) ==
+         RunPermit::kRefused;
+}
+
 TrialDecision SuspectGuard::Advance(const TrialChainChooser& choose) {
   DaemonState& state = context_.state;
   TrialDecision decision = state.quarantine.Advance(
--- a/source/supervisor/front/suspect_guard.h
+++ b/source/supervisor/context/suspect_guard.h
@@ -1,5 +1,5 @@
-#ifndef WISTERIAYOKE_SUPERVISOR_FRONT_SUSPECT_GUARD_H_
-#define WISTERIAYOKE_SUPERVISOR_FRONT_SUSPECT_GUARD_H_
+#ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_SUSPECT_GUARD_H_
+#define WISTERIAYOKE_SUPERVISOR_CONTEXT_SUSPECT_GUARD_H_
 
 #include <string>
 #include <vector>
@@ -10,6 +10,11 @@
 
 namespace wisteriayoke {
 
+/// Hands what peers tell of suspects to the daemon's quarantine for as long as
+/// the subscription is held.
+[[nodiscard]] RumourExchange::Subscription FollowSuspects(
+    const DaemonContext& context);
+
 /// Connects one request with the daemon's quarantine: reports what happens to
 /// the request, and tells the peers and the time line what follows.
 class SuspectGuard {
@@ -17,6 +22,9 @@
   SuspectGuard(DaemonContext context, std::string fingerprint,
                RequestId request);
 
+  /// Tells whether the request must not run at all.
+  bool IsRefused() const;
+
   /// Decides whether the request runs now and on which chain.
   TrialDecision Advance(const TrialChainChooser& choose);
 
@@ -45,4 +53,4 @@
 
 }  // namespace wisteriayoke
 
-#endif  // WISTERIAYOKE_SUPERVISOR_FRONT_SUSPECT_GUARD_H_
+#endif  // WISTERIAYOKE_SUPERVISOR_CONTEXT_SUSPECT_GUARD_H_
--- a/source/supervisor/front/front_end.cc
+++ b/source/supervisor/front/front_end.cc
@@ -73,25 +73,10 @@
       },
       reason);
   if (!server_) return false;
-  FollowSuspects();
+  rumours_ = FollowSuspects(context_);
   return true;
 }
 
-/// Hands what peers tell of suspects to the quarantine.
-void FrontEnd::FollowSuspects() {
-  rumours_ = context_.state.rumours.Subscribe(
-      [context = context_](const Rumour& rumour) {
-        Quarantine& quarantine = context.state.quarantine;
-        const TimePoint now = context.loop.Now();
-        if (const auto* suspect = std::get_if<SuspectRumour>(&rumour)) {
-          quarantine.Learn(*suspect, now);
-        }
-        if (const auto* trial = std::get_if<TrialRumour>(&rumour)) {
-          quarantine.Learn(*trial, now);
-        }
-      });
-}
-
 void FrontEnd::Stop(std::function<void()> done) {
   server_->StopAccepting();
   server_->Drain([self = shared_from_this(), done = std::move(done)] {
--- a/source/supervisor/front/front_end.h
+++ b/source/supervisor/front/front_end.h
@@ -50,7 +50,6 @@
              std::function<void(AdmissionTicketPtr)> start);
   void WaitForClaims(std::function<void()> done);
   RequestId NextRequestId();
-  void FollowSuspects();
 
   DaemonContext context_;
   TableServiceFinder table_service_;
--- a/source/supervisor/front/model_session.h
+++ b/source/supervisor/front/model_session.h
@@ -13,9 +13,9 @@
 #include "runtime/http_server_session.h"
 #include "supervisor/context/answer_timer.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/context/suspect_guard.h"
 #include "supervisor/front/admission_ticket.h"
 #include "supervisor/front/completion_writer.h"
-#include "supervisor/front/suspect_guard.h"
 #include "wire/completion_codec.h"
 #include "wire/engine_codec.h"
 
--- a/source/supervisor/relay/relay_front.cc
+++ b/source/supervisor/relay/relay_front.cc
@@ -6,6 +6,7 @@
 
 #include "platform/fleet_codec.h"
 #include "supervisor/context/server_limits.h"
+#include "supervisor/context/suspect_guard.h"
 #include "supervisor/relay/relay_refusal.h"
 
 namespace wisteriayoke {
@@ -33,10 +34,19 @@
 /// while they differ about who is a member.
 constexpr double kSlackShare = 0.8;
 
+/// Returns the number of daemons that the settings name, this one included.
+double CountListedDaemons(const Settings& settings) {
+  const auto seeds = settings.EndpointsOf(SettingKey::kPeerSeeds);
+  std::set<Endpoint> daemons(seeds.begin(), seeds.end());
+  daemons.insert(settings.EndpointOf(SettingKey::kPeersAddress));
+  return static_cast<double>(daemons.size());
+}
+
 }  // namespace
 
-RelayFront::RelayFront(DaemonContext context, FailureHandler on_failure)
-    : context_(context), on_failure_(std::move(on_failure)) {}
+RelayFront::RelayFront(DaemonContext context,
+                       const FailureHandler& /*on_failure*/)
+    : context_(context) {}
 
 bool RelayFront::Start(LastReason& reason) {
   server_ = HttpServer::Create(
@@ -54,6 +64,11 @@
       },
       reason);
   if (!server_) return false;
+  rumours_ = FollowSuspects(context_);
+  RelayState& relay = context_.state.relay;
+  relay.most_daemons =
+      std::max(relay.most_daemons, CountListedDaemons(context_.settings));
+  ShareBudgets();
   WatchSessions();
   return true;
 }
@@ -155,19 +170,29 @@
     if (const auto session = weak.lock()) session->CheckProgress();
   }
   FollowTroubled();
+  FollowMembers();
+}
+
+/// Shares the budgets out anew if more daemons are known than ever before; one
+/// that is only cut off from this daemon may still spend its share.
+void RelayFront::FollowMembers() {
+  DaemonState& state = context_.state;
+  const auto daemons = static_cast<double>(1 + state.peer_loads.CountDaemons());
+  if (daemons <= state.relay.most_daemons) return;
+  state.relay.most_daemons = daemons;
   ShareBudgets();
 }
 
 /// Gives each pool's budget this daemon's share of the slack.
 void RelayFront::ShareBudgets() {
-  DaemonState& state = context_.state;
-  const double slack = context_.settings.Decimal(SettingKey::kRetrySlack);
-  const double daemons =
-      static_cast<double>(1 + state.peer_loads.CountDaemons());
-  const double most = std::max(state.relay.most_daemons, daemons);
-  state.relay.most_daemons = most;
-  for (auto& [pool, budget] : state.relay.budgets) {
-    budget.set_max_balance(kSlackShare * slack / most);
+  const Settings& settings = context_.settings;
+  RelayState& relay = context_.state.relay;
+  const double slack = settings.Decimal(SettingKey::kRetrySlack);
+  relay.retry_limits = {
+      .share = settings.Decimal(SettingKey::kRetryRatio),
+      .max_balance = kSlackShare * slack / relay.most_daemons};
+  for (auto& [pool, budget] : relay.budgets) {
+    budget.set_limits(relay.retry_limits);
   }
 }
 
--- a/source/supervisor/relay/relay_front.h
+++ b/source/supervisor/relay/relay_front.h
@@ -17,7 +17,7 @@
 /// request, and watches over the sessions. A child of the root.
 class RelayFront : public std::enable_shared_from_this<RelayFront> {
  public:
-  RelayFront(DaemonContext context, FailureHandler on_failure);
+  RelayFront(DaemonContext context, const FailureHandler& on_failure);
 
   bool Start(LastReason& reason);
   /// Goes on accepting until the balancer has noticed the stop, then finishes
@@ -33,6 +33,7 @@
   void Refuse(const CallerFields& fields, const CallerPtr& caller,
               ResultCode code);
   void WatchSessions();
+  void FollowMembers();
   void ShareBudgets();
   void FollowTroubled();
   void Ask(const UpstreamName& upstream, Duration interval);
@@ -42,8 +43,8 @@
   void Suspect(const UpstreamName& upstream, const std::string& why);
 
   DaemonContext context_;
-  FailureHandler on_failure_;
   std::shared_ptr<HttpServer> server_;
+  RumourExchange::Subscription rumours_;
   std::vector<std::weak_ptr<RelaySession>> sessions_;
   /// What was asked of an upstream.
   struct Question {
--- a/source/supervisor/relay/relay_refusal.cc
+++ b/source/supervisor/relay/relay_refusal.cc
@@ -7,8 +7,12 @@
 HttpResponse BuildRefusal(const std::string& attempt_id, ResultCode code,
                           Duration retry_after) {
   const ResultCodeInfo& info = DescribeResultCode(code);
+  // Callers take a 4xx for their own mistake, but the request may be proper.
+  const int status = code == ResultCode::kQuarantined
+                         ? DescribeResultCode(ResultCode::kNotReady).http_status
+                         : info.http_status;
   return BuildOwnAnswer(
-      info.http_status, attempt_id,
+      status, attempt_id,
       std::string(info.name) + ": " + std::string(info.remedy), retry_after);
 }
 
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -5,6 +5,7 @@
 
 #include "base/overloaded.h"
 #include "supervisor/relay/relay_refusal.h"
+#include "wire/digest.h"
 
 namespace wisteriayoke {
 namespace {
@@ -50,6 +51,14 @@
   return text;
 }
 
+/// Returns what requests of one caller with the same content have in common.
+std::string ComputeFingerprint(const RelayedRequest& relayed) {
+  const HttpRequest& request = relayed.request;
+  return ComputeDigest(request.method + "\n" + relayed.fields.host + "\n" +
+                       request.target + "\n" + relayed.workspace.text() + "\n" +
+                       request.body);
+}
+
 /// Tells whether callers take the status for a promise that nothing has run.
 bool PromisesNotRun(int status) {
   return status == kStatusTimeout || status == kStatusMisdirected ||
@@ -65,6 +74,8 @@
       on_doubt_(std::move(on_doubt)),
       course_({.repeatable = request_.route.repeatable(),
                .max_attempts = request_.route.max_attempts}),
+      guard_(context, ComputeFingerprint(request_),
+             RequestId(request_.fields.attempt_id)),
       arrived_(context.loop.Now()) {
   time_limit_ = request_.route.timeout;
   if (request_.fields.deadline) {
@@ -73,7 +84,9 @@
 }
 
 RetryBudget& RelaySession::Budget() {
-  return context_.state.relay.budgets[request_.pool];
+  RelayState& relay = context_.state.relay;
+  return relay.budgets.try_emplace(request_.pool, relay.retry_limits)
+      .first->second;
 }
 
 Duration RelaySession::TimeLeft() const {
@@ -110,6 +123,7 @@
       !state.relay.freshness.AllowsKeys(context_.loop.BootNow())) {
     return Decide(NoTarget{ResultCode::kNotReady});
   }
+  if (guard_.IsRefused()) return Decide(NoTarget{ResultCode::kQuarantined});
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
   if (pool == nullptr) return Decide(NoTarget{});
   const TargetChoice choice = Choose(*pool);
@@ -130,14 +144,18 @@
          context_.loop.Now() - *waiting_since_ < kLongestPathWait;
 }
 
+std::set<UpstreamName> RelaySession::ListShunned() const {
+  std::set<UpstreamName> all = excluded_;
+  all.insert(avoided_.begin(), avoided_.end());
+  return all;
+}
+
 /// Chooses a target without those that may have held the request up, if there
 /// is one, but in any case without those that failed it.
 TargetChoice RelaySession::Choose(const RelayPool& pool) const {
   const double tokens = request_.fields.prompt_tokens;
   if (!avoided_.empty()) {
-    std::set<UpstreamName> all = excluded_;
-    all.insert(avoided_.begin(), avoided_.end());
-    TargetChoice choice = ChooseTarget(context_, pool, all, tokens);
+    TargetChoice choice = ChooseTarget(context_, pool, ListShunned(), tokens);
     if (choice.target) return choice;
   }
   return ChooseTarget(context_, pool, excluded_, tokens);
@@ -175,9 +193,12 @@
                        .time_left = TimeLeft(),
                        .chain = target.chain};
   if (last_event_) fields.last_event_id = std::to_string(*last_event_);
-  HttpRequest attempt = request_.request;
-  attempt.fields = BuildAttemptFields(request_.request.fields, fields);
-  return attempt;
+  const HttpRequest& request = request_.request;
+  return {.method = request.method,
+          .target = request.target,
+          .fields = BuildAttemptFields(request.fields, fields),
+          .body = request.body,
+          .keep_alive = request.keep_alive};
 }
 
 void RelaySession::HandleCall(CallEvent event) {
@@ -291,6 +312,8 @@
     return RejectAttempt(failure.code, upstream);
   }
   const RelayTarget target = *target_;
+  guard_.HandleBreak(target.upstream, failure.code,
+                     static_cast<TokenIndex>(last_event_.value_or(0)));
   LoseAttempt(failure.code, false);
   if (!target.chain.empty()) on_doubt_({target.upstream});
 }
@@ -321,10 +344,9 @@
 void RelaySession::GiveUpAttempt() {
   const std::set<UpstreamName> before = avoided_;
   for (const auto& name : target_->ListUpstreams()) avoided_.insert(name);
-  std::set<UpstreamName> all = excluded_;
-  all.insert(avoided_.begin(), avoided_.end());
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
-  if (pool != nullptr && ChooseTarget(context_, *pool, all, 0).target) {
+  if (pool != nullptr &&
+      ChooseTarget(context_, *pool, ListShunned(), 0).target) {
     return LoseAttempt(ResultCode::kTimedOut, false);
   }
   avoided_ = before;
@@ -438,6 +460,7 @@
                         context_.loop.Now() - arrived_);
   const bool good = code == ResultCode::kOk || code == ResultCode::kCancelled;
   if (!good) return Record(LogLevel::kWarning, EventKind::kRequestFailed, code);
+  if (code == ResultCode::kOk) guard_.HandleAnswered();
   if (IsLate()) {
     return Record(LogLevel::kWarning, EventKind::kRequestLate, code);
   }
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -13,6 +13,7 @@
 #include "runtime/http_client_call.h"
 #include "runtime/http_server_session.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/context/suspect_guard.h"
 #include "supervisor/relay/relay_target.h"
 #include "wire/event_splitter.h"
 
@@ -72,6 +73,8 @@
   void FinishStream();
   void FinishWhole();
 
+  /// Those that failed this request and those that may have held it up.
+  std::set<UpstreamName> ListShunned() const;
   TargetChoice Choose(const RelayPool& pool) const;
   void GiveUpAttempt();
   void LoseAttempt(ResultCode code, bool upstream_gone);
@@ -99,6 +102,7 @@
   RelayedRequest request_;
   DoubtHandler on_doubt_;
   RelayCourse course_;
+  SuspectGuard guard_;
   TimePoint arrived_;
   Duration time_limit_{};
   std::set<UpstreamName> excluded_;    ///< Those that failed this request.
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -16,6 +16,9 @@
 /// Time that the process has to end before it would be killed, once the
 /// requests that are left were cut.
 constexpr Duration kKillMargin = std::chrono::milliseconds(700);
+/// Upstreams that a relayed request may crash before it is refused: the relay
+/// runs no trials, and connections break for other reasons as well.
+constexpr std::size_t kRelayCrashes = 3;
 
 }  // namespace
 
@@ -26,9 +29,13 @@
       on_end_(std::move(on_end)),
       children_(loop, MakeChildObserver(state_.timeline),
                 [this](const LastReason& reason) { End(reason); }) {
-  state_.quarantine = Quarantine(
-      DaemonName(settings.Text(SettingKey::kDaemonName)),
-      {.lifetime = settings.Milliseconds(SettingKey::kSuspectLifetime)});
+  QuarantineLimits suspects{
+      .lifetime = settings.Milliseconds(SettingKey::kSuspectLifetime)};
+  if (settings.Interface() == FrontInterface::kRelay) {
+    suspects.crashes = kRelayCrashes;
+  }
+  state_.quarantine =
+      Quarantine(DaemonName(settings.Text(SettingKey::kDaemonName)), suspects);
   state_.relay.freshness = Freshness(
       {.revocation = settings.Milliseconds(SettingKey::kRevocationTime)});
 }
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -11,9 +11,10 @@
 namespace wisteriayoke {
 namespace {
 
-/// How long a call waits for changes of the tables: each one that ends proves
-/// that the tables are fresh, several times within the time for revocations.
-constexpr Duration kTablesWait = std::chrono::milliseconds(900);
+/// Part of the time for revocations for which a call waits for changes of the
+/// tables, in thousandths. Each one that ends proves that the tables are fresh,
+/// so that a daemon that loses the store accepts keys for most of that time.
+constexpr int kTablesWaitPerMille = 300;
 /// How long a call waits for changes of the entries; they need no proof.
 constexpr Duration kEntriesWait = std::chrono::seconds(5);
 /// How much earlier than asked a wait of the store may end.
@@ -39,7 +40,10 @@
       store_(std::make_shared<RowStore>(
           context.loop,
           context.settings.EndpointOf(SettingKey::kPlatformAddress))),
-      tables_{.table = kDocumentTable, .wait = kTablesWait},
+      tables_{
+          .table = kDocumentTable,
+          .wait = context.settings.Milliseconds(SettingKey::kRevocationTime) *
+                  kTablesWaitPerMille / 1000},
       entries_{.table = kEntriesTable, .wait = kEntriesWait} {}
 
 bool StoreFollower::Start(LastReason& /*reason*/) {
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -61,6 +61,7 @@
       std::make_shared<RelayFront>(Context(), [](const LastReason&) {});
 
   RelayFixture() {
+    state.quarantine = Quarantine(DaemonName("d1"), {.crashes = 3});
     LastReason reason;
     auto spec = ParseRelaySpec(kDocument, reason);
     REQUIRE_MESSAGE(spec.has_value(), reason.message());
@@ -232,6 +233,57 @@
   CHECK(seen.size() == 2);
 }
 
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a request that crashed three upstreams runs nowhere") {
+  const std::vector<const char*> names{"s-3", "s-4", "s-5"};
+  for (const char* name : {"s-1", "s-2"}) {
+    state.relay.fleet.Remove(UpstreamName(name), loop.Now());
+  }
+  for (const char* name : names) {
+    AddUpstream(name, "s", {}, TestPorts::kPeers);
+    answers = {
+        [](const HttpRequest&, const CallerPtr& caller) { caller->Abort(); }};
+    CHECK(StatusOf("/hold/1") == 502);
+    state.relay.fleet.Remove(UpstreamName(name), loop.Now());
+  }
+  AddUpstream("s-6", "s", {}, TestPorts::kPeers);
+  CHECK(seen.size() == 3);
+  CHECK(StatusOf("/hold/1") == 503);
+  CHECK(seen.size() == 3);
+  CHECK(StatusOf("/hold/2") == 200);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "what peers tell of a crashing request counts as well") {
+  RumourExchange::Subscription carrier;
+  std::vector<Rumour> told;
+  carrier = state.rumours.Carry(
+      [&told](const Rumour& rumour) { told.push_back(rumour); });
+  answers = {
+      [](const HttpRequest&, const CallerPtr& caller) { caller->Abort(); }};
+  CHECK(StatusOf("/hold/1") == 502);
+  REQUIRE(told.size() == 1);
+  auto suspect = std::get<SuspectRumour>(told.front());
+  for (const char* name : {"s-8", "s-9"}) {
+    suspect.upstream = UpstreamName(name);
+    state.rumours.Deliver(suspect);
+  }
+  CHECK(StatusOf("/hold/1") == 503);
+  CHECK(seen.size() == 1);
+}
+
+TEST_CASE_FIXTURE(RelayFixture, "the settings bound the retries of a pool") {
+  const auto fail = [](const HttpRequest& request, const CallerPtr& caller) {
+    caller->Respond(MakeSealed(request, 500, "sorry"));
+  };
+  state.relay.retry_limits = {.share = 0.0, .max_balance = 1.0};
+  state.relay.budgets.clear();
+  answers = {fail};
+  CHECK(StatusOf("/read/1") == 200);
+  answers = {fail};
+  CHECK(StatusOf("/read/2") == 500);
+}
+
 TEST_CASE_FIXTURE(RelayFixture, "a silent upstream ends at the route's time") {
   std::vector<CallerPtr> held;
   answers = {[&held](const HttpRequest&, const CallerPtr& caller) {
