wire, runtime: answers without an end take bounded memory and time

Cause: the response parser kept all input without a line end, so that the size line of a chunk or a trailer without an end grew until the caller's time limit; a report poll had only an idle timeout, which each byte prolonged; any answer could take 64 MiB. Ruled out: the head and plain bodies, whose limits held.

A HEAD gets no body after its head, and folded header lines are refused; both broke the next request of a connection or passed ambiguous fields on.

--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -13,19 +13,19 @@
                                                       HttpRequest request,
                                                       HttpCallLimits limits,
                                                       Handler handler) {
-  auto call =
-      std::make_shared<HttpClientCall>(loop, limits, std::move(handler));
+  auto call = std::make_shared<HttpClientCall>(
+      loop, limits, request.method == "HEAD", std::move(handler));
   call->Connect(endpoint, std::move(request));
   return call;
 }
 
 HttpClientCall::HttpClientCall(EventLoop& loop, HttpCallLimits limits,
-                               Handler handler)
+                               bool sends_head, Handler handler)
     : loop_(loop),
       limits_(limits),
       handler_(std::move(handler)),
       socket_(loop.context()),
-      parser_(limits.message),
+      parser_(limits.message, sends_head),
       read_buffer_() {}
 
 HttpClientCall::~HttpClientCall() = default;
@@ -36,6 +36,9 @@
   asio::error_code error;
   const auto address = asio::ip::make_address(endpoint.host, error);
   ArmTimer(limits_.connect_timeout);
+  if (limits_.total_timeout > Duration::zero()) {
+    total_timer_ = ScheduleTimeout(limits_.total_timeout);
+  }
   socket_.async_connect(
       {address, endpoint.port},
       [self = shared_from_this()](const asio::error_code& failure) {
@@ -137,7 +140,11 @@
 void HttpClientCall::Cancel() { Close(); }
 
 void HttpClientCall::ArmTimer(Duration limit) {
-  timer_ = loop_.Schedule(limit, [this] {
+  timer_ = ScheduleTimeout(limit);
+}
+
+LoopTimerPtr HttpClientCall::ScheduleTimeout(Duration limit) {
+  return loop_.Schedule(limit, [this] {
     Fail(ResultCode::kTimedOut,
          sent_ ? "the response took too long" : "the connection took too long");
   });
@@ -147,6 +154,7 @@
   if (closed_) return;
   closed_ = true;
   timer_.reset();
+  total_timer_.reset();
   // The handler may be running, so it is destroyed on a later turn of the loop.
   loop_.Post([self = shared_from_this()] { self->handler_ = nullptr; });
   asio::error_code ignored;
--- a/source/runtime/http_client_call.h
+++ b/source/runtime/http_client_call.h
@@ -43,6 +43,8 @@
   Duration connect_timeout = std::chrono::milliseconds(500);
   /// Longest wait for the next byte of the response.
   Duration idle_timeout = std::chrono::seconds(30);
+  /// Longest time for the whole call, however its bytes arrive; zero for none.
+  Duration total_timeout{};
   /// Whether closing the connection resets it, which discards unsent bytes, so
   /// that nothing reaches the server afterwards.
   bool reset_on_close = false;
@@ -73,7 +75,8 @@
   /// Sets the longest wait for the next byte, from the next read on.
   void set_idle_timeout(Duration timeout) { limits_.idle_timeout = timeout; }
 
-  HttpClientCall(EventLoop& loop, HttpCallLimits limits, Handler handler);
+  HttpClientCall(EventLoop& loop, HttpCallLimits limits, bool sends_head,
+                 Handler handler);
   ~HttpClientCall();
   HttpClientCall(const HttpClientCall&) = delete;
   HttpClientCall& operator=(const HttpClientCall&) = delete;
@@ -90,6 +93,7 @@
   void Fail(ResultCode code, std::string message);
   void Finish(CallEvent event);
   void ArmTimer(Duration limit);
+  LoopTimerPtr ScheduleTimeout(Duration limit);
   void Close();
 
   EventLoop& loop_;
@@ -100,6 +104,7 @@
   std::array<char, kReadBytes> read_buffer_;
   std::string output_;
   LoopTimerPtr timer_;
+  LoopTimerPtr total_timer_;
   bool sent_ = false;
   bool head_delivered_ = false;
   bool reading_ = false;
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -73,12 +73,14 @@
   awaiting_first_request_ = false;
   pipelined_bytes_ = 0;
   keep_alive_ = request->keep_alive;
+  answers_head_ = request->method == "HEAD";
   handler_(std::move(*request), shared_from_this());
 }
 
 void HttpServerSession::Refuse(const LastReason& reason) {
   read_timer_.reset();
   answering_ = true;
+  answers_head_ = false;
   refused_ = true;
   keep_alive_ = false;
   Respond(error_handler_(reason));
@@ -87,7 +89,7 @@
 void HttpServerSession::Respond(const HttpResponse& response) {
   if (closed_ || !answering_) return;
   keep_alive_ = keep_alive_ && !close_when_idle_ && !close_after_answer_;
-  Write(EncodeResponse(response, keep_alive_));
+  Write(EncodeResponse(response, keep_alive_, answers_head_));
   FinishAnswer();
 }
 
@@ -98,13 +100,13 @@
 }
 
 void HttpServerSession::WriteChunk(std::string_view data) {
-  if (closed_ || data.empty()) return;
+  if (closed_ || data.empty() || answers_head_) return;
   Write(EncodeChunk(data));
 }
 
 void HttpServerSession::EndStream() {
   if (closed_) return;
-  Write(EncodeLastChunk());
+  if (!answers_head_) Write(EncodeLastChunk());
   FinishAnswer();
 }
 
--- a/source/runtime/http_server_session.h
+++ b/source/runtime/http_server_session.h
@@ -165,6 +165,7 @@
   bool awaiting_first_request_ = true;
   bool answering_ = false;
   bool keep_alive_ = true;
+  bool answers_head_ = false;  ///< Whether the request is a HEAD.
   bool close_after_answer_ = false;
   bool close_when_idle_ = false;
   bool refused_ = false;
--- a/source/wire/event_splitter.h
+++ b/source/wire/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_WIRE_EVENT_SPLITTER_H_
 #define WISTERIAYOKE_WIRE_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,12 @@
   /// Adds received bytes and returns the events that are now complete.
   std::vector<StreamEvent> Push(std::string_view data);
 
+  /// Longest event; a longer one is not a usable answer.
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
+  /// Returns whether an event is longer than `kMaxEventBytes`.
+  bool overflowed() const { return input_.size() > kMaxEventBytes; }
+
   /// Returns the bytes after the last complete event.
   const std::string& rest() const { return input_; }
 
--- a/source/wire/http_encode.cc
+++ b/source/wire/http_encode.cc
@@ -43,7 +43,8 @@
   return ToText(message);
 }
 
-std::string EncodeResponse(const HttpResponse& response, bool keep_alive) {
+std::string EncodeResponse(const HttpResponse& response, bool keep_alive,
+                           bool answers_head) {
   http::response<http::string_body> message;
   message.version(kHttp11);
   message.result(static_cast<unsigned>(response.head.status));
@@ -51,7 +52,7 @@
   message.keep_alive(keep_alive);
   message.body() = response.body;
   message.prepare_payload();
-  return ToText(message);
+  return answers_head ? ToText(message.base()) : ToText(message);
 }
 
 std::string EncodeChunkedHead(const HttpResponseHead& head, bool keep_alive) {
--- a/source/wire/http_encode.h
+++ b/source/wire/http_encode.h
@@ -12,8 +12,10 @@
 /// unless the request has one.
 std::string EncodeRequest(const HttpRequest& request, std::string_view host);
 
-/// Returns the bytes of a complete response with its Content-Length.
-std::string EncodeResponse(const HttpResponse& response, bool keep_alive);
+/// Returns the bytes of a complete response with its Content-Length. The answer
+/// to a HEAD has the length of the body but not the body.
+std::string EncodeResponse(const HttpResponse& response, bool keep_alive,
+                           bool answers_head = false);
 
 /// Returns the bytes of the head of a chunked response.
 std::string EncodeChunkedHead(const HttpResponseHead& head, bool keep_alive);
--- a/source/wire/http_request_parser.cc
+++ b/source/wire/http_request_parser.cc
@@ -81,6 +81,13 @@
     return false;
   }
   if (!complete) return false;
+  // A field continued on the next line is obsolete, and parsers differ on it.
+  const std::string_view header = std::string_view(input_).substr(0, size);
+  if (header.find("\r\n ") != std::string_view::npos ||
+      header.find("\r\n\t") != std::string_view::npos) {
+    SetReason(http::error::bad_value, reason);
+    return false;
+  }
   boost::system::error_code error;
   state_->parser.put(boost::asio::const_buffer(input_.data(), size), error);
   input_.erase(0, size);
--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -17,12 +17,12 @@
   http::response_parser<http::string_body> parser;
 };
 
-HttpResponseParser::HttpResponseParser(HttpLimits limits)
-    : allow_close_delimited_(limits.allow_close_delimited),
-      state_(std::make_unique<State>()) {
+HttpResponseParser::HttpResponseParser(HttpLimits limits, bool answers_head)
+    : limits_(limits), state_(std::make_unique<State>()) {
   state_->parser.header_limit(limits.header_bytes);
   state_->parser.body_limit(limits.body_bytes);
   state_->parser.eager(true);
+  state_->parser.skip(answers_head);
 }
 
 HttpResponseParser::~HttpResponseParser() = default;
@@ -34,7 +34,10 @@
     const std::size_t used = state_->parser.put(
         boost::asio::const_buffer(input_.data(), input_.size()), error);
     input_.erase(0, used);
-    if (error == http::error::need_more || (!error && used == 0)) return true;
+    if (error == http::error::need_more || (!error && used == 0)) {
+      if (input_.size() <= limits_.header_bytes) return true;
+      error = http::error::header_limit;
+    }
     if (error) {
       reason.Set(ResultCode::kMalformedHttp,
                  "the response is not HTTP/1.1: " + error.message());
@@ -48,7 +51,7 @@
   if (done()) return true;
   const bool close_delimited =
       state_->parser.is_header_done() && state_->parser.need_eof();
-  if (close_delimited && allow_close_delimited_) return true;
+  if (close_delimited && limits_.allow_close_delimited) return true;
   reason.Set(ResultCode::kConnectionBroken,
              close_delimited
                  ? "the response has neither a length nor chunks, so its "
--- a/source/wire/http_response_parser.h
+++ b/source/wire/http_response_parser.h
@@ -14,13 +14,15 @@
 /// Parses one response incrementally and returns its body as it arrives.
 class HttpResponseParser {
  public:
-  explicit HttpResponseParser(HttpLimits limits);
+  /// `answers_head`: whether the request was a HEAD, so that no body follows.
+  explicit HttpResponseParser(HttpLimits limits, bool answers_head = false);
   ~HttpResponseParser();
   HttpResponseParser(const HttpResponseParser&) = delete;
   HttpResponseParser& operator=(const HttpResponseParser&) = delete;
 
   /// Parses received bytes. Fails with kMalformedHttp if they are not HTTP or
-  /// exceed a limit.
+  /// exceed a limit. The header limit also bounds each line between chunks and
+  /// the trailer, so that input without an end takes bounded memory.
   bool Push(std::string_view data, LastReason& reason);
 
   /// Handles the orderly end of the connection. Fails with kConnectionBroken if
@@ -40,7 +42,7 @@
  private:
   struct State;
 
-  bool allow_close_delimited_;
+  HttpLimits limits_;
   std::string input_;
   std::unique_ptr<State> state_;
 };
--- a/tests/wire/http_parser_test.cc
+++ b/tests/wire/http_parser_test.cc
@@ -24,6 +24,28 @@
   CHECK(request->target == "/x");
 }
 
+TEST_CASE("a header field continued on the next line is refused") {
+  for (const char* fold : {"\r\n b", "\r\n\tb"}) {
+    HttpRequestParser parser({});
+    LastReason reason;
+    parser.Push("GET / HTTP/1.1\r\nHost: h\r\nX: a" + std::string(fold) +
+                "\r\n\r\n");
+    CHECK_FALSE(parser.Next(reason).has_value());
+    CHECK(reason.code() == ResultCode::kMalformedHttp);
+  }
+}
+
+TEST_CASE("the answer to a HEAD has a length and no body") {
+  const HttpResponse response{{503, {}}, "refused\n"};
+  const std::string bytes = EncodeResponse(response, true, true);
+  CHECK(bytes.find("Content-Length: 8\r\n") != std::string::npos);
+  CHECK(bytes.ends_with("\r\n\r\n"));
+  HttpResponseParser parser({}, true);
+  LastReason reason;
+  REQUIRE(parser.Push(bytes, reason));
+  CHECK(parser.done());
+}
+
 TEST_CASE("input that exceeds a limit or isn't HTTP is refused with its code") {
   HttpRequestParser parser({.header_bytes = 64, .body_bytes = 4});
   LastReason reason;
