relay: requests wait briefly for a place, refused callers return spread

Cause: when a chain is lost or all daemons restart, a crowd met full upstreams and was told to return after 250 ms, together, to the same wall; each caller comes back once.

Change: PlaceQueue lets a stream wait for a place for 0.3 of its objective, as many as places become free for, first come first served; others are refused at once with return times at a rate that leaves the pool to new requests, within a third of the caller's time. A started stream waits for 0.9 of its caller's patience, which the tables' codec derives.

--- a/source/decisions/store_follow_policy.cc
+++ b/source/decisions/store_follow_policy.cc
@@ -8,11 +8,10 @@
 constexpr Duration::rep kMille = 1000;
 /// Age of a proof, in thousandths of the revocation time, at which a daemon
 /// behind the followers calls the store itself, and what is added for each
-/// doubling of the rank. The sum stays under the age at which keys are refused.
-constexpr Duration::rep kFallbackPerMille = 300;
-constexpr Duration::rep kFallbackStepPerMille = 40;
-/// Time for which it then goes on, in thousandths of the revocation time.
-constexpr Duration::rep kFallbackTimePerMille = 40;
+/// doubling of the rank. The sum stays under half, up to which a daemon reports
+/// itself ready.
+constexpr Duration::rep kFallbackPerMille = 430;
+constexpr Duration::rep kFallbackStepPerMille = 7;
 
 }  // namespace
 
@@ -30,19 +29,13 @@
 
 Duration StoreFollowPolicy::ChooseWait(Duration usual,
                                        std::optional<Duration> proof_age) {
-  return proof_age && *proof_age < usual / 2 ? usual : Duration::zero();
+  return proof_age && *proof_age < usual / 4 ? usual : Duration::zero();
 }
 
-bool StoreFollowPolicy::MustFollow(const StoreFollowInputs& inputs,
-                                   TimePoint now) {
-  const bool may_find_group = inputs.group_size <= 1 && !inputs.proof_age;
-  if (may_find_group && now - start_ < kJoinTime) return false;
-  if (inputs.rank < CountFollowers(inputs.group_size)) return true;
-  if (fallback_until_ && now < *fallback_until_) return true;
-  const Duration age = inputs.proof_age.value_or(now - start_);
-  if (age < FallbackAge(inputs.rank)) return false;
-  fallback_until_ = now + revocation_ * kFallbackTimePerMille / kMille;
-  return true;
+bool StoreFollowPolicy::MustFollow(const StoreFollowInputs& inputs) const {
+  if (!inputs.proof_age) return true;
+  return inputs.rank < CountFollowers(inputs.group_size) ||
+         *inputs.proof_age >= FallbackAge(inputs.rank);
 }
 
 }  // namespace wisteriayoke
--- a/source/decisions/store_follow_policy.h
+++ b/source/decisions/store_follow_policy.h
@@ -22,27 +22,25 @@
 ///
 /// The followers are the first of the group by rank. They need no agreement:
 /// too many only cost calls, and a daemon without a recent proof follows the
-/// store itself. The time that it waits for a proof grows with its rank, so
-/// that the loss of all followers doesn't make the whole group call at once.
+/// store itself, one that has just started at once. The time that it waits for
+/// another proof grows with its rank, so that the loss of all followers doesn't
+/// make the whole group call at once.
 class StoreFollowPolicy {
  public:
   /// Followers of a group, and of one with at most `kSmallGroup` daemons.
   static constexpr std::size_t kFollowers = 3;
   static constexpr std::size_t kFollowersOfSmallGroup = 2;
   static constexpr std::size_t kSmallGroup = 8;
-  /// Time after its start for which a daemon looks for a group.
-  static constexpr Duration kJoinTime = std::chrono::milliseconds(400);
 
   /// `revocation`: longest age of a proof with which keys are accepted.
-  StoreFollowPolicy(Duration revocation, TimePoint start)
-      : revocation_(revocation), start_(start) {}
+  explicit StoreFollowPolicy(Duration revocation) : revocation_(revocation) {}
 
-  /// Returns whether the daemon must follow the store at `now`.
-  bool MustFollow(const StoreFollowInputs& inputs, TimePoint now);
+  /// Returns whether the daemon must call the store now.
+  bool MustFollow(const StoreFollowInputs& inputs) const;
 
   /// Returns how long a call to the store may wait for a change: `usual`, or
-  /// not at all if the last proof is older than half of that, since an answer
-  /// with changes proves nothing newer than its call.
+  /// not at all if the last proof is older than a quarter of that, since an
+  /// answer with changes proves nothing newer than its call.
   static Duration ChooseWait(Duration usual, std::optional<Duration> proof_age);
 
   /// Returns the age of its proof at which a daemon of rank `rank` follows the
@@ -51,8 +49,6 @@
 
  private:
   Duration revocation_;
-  TimePoint start_;
-  std::optional<TimePoint> fallback_until_;
 };
 
 /// Returns how many daemons of a group follow the store.
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -8,6 +8,7 @@
 #include "decisions/fleet.h"
 #include "decisions/freshness.h"
 #include "decisions/link_budget.h"
+#include "decisions/place_queue.h"
 #include "decisions/relay_tables.h"
 #include "decisions/retry_budget.h"
 #include "decisions/store_view.h"
@@ -34,6 +35,7 @@
   PeerViewExchange peer_views;
   RetryLimits retry_limits;  ///< This daemon's share of each pool's limits.
   std::map<PoolName, RetryBudget> budgets;
+  std::map<PoolName, PlaceQueue> places;  ///< Requests without a place.
   LinkBudget links;             ///< Budget of the links between data centres.
   double max_members_seen = 1;  ///< Most members that were seen at a time.
   RelayMetrics metrics;
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -24,9 +24,21 @@
 /// Silence after which a stalled stream is moved although no stage is known to
 /// be at fault; callers leave after two seconds.
 constexpr Duration kStallTimeout = std::chrono::milliseconds(1100);
-/// Longest wait of a started stream for another path; together with the time
-/// until its loss is noticed, less than callers wait for an event.
-constexpr Duration kMaxPathWait = std::chrono::milliseconds(1200);
+/// Part of the time that callers wait for an event, in thousandths, for which a
+/// started stream waits for another path; the rest is for the next event.
+constexpr int kPathWaitPerMille = 900;
+/// Time between two searches of a started stream for another path.
+constexpr Duration kPathSearchInterval = std::chrono::milliseconds(30);
+/// Part of the latency objective, in thousandths, for which a request waits for
+/// a place; the rest is for its first event.
+constexpr int kPlaceWaitPerMille = 300;
+/// Longest return time given to a refused caller, and the part of its remaining
+/// time, in thousandths, that it is at most.
+constexpr Duration kMaxReturnTime = std::chrono::seconds(6);
+constexpr int kReturnTimePerMille = 330;
+/// Return time while no upstream holds some layers; about what it takes to load
+/// them.
+constexpr Duration kRepairTime = std::chrono::milliseconds(1200);
 /// Part of the latency objective, in thousandths, after which an attempt of an
 /// idempotent call is given up and another upstream is tried.
 constexpr int kAttemptTimeoutPerMille = 600;
@@ -109,6 +121,10 @@
   StartAttempt();
 }
 
+PlaceQueue& RelaySession::Places() {
+  return context_.state.relay.places[request_.pool];
+}
+
 void RelaySession::StartAttempt() {
   if (TimeLeft() <= Duration::zero()) return Feed(TimeLimitPassed{});
   const DaemonState& state = context_.state;
@@ -121,19 +137,67 @@
   if (guard_.Blocks()) return Feed(TargetUnavailable{ResultCode::kQuarantined});
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
   if (pool == nullptr) return Feed(TargetUnavailable{});
+  const TimePoint now = context_.loop.Now();
+  const bool queues = pool->model && !delivering_;
+  if (queues && !Places().MaySearch(queued_, now)) {
+    return HandleTargetUnavailable(ResultCode::kOverloaded);
+  }
+  searched_at_ = now;
   const TargetChoice choice = Choose(*pool);
-  if (!choice.target) return HandleTargetUnavailable(choice.code);
-  waiting_since_.reset();
-  Send(*choice.target);
+  if (choice.target) {
+    StopWaiting();
+    Places().RecordStart(now);
+    return Send(*choice.target);
+  }
+  // A request that avoids some upstreams says nothing about the others.
+  const bool all_busy = choice.code == ResultCode::kOverloaded &&
+                        failed_.empty() && stalled_.empty();
+  if (all_busy) Places().RecordBusy(now);
+  HandleTargetUnavailable(choice.code);
 }
 
-/// A caller that has a part of its answer loses more by the end of the stream
-/// than by a pause, so a started stream waits for a path.
 void RelaySession::HandleTargetUnavailable(ResultCode code) {
+  waiting_ = MayWait(code);
+  if (waiting_) return;
+  StopWaiting();
+  Feed(TargetUnavailable{code});
+}
+
+/// Returns whether the request waits for a path. A caller that has a part of
+/// its answer loses more by the end of the stream than by a pause. Another
+/// request waits if it can still be answered in time.
+bool RelaySession::MayWait(ResultCode code) {
   const TimePoint now = context_.loop.Now();
-  if (delivering_ && !waiting_since_) waiting_since_ = now;
-  const bool may_wait = waiting_since_ && now - *waiting_since_ < kMaxPathWait;
-  if (!may_wait) Feed(TargetUnavailable{code});
+  const RelayRoute& route = request_.route;
+  if (delivering_) {
+    return now - delivered_at_ <
+           route.caller_patience * kPathWaitPerMille / 1000;
+  }
+  const Duration limit = route.latency_objective * kPlaceWaitPerMille / 1000;
+  if (code != ResultCode::kOverloaded || !is_stream()) return false;
+  if (now - arrived_ >= limit) return false;
+  queued_ = queued_ || Places().TryJoin(limit, now);
+  return queued_;
+}
+
+void RelaySession::StopWaiting() {
+  waiting_ = false;
+  if (std::exchange(queued_, false)) Places().Leave();
+}
+
+/// Returns after what time a caller that is refused for `code` should return.
+Duration RelaySession::ComputeReturnTime(ResultCode code) {
+  const Duration least = ComputeRetryDelay(context_, request_.pool);
+  const Duration most =
+      std::min(kMaxReturnTime, TimeLeft() * kReturnTimePerMille / 1000);
+  if (code == ResultCode::kNoUpstream) {
+    return Places().ScheduleReturn(std::max(least, kRepairTime), most,
+                                   context_.loop.Now());
+  }
+  if (code == ResultCode::kOverloaded || code == ResultCode::kUpstreamRefused) {
+    return Places().ScheduleReturn(least, most, context_.loop.Now());
+  }
+  return least;
 }
 
 std::set<UpstreamName> RelaySession::ListAvoided() const {
@@ -352,7 +416,13 @@
 
 void RelaySession::CheckProgress() {
   if (ended_) return;
-  if (waiting_since_) return StartAttempt();
+  if (waiting_) {
+    const bool may_search =
+        !delivering_ ||
+        context_.loop.Now() - searched_at_ >= kPathSearchInterval;
+    if (may_search) StartAttempt();
+    return;
+  }
   if (!target_ || paused_) return;
   const Duration silence = context_.loop.Now() - last_progress_;
   if (!is_stream()) {
@@ -490,7 +560,7 @@
 }
 
 void RelaySession::Execute(const RefuseNotRun& action) {
-  RespondWithError(action.code, ComputeRetryDelay(context_, request_.pool));
+  RespondWithError(action.code, ComputeReturnTime(action.code));
 }
 
 void RelaySession::Execute(const FailOutcomeUnknown& action) {
@@ -519,6 +589,7 @@
 void RelaySession::End(ResultCode code) {
   if (ended_) return;
   ended_ = true;
+  StopWaiting();
   timeout_timer_.reset();
   DaemonState& state = context_.state;
   state.metrics.CountAnswer(code);
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -64,8 +64,12 @@
   RetryBudget& Budget();
   Duration TimeLeft() const;
 
+  PlaceQueue& Places();
   void StartAttempt();
   void HandleTargetUnavailable(ResultCode code);
+  bool MayWait(ResultCode code);
+  void StopWaiting();
+  Duration ComputeReturnTime(ResultCode code);
   void Send(const RelayTarget& target);
   HttpRequest BuildAttempt(const RelayTarget& target) const;
   void HandleCall(CallEvent event);
@@ -134,10 +138,13 @@
   /// Last event that the caller has.
   std::optional<std::uint64_t> last_event_id_;
   bool delivering_ = false;  ///< Whether the caller has a part of the answer.
-  /// When a started stream began to wait for another path.
-  std::optional<TimePoint> waiting_since_;
-  bool paused_ = false;  ///< Whether the attempt is paused for a slow caller.
-  TimePoint sent_at_;    ///< When the attempt was sent.
+  /// Whether the request waits for a path: a started stream for one to go on
+  /// with, another request for its first place.
+  bool waiting_ = false;
+  TimePoint searched_at_;  ///< When it last searched for a path.
+  bool queued_ = false;    ///< Whether it is counted in the pool's queue.
+  bool paused_ = false;    ///< Whether the attempt is paused for a slow caller.
+  TimePoint sent_at_;      ///< When the attempt was sent.
   TimePoint last_progress_;  ///< When the attempt last made progress.
   std::optional<TimePoint> stall_reported_at_;
   /// Time from the arrival to the first event.
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -14,7 +14,7 @@
 /// Wait for changes of the tables in thousandths of the revocation time. Each
 /// wait that ends proves the tables fresh, and the proof has to reach daemons
 /// that don't follow the store.
-constexpr int kTablesWaitPerMille = 200;
+constexpr int kTablesWaitPerMille = 150;
 /// Wait for changes of the entries, whose freshness needs no proof.
 constexpr Duration kEntriesWait = std::chrono::seconds(5);
 /// Delay of the next call after one with changes of the entries, so that many
@@ -64,8 +64,7 @@
       store_(std::make_shared<RowStore>(
           context.loop,
           context.settings.EndpointOf(SettingKey::kPlatformAddress))),
-      policy_(context.settings.Milliseconds(SettingKey::kRevocationTime),
-              context.loop.Now()),
+      policy_(context.settings.Milliseconds(SettingKey::kRevocationTime)),
       tables_{
           .table = MirroredTable::kTables,
           .store_table = kDocumentTable,
@@ -102,8 +101,7 @@
   const auto age = relay.freshness.AgeAt(context_.loop.BootNow());
   const bool follows = policy_.MustFollow({.rank = relay.follow_rank,
                                            .group_size = relay.group_size,
-                                           .proof_age = age},
-                                          context_.loop.Now());
+                                           .proof_age = age});
   if (follows == std::exchange(relay.follows_store, follows)) return follows;
   context_.state.timeline.Record(
       LogLevel::kInfo,
