--- a/source/decisions/relay_tables.h
+++ b/source/decisions/relay_tables.h
@@ -46,8 +46,6 @@
   Duration latency_objective = std::chrono::milliseconds(500);
   /// Longest time between events of a stream that still meets the objective.
   Duration max_event_gap = std::chrono::milliseconds(200);
-  /// Longest time without an event for which callers keep a stream open.
-  Duration caller_patience = std::chrono::seconds(2);
   std::uint32_t max_attempts = 1;
   bool anonymous = false;  ///< Whether no key is required.
   bool resumable = false;  ///< Whether another upstream may continue a stream.
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -24,9 +24,6 @@
 /// Silence after which a stalled stream is moved although no stage is known to
 /// be at fault; callers leave after two seconds.
 constexpr Duration kStallTimeout = std::chrono::milliseconds(1100);
-/// Part of the time that callers wait for an event, in thousandths, for which a
-/// started stream waits for another path; the rest is for the next event.
-constexpr int kPathWaitPerMille = 900;
 /// Time between two searches of a started stream for another path.
 constexpr Duration kPathSearchInterval = std::chrono::milliseconds(30);
 /// Part of the latency objective, in thousandths, for which a request waits for
@@ -164,15 +161,13 @@
 }
 
 /// Returns whether the request waits for a path. A caller that has a part of
-/// its answer loses more by the end of the stream than by a pause. Another
-/// request waits if it can still be answered in time.
+/// its answer loses more by the end of the stream than by a pause, and decides
+/// itself how long it stays. Another request waits if it can still be answered
+/// in time.
 bool RelaySession::MayWait(ResultCode code) {
   const TimePoint now = context_.loop.Now();
   const RelayRoute& route = request_.route;
-  if (delivering_) {
-    return now - delivered_at_ <
-           route.caller_patience * kPathWaitPerMille / 1000;
-  }
+  if (delivering_) return true;
   const Duration limit = route.latency_objective * kPlaceWaitPerMille / 1000;
   if (code != ResultCode::kOverloaded || !is_stream()) return false;
   if (now - arrived_ >= limit) return false;
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -273,7 +273,11 @@
   CHECK(reasons == std::vector<std::string>{"no answer to a report poll"});
 }
 
-TEST_CASE_FIXTURE(RelayFixture, "a started stream waits for a path") {
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a started stream waits for a path while its caller stays") {
+  Duration gone = std::chrono::milliseconds(400);
+  SUBCASE("for a short repair") {}
+  SUBCASE("for a slow repair") { gone = std::chrono::milliseconds(2500); }
   LoopTimerPtr back;
   answers = {[&](const HttpRequest& request, const CallerPtr& caller) {
                caller->StartStream(MakeSealed(request, 200, "").head);
@@ -281,7 +285,7 @@
                for (const char* name : {"w-1", "w-2"}) {
                  state.relay.fleet.Remove(UpstreamName(name), loop.Now());
                }
-               back = loop.Schedule(std::chrono::milliseconds(400), [this] {
+               back = loop.Schedule(gone, [this] {
                  AddUpstream("w-2", "w", {0, 8}, TestPorts::kPeers);
                });
                caller->BreakStream();
