status: daemons tell how they learn of changes in the store

wisteriayokectl status and the metrics page show who follows the store, the age of each daemon's proof and whence it came, the versions of the last known changes and the requests that wait for a place. Tests on the codec, and of a follower behind others (fetch from a peer, nonsense from one, fallback) and of the link (proof by an answer, rows served).

--- a/source/ctl/daemon_commands.cc
+++ b/source/ctl/daemon_commands.cc
@@ -44,6 +44,17 @@
   return status.ready ? "ready" : "not-ready";
 }
 
+std::string FormatFollow(const FollowStatus& follow) {
+  const std::string age = follow.proof_age_us < 0
+                              ? "unknown"
+                              : std::to_string(follow.proof_age_us / 1000);
+  return std::string("  store ") +
+         (follow.follows_store ? "followed" : "through-peers") +
+         " proof_age_ms=" + age + " proof_source=" + follow.proof_source +
+         " tables_head=" + std::to_string(follow.tables_head) +
+         " entries_head=" + std::to_string(follow.entries_head) + "\n";
+}
+
 std::string FormatStatus(const DaemonStatus& status) {
   std::string text =
       status.name.text() + " " + DescribeReadiness(status) +
@@ -51,6 +62,7 @@
       " tables=" + std::to_string(status.version.number) +
       " requests=" + std::to_string(status.requests_started) +
       " invariants_broken=" + std::to_string(status.invariants_broken) + "\n";
+  if (status.follow) text += FormatFollow(*status.follow);
   for (const auto& child : status.children) {
     text += "  child " + child.path +
             (child.running ? " running" : " stopped") +
--- a/source/supervisor/context/daemon_status.cc
+++ b/source/supervisor/context/daemon_status.cc
@@ -22,6 +22,17 @@
   return rows;
 }
 
+FollowStatus DescribeFollowing(const DaemonContext& context) {
+  const RelayState& relay = context.state.relay;
+  const auto age = relay.freshness.AgeAt(context.loop.BootNow());
+  const StoreView view = relay.mirrors.View();
+  return {.follows_store = relay.follows_store,
+          .proof_age_us = age ? age->count() : -1,
+          .proof_source = relay.proof_source,
+          .tables_head = view.tables.head,
+          .entries_head = view.entries.head};
+}
+
 }  // namespace
 
 DaemonStatus BuildDaemonStatus(const DaemonContext& context) {
@@ -37,6 +48,9 @@
   status.requests_started = state.requests_started;
   status.invariants_broken = CountBrokenInvariants();
   status.upstreams = ListUpstreams(context);
+  if (context.settings.Interface() == FrontInterface::kRelay) {
+    status.follow = DescribeFollowing(context);
+  }
   return status;
 }
 
--- a/source/supervisor/context/daemon_status.h
+++ b/source/supervisor/context/daemon_status.h
@@ -2,6 +2,7 @@
 #define WISTERIAYOKE_SUPERVISOR_CONTEXT_DAEMON_STATUS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,16 @@
   std::uint64_t in_flight = 0;
 };
 
+/// How a relay daemon learns of changes in the platform's store.
+struct FollowStatus {
+  bool follows_store = false;  ///< Whether it calls the store itself.
+  /// Age of the last proof that its tables are up to date; -1 before the first.
+  std::int64_t proof_age_us = -1;
+  std::string proof_source;        ///< "store", or the peer that passed it on.
+  std::uint64_t tables_head = 0;   ///< Store version of the last known change.
+  std::uint64_t entries_head = 0;  ///< The same for the upstreams' entries.
+};
+
 /// State that a daemon reports to operators.
 struct DaemonStatus {
   DaemonName name;
@@ -39,6 +50,7 @@
   bool draining = false;
   std::uint64_t requests_started = 0;
   std::uint64_t invariants_broken = 0;
+  std::optional<FollowStatus> follow;  ///< Only of a relay.
   std::vector<ChildStatus> children;
   std::vector<UpstreamStatus> upstreams;
 };
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -53,6 +53,16 @@
   return text;
 }
 
+/// Returns the number of requests that wait for a place, by pool.
+std::string DescribePlaces(const RelayState& relay) {
+  std::string text = MetricType("relay_waiting", "gauge");
+  for (const auto& [pool, places] : relay.places) {
+    text += MetricLine("relay_waiting", MetricLabel("pool", pool.text()),
+                       std::to_string(places.waiting()));
+  }
+  return text;
+}
+
 /// Returns the relay's metrics; nothing while it has no tables. Names come only
 /// from the operator's document, never from callers.
 std::string DescribeRelay(const DaemonContext& context) {
@@ -63,6 +73,10 @@
   const double age_s =
       age ? std::chrono::duration<double>(*age).count() : kUnknownAge;
   return MetricSample("tables_age_seconds", "gauge", std::to_string(age_s)) +
+         Sample("follows_store", "gauge", relay.follows_store ? 1 : 0) +
+         Sample("tables_head", "gauge", relay.mirrors.tables.view().head) +
+         Sample("entries_head", "gauge", relay.mirrors.entries.view().head) +
+         DescribePlaces(relay) +
          Sample("peers", "gauge", state.peer_loads.CountPeers()) +
          Sample("suspect_requests", "gauge", state.quarantine.CountSuspects()) +
          DescribeUpstreams(state, context.loop.Now()) + DescribeBudgets(relay) +
--- a/source/supervisor/context/operators_codec.cc
+++ b/source/supervisor/context/operators_codec.cc
@@ -25,6 +25,22 @@
           {"in_flight", upstream.in_flight}};
 }
 
+Json ToJson(const FollowStatus& follow) {
+  return {{"follows_store", follow.follows_store},
+          {"proof_age_us", follow.proof_age_us},
+          {"proof_source", follow.proof_source},
+          {"tables_head", follow.tables_head},
+          {"entries_head", follow.entries_head}};
+}
+
+FollowStatus ReadFollow(const Json& json) {
+  return {json.at("follows_store").get<bool>(),
+          json.at("proof_age_us").get<std::int64_t>(),
+          json.at("proof_source").get<std::string>(),
+          json.at("tables_head").get<std::uint64_t>(),
+          json.at("entries_head").get<std::uint64_t>()};
+}
+
 Json ToJson(const TimelineEvent& event) {
   Json fields = Json::object();
   for (const auto& [name, value] : event.fields) fields[name] = value;
@@ -68,6 +84,7 @@
   status.draining = json.at("draining").get<bool>();
   status.requests_started = json.at("requests_started").get<std::uint64_t>();
   status.invariants_broken = json.at("invariants_broken").get<std::uint64_t>();
+  if (json.contains("follow")) status.follow = ReadFollow(json.at("follow"));
   for (const auto& child : json.at("children")) {
     status.children.push_back(ReadChild(child));
   }
@@ -117,17 +134,19 @@
 }  // namespace
 
 std::string EncodeDaemonStatus(const DaemonStatus& status) {
-  return ToText({{"name", status.name.text()},
-                 {"data_centre", status.data_centre.text()},
-                 {"release", status.release},
-                 {"tables_version", status.version.number},
-                 {"tables_hash", status.version.hash},
-                 {"ready", status.ready},
-                 {"draining", status.draining},
-                 {"requests_started", status.requests_started},
-                 {"invariants_broken", status.invariants_broken},
-                 {"children", ListToJson(status.children)},
-                 {"upstreams", ListToJson(status.upstreams)}});
+  Json json = {{"name", status.name.text()},
+               {"data_centre", status.data_centre.text()},
+               {"release", status.release},
+               {"tables_version", status.version.number},
+               {"tables_hash", status.version.hash},
+               {"ready", status.ready},
+               {"draining", status.draining},
+               {"requests_started", status.requests_started},
+               {"invariants_broken", status.invariants_broken},
+               {"children", ListToJson(status.children)},
+               {"upstreams", ListToJson(status.upstreams)}};
+  if (status.follow) json["follow"] = ToJson(*status.follow);
+  return ToText(json);
 }
 
 std::optional<DaemonStatus> ParseDaemonStatus(std::string_view json,
--- a/tests/context/operators_codec_test.cc
+++ b/tests/context/operators_codec_test.cc
@@ -9,6 +9,7 @@
   status.name = DaemonName("daemon1");
   status.version = {3, "hash"};
   status.ready = true;
+  status.follow = FollowStatus{true, 1500, "daemon2", 7, 9};
   status.children.push_back({"upstreams/assistant", true, 2});
   status.upstreams.push_back({UpstreamName("engine1"), PoolName("assistant"),
                               UpstreamHealth::kLeaving, 4});
@@ -17,6 +18,9 @@
   const auto parsed = ParseDaemonStatus(text, reason);
   REQUIRE(parsed.has_value());
   CHECK(EncodeDaemonStatus(*parsed) == text);
+  REQUIRE(parsed->follow.has_value());
+  CHECK(parsed->follow->proof_source == "daemon2");
+  CHECK(parsed->follow->proof_age_us == 1500);
   CHECK(parsed->children[0].restarts == 2);
   CHECK(parsed->upstreams[0].health == UpstreamHealth::kLeaving);
 }
--- a/tests/peers/peer_link_test.cc
+++ b/tests/peers/peer_link_test.cc
@@ -4,6 +4,7 @@
 
 #include "support/daemon_fixture.h"
 #include "wire/datagram_codec.h"
+#include "wire/mirror_codec.h"
 
 namespace wisteriayoke {
 namespace {
@@ -112,4 +113,56 @@
   CHECK(Fetch(TestPorts::kPeers, path("def")).response.head.status == 404);
 }
 
+TEST_CASE_FIXTURE(LinkFixture,
+                  "an answer to a ping passes on a proof of the tables") {
+  state.relay.mirrors.tables.Apply({.head = 5, .position = 5, .whole = true});
+  state.relay.document_valid = true;
+  SendPing();
+  const auto find_ping = [this]() -> const Ping* {
+    for (const auto& message : received) {
+      if (const auto* ping = std::get_if<Ping>(&message.content)) return ping;
+    }
+    return nullptr;
+  };
+  const auto answer = [&](std::uint64_t head) {
+    received.clear();
+    RunUntil([&] { return find_ping() != nullptr; });
+    PeerMessage message{
+        .sender = {DaemonName("d2"), LocalEndpoint(kOtherPort), 1, {}},
+        .store = StoreView{{head, head}, {}},
+        .content = Ack{find_ping()->sequence, std::chrono::milliseconds(300)}};
+    LastReason reason;
+    peer->Send(*EncodeDatagram(message, reason),
+               LocalEndpoint(TestPorts::kPeers));
+    const TimePoint until = loop.Now() + std::chrono::milliseconds(30);
+    RunUntil([&] { return loop.Now() >= until; });
+  };
+  // A peer with newer tables proves nothing for this daemon's.
+  answer(6);
+  CHECK_FALSE(state.relay.freshness.AgeAt(loop.BootNow()).has_value());
+  answer(5);
+  const auto age = state.relay.freshness.AgeAt(loop.BootNow());
+  REQUIRE(age.has_value());
+  CHECK(*age >= std::chrono::milliseconds(300));
+  CHECK(*age < std::chrono::milliseconds(600));
+  CHECK(state.relay.proof_source == "d2");
+}
+
+TEST_CASE_FIXTURE(LinkFixture, "mirrored tables are served to peers") {
+  const auto fetch = [this](const std::string& target) {
+    return Fetch(TestPorts::kPeers, {.target = target}).response;
+  };
+  CHECK(fetch("/rows/entries/0").head.status == 404);
+  state.relay.mirrors.entries.Apply({.head = 5,
+                                     .position = 8,
+                                     .whole = true,
+                                     .rows = {{"a", "v", 5, false}}});
+  LastReason reason;
+  const auto page = ParseMirrorPage(fetch("/rows/entries/0").body, reason);
+  REQUIRE(page.has_value());
+  CHECK(page->changes.rows.size() == 1);
+  CHECK(page->changes.position == 8);
+  CHECK(fetch("/rows/others/0").head.status == 404);
+}
+
 }  // namespace wisteriayoke
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -56,6 +56,12 @@
                        std::pair(std::string("table"), table)) != fields.end();
     });
   }
+  /// Makes this daemon one that learns of changes from its peers.
+  void SetBehindFollowers() {
+    state.relay.follow_rank = 5;
+    state.relay.group_size = 10;
+    state.relay.freshness.RecordProof(loop.BootNow());
+  }
   bool IsKnown(const char* name) const {
     return state.relay.fleet.Find(UpstreamName(name)) != nullptr;
   }
@@ -183,4 +189,68 @@
   RunUntil([this] { return !IsKnown("i-1"); });
 }
 
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a daemon behind the followers fetches changes from a peer") {
+  RowMirror peer;
+  peer.Apply({.head = 7,
+              .position = 9,
+              .whole = true,
+              .rows = {{"i-1", MakeEntry("ready"), 7, false}}});
+  const FakeServer server(
+      loop, TestPorts::kPeers,
+      [&peer](const HttpRequest& request,
+              const std::shared_ptr<HttpServerSession>& caller) {
+        const auto wanted = ParseMirrorTarget(request.target);
+        REQUIRE(wanted.has_value());
+        caller->Respond(
+            {{200, {}},
+             EncodeMirrorPage({.changes = peer.ChangesAfter(wanted->after)})});
+      });
+  SetBehindFollowers();
+  Start();
+  const Endpoint source = LocalEndpoint(TestPorts::kPeers);
+  state.relay.peer_views.Deliver({.entries = peer.view()}, source);
+  RunUntil([this] { return IsKnown("i-1"); });
+  CHECK(state.relay.fleet_known);
+  CHECK_FALSE(state.relay.follows_store);
+  CHECK(state.relay.mirrors.entries.view() == peer.view());
+  peer.Apply({.head = 12, .position = 12, .rows = {{"i-1", "", 12, true}}});
+  state.relay.peer_views.Deliver({.entries = peer.view()}, source);
+  RunUntil([this] { return !IsKnown("i-1"); });
+  CHECK(store.calls() == 0);
+}
+
+TEST_CASE_FIXTURE(
+    FollowerFixture,
+    "a peer that can't be reached or talks nonsense is recorded") {
+  SetBehindFollowers();
+  Start();
+  const Endpoint source = LocalEndpoint(TestPorts::kPeers);
+  state.relay.peer_views.Deliver({.entries = {4, 4}}, source);
+  RunUntil([this] { return Count(EventKind::kPeerFetchFailed) == 1; });
+  const FakeServer server(
+      loop, TestPorts::kPeers,
+      [](const HttpRequest&, const std::shared_ptr<HttpServerSession>& caller) {
+        caller->Respond({{200, {}}, "nonsense"});
+      });
+  state.relay.peer_views.Deliver({.entries = {4, 4}}, source);
+  RunUntil([this] { return Count(EventKind::kPeerFetchFailed) == 2; });
+  CHECK_FALSE(state.relay.fleet_known);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a daemon without a recent proof follows the store itself") {
+  store.Put("op", "config", MakeDocument(3, "k1"));
+  state.relay.freshness =
+      Freshness({.revocation = std::chrono::milliseconds(5000)});
+  SetBehindFollowers();
+  Start();
+  CHECK(Version() == 0);
+  RunUntil([this] { return Version() == 3; });
+  CHECK(Count(EventKind::kStoreFollowed) == 1);
+  CHECK(state.relay.proof_source == "store");
+  // With the proof it leaves the store to the followers again.
+  RunUntil([this] { return Count(EventKind::kStoreUnfollowed) == 1; });
+}
+
 }  // namespace wisteriayoke
