--- a/tests/decisions/layer_orders_test.cc
+++ b/tests/decisions/layer_orders_test.cc
@@ -260,6 +260,24 @@
   CHECK(counts.queries == 1);
 }
 
+TEST_CASE("an upstream that wants no work keeps its layers and gets no order") {
+  LayerOrders orders{MakeModel()};
+  OrdersTick tick;
+  tick.upstreams.push_back({{.name = UpstreamName("u0"),
+                             .data_centre = DataCentreName("a"),
+                             .memory_mb = 2 * kMemoryMb,
+                             .loading = true},
+                            1});
+  TimePoint now;
+  orders.Handle(tick, now);
+  now += kLater;
+  CHECK(Count(orders.Handle(tick, now)).orders == 0);
+  // Once it wants work again it gets the order that it was due.
+  tick.upstreams[0].host.loading = false;
+  now += kLater;
+  CHECK(Count(orders.Handle(tick, now)).orders == 1);
+}
+
 TEST_CASE("a restarted upstream is queried before it gets an order") {
   SingleOrderSimulation simulation;
   simulation.orders.Handle(
