store: a follower without a proof doesn't call in a loop

Cause: a follower whose last proof was old asked the store not to wait, also when no proof could come, before the first document or while the newest one is invalid.

Change: of two calls in a row for the tables at least one waits; the entries, which need no proof, always wait. Tests on the policy and on the follower before an empty and an invalid table.

--- a/source/decisions/store_follow_policy.cc
+++ b/source/decisions/store_follow_policy.cc
@@ -28,8 +28,10 @@
 }
 
 Duration StoreFollowPolicy::ChooseWait(Duration usual,
-                                       std::optional<Duration> proof_age) {
-  return proof_age && *proof_age < usual / 4 ? usual : Duration::zero();
+                                       std::optional<Duration> proof_age,
+                                       bool last_waited) {
+  const bool old = proof_age && *proof_age >= usual / 4;
+  return old && last_waited ? Duration::zero() : usual;
 }
 
 bool StoreFollowPolicy::MustFollow(const StoreFollowInputs& inputs) const {
--- a/source/decisions/store_follow_policy.h
+++ b/source/decisions/store_follow_policy.h
@@ -40,8 +40,11 @@
 
   /// Returns how long a call to the store may wait for a change: `usual`, or
   /// not at all if the last proof is older than a quarter of that, since an
-  /// answer with changes proves nothing newer than its call.
-  static Duration ChooseWait(Duration usual, std::optional<Duration> proof_age);
+  /// answer with changes proves nothing newer than its call. Of two calls in a
+  /// row at least one waits (`last_waited`), whether they prove anything or
+  /// not.
+  static Duration ChooseWait(Duration usual, std::optional<Duration> proof_age,
+                             bool last_waited);
 
   /// Returns the age of its proof at which a daemon of rank `rank` follows the
   /// store itself.
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -125,8 +125,13 @@
   const RowMirror& mirror = MirrorOf(feed);
   const bool whole = feed.read_whole || !mirror.complete();
   const BootTime now = context_.loop.BootNow();
+  // Only the tables need proofs.
+  const bool proves = feed.table == MirroredTable::kTables;
+  const auto age = context_.state.relay.freshness.AgeAt(now);
   const Duration wait =
-      policy_.ChooseWait(feed.wait, context_.state.relay.freshness.AgeAt(now));
+      proves ? StoreFollowPolicy::ChooseWait(feed.wait, age, feed.last_waited)
+             : feed.wait;
+  feed.last_waited = wait > Duration::zero();
   auto done = [self = shared_from_this(), &feed, whole, wait,
                sent = now](const RowReply& reply) {
     self->HandleReply(feed, whole, sent, wait, reply);
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -35,6 +35,7 @@
     std::string store_table;  ///< Its name in the store.
     Duration wait{};   ///< Maximum time that one call waits for a change.
     Duration pause{};  ///< Delay of the next call after one with changes.
+    bool last_waited = true;  ///< Whether the last call could wait.
     bool read_whole = false;  ///< Whether the next call reads the whole table.
     unsigned failures = 0;    ///< Consecutive failures.
     LoopTimerPtr timer;       ///< Timer of the next call or role check.
--- a/tests/decisions/store_follow_test.cc
+++ b/tests/decisions/store_follow_test.cc
@@ -95,6 +95,7 @@
     StoreFollowPolicy policy{kRevocation};
     ProofClock proofs;
     bool store_cut = false;
+    bool last_waited = true;
     Duration suspended{};
     unsigned call = 0;  ///< Number of the open call to the store.
     /// When that call was sent, or when its wait ended without a change.
@@ -173,7 +174,8 @@
         !daemon.mirror.complete() || daemon.mirror.view().head < newest();
     if (answered_at_once) return Answer(i, call);
     const Duration wait = StoreFollowPolicy::ChooseWait(
-        kWait, daemon.freshness.AgeAt(BootNow(i)));
+        kWait, daemon.freshness.AgeAt(BootNow(i)), daemon.last_waited);
+    daemon.last_waited = wait > Duration::zero();
     waiting_.emplace_back(i, call);
     group_.Schedule(now() + wait, [this, i, call] {
       const auto waiter =
@@ -269,6 +271,22 @@
   }
 }
 
+TEST_CASE("a daemon that gets no proof doesn't call the store in a loop") {
+  // Before the first document, or while the newest one is invalid.
+  for (const std::optional<Duration> age :
+       {std::optional<Duration>(), std::optional<Duration>(seconds(9))}) {
+    Duration waited{};
+    bool last_waited = true;
+    for (int call = 0; call < 10; ++call) {
+      const Duration wait =
+          StoreFollowPolicy::ChooseWait(kWait, age, last_waited);
+      last_waited = wait > Duration::zero();
+      waited += wait;
+    }
+    CHECK(waited >= 5 * kWait);
+  }
+}
+
 TEST_CASE("daemons that start together accept keys at once") {
   for (const std::size_t count : {1U, 4U, 118U}) {
     CAPTURE(count);
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -189,6 +189,19 @@
   RunUntil([this] { return !IsKnown("i-1"); });
 }
 
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "an empty or invalid table doesn't make a daemon call in a "
+                  "loop") {
+  SUBCASE("empty") {}
+  SUBCASE("invalid") { store.Put("op", "config", R"({"Version":9})"); }
+  Start();
+  RunUntil([this] { return state.relay.fleet_known; });
+  const int before = store.calls();
+  const TimePoint until = loop.Now() + std::chrono::milliseconds(700);
+  RunUntil([&] { return loop.Now() >= until; });
+  CHECK(store.calls() - before <= 4);
+}
+
 TEST_CASE_FIXTURE(FollowerFixture,
                   "a daemon behind the followers fetches changes from a peer") {
   RowMirror peer;
