relay: only answers that aren't streams have the limit of 8 MiB

Found in reading the change: the limit on answers held also for whole streams, which aren't held, so that a long stream would have been cut; and the body of a stream's error answer was kept up to 64 MiB.

--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -39,8 +39,8 @@
 /// Part of the latency objective, in thousandths, after which an attempt of an
 /// idempotent call is given up and another upstream is tried.
 constexpr int kAttemptTimeoutPerMille = 600;
-/// Most bytes of an answer. One that isn't a stream is held until it is whole.
-constexpr std::uint64_t kMaxAnswerBytes = 8 * 1024 * 1024;
+/// Most bytes of an answer that isn't a stream; it is held until it is whole.
+constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
 constexpr int kStatusOk = 200;
 constexpr int kStatusMultipleChoices = 300;
 constexpr int kStatusRequestTimeout = 408;
@@ -230,8 +230,7 @@
     context_.state.upstreams.RecordPrefillStart(name);
   }
   HttpCallLimits limits;
-  limits.message = {.body_bytes = kMaxAnswerBytes,
-                    .allow_close_delimited = true};
+  limits.message.allow_close_delimited = true;
   limits.connect_timeout = std::min(kConnectTimeout, TimeLeft());
   limits.idle_timeout = TimeLeft();
   limits.reset_on_close = true;
@@ -313,6 +312,9 @@
 void RelaySession::HandleBodyData(const CallBodyData& body) {
   if (!event_stream_) {
     body_ += body.data;
+    if (body_.size() > kMaxAnswerBytes) {
+      LoseAttempt(ResultCode::kMalformedHttp, false);
+    }
     return;
   }
   ForwardEvents(splitter_.Push(body.data));
