store: one daemon's recovery doesn't hold entries for the whole group

Cause: a page of rows carried the time since its sender's last recovery, and receivers took the latest.

Change: a daemon keeps missing entries after its own recovery, as before, or if it had no recent proof, so that the store was out of reach for its peers as well. Pages carry changes alone. The test of an outage behind followers is new.

--- a/source/decisions/fleet.h
+++ b/source/decisions/fleet.h
@@ -75,9 +75,6 @@
     store_returned_ = std::max(store_returned_.value_or(now), now);
   }
 
-  /// Returns when the store last answered again after an outage, or nullopt.
-  std::optional<TimePoint> store_returned() const { return store_returned_; }
-
   /// Removes the upstreams whose entries didn't return in time and returns
   /// their names.
   std::vector<UpstreamName> Expire(TimePoint now);
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -261,13 +261,9 @@
   if (!wanted || !relay.mirrors.Of(wanted->table).complete()) {
     return {{kStatusNotFound, {}}, ""};
   }
-  MirrorPage page{
-      .changes = relay.mirrors.Of(wanted->table).ChangesAfter(wanted->after)};
-  if (const auto returned = relay.fleet.store_returned()) {
-    page.since_recovery = context_.loop.Now() - *returned;
-  }
   return {{kStatusOk, {{"Content-Type", "application/octet-stream"}}},
-          EncodeMirrorPage(page)};
+          EncodeMirrorPage(
+              relay.mirrors.Of(wanted->table).ChangesAfter(wanted->after))};
 }
 
 HttpResponse PeerLink::ServeContent(const HttpRequest& request) const {
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -237,11 +237,7 @@
   const auto page =
       answered ? ParseMirrorPage(result.response.body, reason) : std::nullopt;
   if (page) {
-    if (page->since_recovery && feed.table == MirroredTable::kEntries) {
-      context_.state.relay.fleet.RecordStoreRecovery(context_.loop.Now() -
-                                                     *page->since_recovery);
-    }
-    Apply(feed, page->changes);
+    Apply(feed, *page);
   } else {
     // Another peer's next message starts another fetch.
     context_.state.timeline.Record(
@@ -296,6 +292,7 @@
 }
 
 void StoreFollower::ApplyEntries(const std::vector<MirrorRow>& rows) {
+  RecordOutage();
   for (const auto& row : rows) {
     if (row.removed) {
       RemoveEntry(UpstreamName(row.key));
@@ -351,11 +348,21 @@
   for (const auto& name : context_.state.relay.fleet.Expire(now)) {
     ForgetUpstream(name);
   }
+  RecordOutage();
   RecordFreshness();
   expiry_timer_ =
       context_.loop.Schedule(kExpiryInterval, [this] { ExpireEntries(); });
 }
 
+/// Records that the store is out of reach for this daemon and its peers, so
+/// that entries that are missing afterwards are kept until they had time to
+/// return.
+void StoreFollower::RecordOutage() {
+  RelayState& relay = context_.state.relay;
+  if (relay.freshness.HasMargin(context_.loop.BootNow())) return;
+  relay.fleet.RecordStoreRecovery(context_.loop.Now());
+}
+
 /// Records when keys stop being accepted and when they are accepted again.
 void StoreFollower::RecordFreshness() {
   const RelayState& relay = context_.state.relay;
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -70,6 +70,7 @@
   void RemoveEntry(const UpstreamName& name);
   void ForgetUpstream(const UpstreamName& name);
   void ExpireEntries();
+  void RecordOutage();
   void RecordFreshness();
 
   DaemonContext context_;
--- a/source/wire/mirror_codec.cc
+++ b/source/wire/mirror_codec.cc
@@ -10,8 +10,6 @@
 
 constexpr std::uint16_t kMagic = 0x574d;
 constexpr std::uint8_t kVersion = 1;
-/// A time since recovery that stands for none.
-constexpr std::int64_t kNoRecovery = -1;
 
 using Output = cereal::PortableBinaryOutputArchive;
 using Input = cereal::PortableBinaryInputArchive;
@@ -65,24 +63,22 @@
   return row;
 }
 
-MirrorPage ReadPage(PageReader& reader) {
+MirrorChanges ReadPage(PageReader& reader) {
   if (reader.ReadNumber<std::uint16_t>() != kMagic ||
       reader.ReadNumber<std::uint8_t>() != kVersion) {
     throw cereal::Exception("not a page of version " +
                             std::to_string(kVersion));
   }
-  MirrorPage page;
-  page.changes.head = reader.ReadNumber<std::uint64_t>();
-  page.changes.position = reader.ReadNumber<std::uint64_t>();
-  page.changes.whole = reader.ReadNumber<std::uint8_t>() != 0;
-  const auto recovery = reader.ReadNumber<std::int64_t>();
-  if (recovery >= 0) page.since_recovery = Duration(recovery);
+  MirrorChanges changes;
+  changes.head = reader.ReadNumber<std::uint64_t>();
+  changes.position = reader.ReadNumber<std::uint64_t>();
+  changes.whole = reader.ReadNumber<std::uint8_t>() != 0;
   const std::uint32_t rows = reader.ReadSize();
   for (std::uint32_t i = 0; i < rows; ++i) {
-    page.changes.rows.push_back(ReadRow(reader));
+    changes.rows.push_back(ReadRow(reader));
   }
   if (!reader.AtEnd()) throw cereal::Exception("a page has trailing bytes");
-  return page;
+  return changes;
 }
 
 }  // namespace
@@ -109,14 +105,11 @@
   return MirrorTarget{*table, after};
 }
 
-std::string EncodeMirrorPage(const MirrorPage& page) {
+std::string EncodeMirrorPage(const MirrorChanges& changes) {
   std::ostringstream stream;
   Output archive(stream);
-  const MirrorChanges& changes = page.changes;
-  const std::int64_t recovery =
-      page.since_recovery ? page.since_recovery->count() : kNoRecovery;
   archive(kMagic, kVersion, changes.head, changes.position,
-          static_cast<std::uint8_t>(changes.whole), recovery,
+          static_cast<std::uint8_t>(changes.whole),
           static_cast<std::uint32_t>(changes.rows.size()));
   for (const auto& row : changes.rows) {
     WriteText(archive, row.key);
@@ -126,8 +119,8 @@
   return stream.str();
 }
 
-std::optional<MirrorPage> ParseMirrorPage(std::string_view data,
-                                          LastReason& reason) {
+std::optional<MirrorChanges> ParseMirrorPage(std::string_view data,
+                                             LastReason& reason) {
   try {
     PageReader reader(data);
     return ReadPage(reader);
--- a/source/wire/mirror_codec.h
+++ b/source/wire/mirror_codec.h
@@ -7,18 +7,10 @@
 #include <string_view>
 
 #include "base/last_reason.h"
-#include "base/time_types.h"
 #include "decisions/store_view.h"
 
 namespace wisteriayoke {
 
-/// Changes of a mirrored table, as one daemon serves them to another.
-struct MirrorPage {
-  MirrorChanges changes;
-  /// Time since the store answered again after an outage; empty if unknown.
-  std::optional<Duration> since_recovery;
-};
-
 /// Path below which a daemon serves its mirrored tables to peers.
 inline constexpr std::string_view kMirrorPrefix = "/rows/";
 
@@ -34,12 +26,13 @@
 /// Parses a request target, or returns nullopt if it is none.
 std::optional<MirrorTarget> ParseMirrorTarget(std::string_view target);
 
-/// Returns the bytes of `page`; values of rows are copied as they are.
-std::string EncodeMirrorPage(const MirrorPage& page);
+/// Returns the bytes of a page of `changes`, as one daemon serves them to
+/// another; values of rows are copied as they are.
+std::string EncodeMirrorPage(const MirrorChanges& changes);
 
 /// Parses the bytes of a page. Fails with kMalformedDatagram.
-std::optional<MirrorPage> ParseMirrorPage(std::string_view data,
-                                          LastReason& reason);
+std::optional<MirrorChanges> ParseMirrorPage(std::string_view data,
+                                             LastReason& reason);
 
 }  // namespace wisteriayoke
 
--- a/tests/peers/peer_link_test.cc
+++ b/tests/peers/peer_link_test.cc
@@ -160,8 +160,8 @@
   LastReason reason;
   const auto page = ParseMirrorPage(fetch("/rows/entries/0").body, reason);
   REQUIRE(page.has_value());
-  CHECK(page->changes.rows.size() == 1);
-  CHECK(page->changes.position == 8);
+  CHECK(page->rows.size() == 1);
+  CHECK(page->position == 8);
   CHECK(fetch("/rows/others/0").head.status == 404);
 }
 
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -216,8 +216,7 @@
         const auto wanted = ParseMirrorTarget(request.target);
         REQUIRE(wanted.has_value());
         caller->Respond(
-            {{200, {}},
-             EncodeMirrorPage({.changes = peer.ChangesAfter(wanted->after)})});
+            {{200, {}}, EncodeMirrorPage(peer.ChangesAfter(wanted->after))});
       });
   SetBehindFollowers();
   Start();
@@ -233,6 +232,47 @@
   CHECK(store.calls() == 0);
 }
 
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "after an outage of the store entries that peers remove are "
+                  "kept for a while") {
+  RowMirror peer;
+  peer.Apply({.head = 7,
+              .position = 9,
+              .whole = true,
+              .rows = {{"i-1", MakeEntry("ready"), 7, false},
+                       {"i-2", MakeEntry("ready"), 6, false}}});
+  const FakeServer server(
+      loop, TestPorts::kPeers,
+      [&peer](const HttpRequest& request,
+              const std::shared_ptr<HttpServerSession>& caller) {
+        const auto wanted = ParseMirrorTarget(request.target);
+        caller->Respond(
+            {{200, {}}, EncodeMirrorPage(peer.ChangesAfter(wanted->after))});
+      });
+  SetBehindFollowers();
+  Start();
+  const Endpoint source = LocalEndpoint(TestPorts::kPeers);
+  const auto deliver = [&] {
+    state.relay.peer_views.Deliver({.entries = peer.view()}, source);
+  };
+  deliver();
+  RunUntil([this] { return IsKnown("i-1") && IsKnown("i-2"); });
+  // In a calm group a removal holds at once.
+  peer.Apply({.head = 12, .position = 12, .rows = {{"i-2", "", 12, true}}});
+  deliver();
+  RunUntil([&] { return state.relay.mirrors.entries.view().head == 12; });
+  CHECK_FALSE(IsKnown("i-2"));
+  // Nobody has a proof of the tables any more: the store is out of reach.
+  store.set_fault(StoreFault::kSilent);
+  state.relay.freshness = Freshness();
+  peer.Apply({.head = 15, .position = 15, .rows = {{"i-1", "", 15, true}}});
+  deliver();
+  RunUntil([&] { return state.relay.mirrors.entries.view().head == 15; });
+  CHECK(IsKnown("i-1"));
+  state.relay.freshness.RecordProof(loop.BootNow());
+  RunUntil([this] { return !IsKnown("i-1"); });
+}
+
 TEST_CASE_FIXTURE(
     FollowerFixture,
     "a peer that can't be reached or talks nonsense is recorded") {
--- a/tests/wire/mirror_codec_test.cc
+++ b/tests/wire/mirror_codec_test.cc
@@ -6,26 +6,23 @@
 namespace wisteriayoke {
 
 TEST_CASE("a page of a mirrored table is read as it was written") {
-  const MirrorPage page{
-      .changes = {.head = 7,
-                  .position = 9,
-                  .whole = true,
-                  .rows = {{"a", std::string(100'000, 'x'), 7, false},
-                           {"b", "", 3, true}}},
-      .since_recovery = std::chrono::milliseconds(1500)};
+  const MirrorChanges page{
+      .head = 7,
+      .position = 9,
+      .whole = true,
+      .rows = {{"a", std::string(100'000, 'x'), 7, false}, {"b", "", 3, true}}};
   LastReason reason;
   const auto read = ParseMirrorPage(EncodeMirrorPage(page), reason);
   REQUIRE_MESSAGE(read.has_value(), reason.message());
-  CHECK(read->changes == page.changes);
-  CHECK(read->since_recovery == page.since_recovery);
+  CHECK(*read == page);
   const auto empty = ParseMirrorPage(EncodeMirrorPage({}), reason);
   REQUIRE(empty.has_value());
-  CHECK_FALSE(empty->since_recovery.has_value());
+  CHECK(empty->rows.empty());
 }
 
 TEST_CASE("a damaged page is refused") {
-  const std::string bytes = EncodeMirrorPage(
-      {.changes = {.head = 7, .rows = {{"a", "value", 7, false}}}});
+  const std::string bytes =
+      EncodeMirrorPage({.head = 7, .rows = {{"a", "value", 7, false}}});
   const bool held = rc::check("damaged pages", [&bytes] {
     std::string damaged = bytes;
     const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
