tests: system_relay waits for each daemon after the outage of the store

The script took all daemons to be back at once, which nothing promises; it now checks that each comes back, one check more than before.

--- a/tests/system/relay.sh
+++ b/tests/system/relay.sh
@@ -158,7 +158,9 @@
 is_status 200 3 outage k2 /assist/a 1 || fail "keys were refused at the start of the outage"
 wait_until is_status 503 3 stale k2 /assist/a 1 || fail "a stale key was accepted"
 curl -sf -X PUT "http://$store/fault" -d none >/dev/null
-wait_until is_status 200 3 back k2 /assist/a 1 || fail "keys are refused after the outage"
+for n in $daemons; do
+  wait_until is_status 200 "$n" "back$n" k2 /assist/a 1 || fail "daemon$n refuses keys after the outage"
+done
 
 # A planned stop terminates no stream.
 send 2 stopped k2 /assist/a 50 >"$cluster_dir/stopped" &
