--- a/source/decisions/store_view.h
+++ b/source/decisions/store_view.h
@@ -17,7 +17,8 @@
     {MirroredTable::kEntries, "entries"},
 });
 
-/// What a daemon knows of the mirrored tables; sent with each message to peers.
+/// What a daemon knows of the mirrored tables; sent to peers with answers to
+/// their pings and with notices.
 struct StoreView {
   MirrorView tables;
   MirrorView entries;
