--- a/source/decisions/fleet.cc
+++ b/source/decisions/fleet.cc
@@ -16,6 +16,24 @@
   return FleetChange::kChanged;
 }
 
+bool Fleet::RecordLeaving(const UpstreamName& name, std::uint64_t started_ms,
+                          TimePoint now) {
+  const auto [found, added] =
+      leaving_.try_emplace(name, LeavingRun{started_ms, now});
+  if (added) return true;
+  // Upstreams restart under the same name, so word of an earlier run may be
+  // late.
+  if (started_ms <= found->second.started_ms) return false;
+  found->second = {started_ms, now};
+  return true;
+}
+
+bool Fleet::IsLeaving(const FleetEntry& entry) const {
+  const auto found = leaving_.find(entry.upstream.name);
+  return found != leaving_.end() &&
+         found->second.started_ms == entry.started_ms;
+}
+
 bool Fleet::Remove(const UpstreamName& name, TimePoint now) {
   const auto found = entries_.find(name);
   if (found == entries_.end()) return false;
@@ -39,6 +57,10 @@
     missing_since_.erase(name);
     entries_.erase(name);
   }
+  std::erase_if(leaving_, [this, now](const auto& item) {
+    return !entries_.contains(item.first) &&
+           now - item.second.recorded_at >= kLeavingRetention;
+  });
   return gone;
 }
 
@@ -62,7 +84,8 @@
     const PoolName& pool) const {
   std::vector<const FleetEntry*> open;
   for (const auto& [name, entry] : entries_) {
-    if (entry.pool == pool && !entry.draining) open.push_back(&entry);
+    if (entry.pool != pool || entry.draining || IsLeaving(entry)) continue;
+    open.push_back(&entry);
   }
   return open;
 }
--- a/source/decisions/fleet.h
+++ b/source/decisions/fleet.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_DECISIONS_FLEET_H_
 #define WISTERIAYOKE_DECISIONS_FLEET_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -51,16 +52,31 @@
   /// getting work as well.
   static constexpr Duration kReregistrationTime =
       std::chrono::milliseconds(1800);
+  /// How long the announcement of an upstream without an entry is kept; far
+  /// longer than an upstream goes on serving after it.
+  static constexpr Duration kLeavingRetention = std::chrono::minutes(10);
 
   /// Applies an entry that was read and returns how it changed the upstream.
   FleetChange Apply(const FleetEntry& entry);
 
+  /// Records that `name` announced that it is leaving, in the run that started
+  /// at `started_ms`. The announcement holds for that run alone and is kept
+  /// beyond the removal of the entry, which may return after an outage. Returns
+  /// whether it is new.
+  bool RecordLeaving(const UpstreamName& name, std::uint64_t started_ms,
+                     TimePoint now);
+
   /// Handles the removal of the entry of `name`. Returns whether the upstream
   /// was removed; if it was only marked missing, `Expire` removes it later.
   bool Remove(const UpstreamName& name, TimePoint now);
 
   /// Records that the store answers again after an outage.
-  void RecordStoreRecovery(TimePoint now) { store_returned_ = now; }
+  void RecordStoreRecovery(TimePoint now) {
+    store_returned_ = std::max(store_returned_.value_or(now), now);
+  }
+
+  /// Returns when the store last answered again after an outage, or nullopt.
+  std::optional<TimePoint> store_returned() const { return store_returned_; }
 
   /// Removes the upstreams whose entries didn't return in time and returns
   /// their names.
@@ -73,13 +89,23 @@
   /// Returns the entry of `name`, or null.
   const FleetEntry* Find(const UpstreamName& name) const;
 
-  /// Returns the upstreams of `pool` that aren't draining.
+  /// Returns the upstreams of `pool` that are neither draining nor announced
+  /// that they are leaving.
   std::vector<const FleetEntry*> ListAvailable(const PoolName& pool) const;
 
   const std::map<UpstreamName, FleetEntry>& entries() const { return entries_; }
 
  private:
+  /// The announcement of an upstream that it is leaving.
+  struct LeavingRun {
+    std::uint64_t started_ms = 0;
+    TimePoint recorded_at;
+  };
+
+  bool IsLeaving(const FleetEntry& entry) const;
+
   std::map<UpstreamName, FleetEntry> entries_;
+  std::map<UpstreamName, LeavingRun> leaving_;
   std::map<UpstreamName, TimePoint> missing_since_;
   std::optional<TimePoint> store_returned_;
 };
--- a/source/decisions/freshness.cc
+++ b/source/decisions/freshness.cc
@@ -1,11 +1,11 @@
 #include "decisions/freshness.h"
 
-#include <algorithm>
-
 namespace wisteriayoke {
 
-void Freshness::RecordProof(BootTime proven) {
-  proven_ = proven_ ? std::max(*proven_, proven) : proven;
+bool Freshness::RecordProof(BootTime proven) {
+  if (proven_ && proven <= *proven_) return false;
+  proven_ = proven;
+  return true;
 }
 
 std::optional<Duration> Freshness::AgeAt(BootTime now) const {
--- a/source/decisions/freshness.h
+++ b/source/decisions/freshness.h
@@ -24,8 +24,9 @@
  public:
   explicit Freshness(FreshnessLimits limits = {}) : limits_(limits) {}
 
-  /// Records that the tables in force were the newest at `proven`.
-  void RecordProof(BootTime proven);
+  /// Records that the tables in force, or newer ones, were the newest at
+  /// `proven`. Returns whether this is the latest proof.
+  bool RecordProof(BootTime proven);
 
   /// Returns the age of the latest proof, or nullopt before the first.
   std::optional<Duration> AgeAt(BootTime now) const;
--- a/source/decisions/gossip_update.cc
+++ b/source/decisions/gossip_update.cc
@@ -43,8 +43,10 @@
                    std::get<TableHeadUpdate>(known).version.number;
           },
           [&known](const LeavingUpdate& update) {
-            return update.age + kRepeatWindow <
-                   std::get<LeavingUpdate>(known).age;
+            const auto& other = std::get<LeavingUpdate>(known);
+            return update.started_ms > other.started_ms ||
+                   update.list_revision > other.list_revision ||
+                   update.age + kRepeatWindow < other.age;
           },
           [&known](const SuspectUpdate& update) {
             const auto& other = std::get<SuspectUpdate>(known);
--- a/source/decisions/gossip_update.h
+++ b/source/decisions/gossip_update.h
@@ -23,7 +23,12 @@
 /// withdraws a sign: it expires unless it is renewed.
 struct LeavingUpdate {
   UpstreamName upstream;
-  Duration age{};  ///< Time since the sign was seen.
+  Duration age{};  ///< Time since the sign was last seen.
+  /// Start of the upstream's run that shows the sign, in Unix ms; 0 if unknown.
+  std::uint64_t started_ms = 0;
+  /// Revision of the platform's list that holds the sign; 0 for a sign that the
+  /// upstream itself gave.
+  std::uint64_t list_revision = 0;
 
   friend bool operator==(const LeavingUpdate&, const LeavingUpdate&) = default;
 };
--- a/source/decisions/in_flight_counts.h
+++ b/source/decisions/in_flight_counts.h
@@ -16,6 +16,7 @@
 
 /// Returns the digest of `name`; the same in every daemon.
 UpstreamDigest DigestOf(const UpstreamName& name);
+std::uint32_t DigestOf(const DaemonName& name);
 
 /// Number of requests that one daemon has in flight on an upstream.
 struct InFlightCount {
--- a/source/decisions/layer_orders.cc
+++ b/source/decisions/layer_orders.cc
@@ -1,6 +1,7 @@
 #include "decisions/layer_orders.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/overloaded.h"
@@ -29,17 +30,20 @@
   TrackUpstreams(tick, now);
   if (MustWait(now)) return {};
   std::vector<LayerHost> hosts;
+  std::set<UpstreamName> unavailable;
   for (const auto& upstream : tick.upstreams) {
     LayerHost host = upstream.host;
     const OrderState& state = states_.at(host.name);
     if (state.ordered) host.held = *state.ordered;
-    host.loading = state.busy || state.ordered || !state.sequence;
+    host.loading =
+        host.loading || state.busy || state.ordered || !state.sequence;
+    if (upstream.host.loading) unavailable.insert(host.name);
     hosts.push_back(std::move(host));
   }
   Actions actions;
   for (const auto& [name, layers] : PlanLayers(model_, hosts)) {
     OrderState& state = states_.at(name);
-    if (state.busy || !state.sequence) continue;
+    if (state.busy || !state.sequence || unavailable.contains(name)) continue;
     if (state.ordered.value_or(state.held) == layers) continue;
     actions.push_back(MakeOrder(name, state, layers, now));
   }
--- a/source/decisions/layer_orders.h
+++ b/source/decisions/layer_orders.h
@@ -24,7 +24,8 @@
 
 /// Time to compare the layers that the upstreams hold with the plan.
 struct OrdersTick {
-  std::vector<PlacedUpstream> upstreams;  ///< Those that can get orders now.
+  /// Those that can be used now. One marked as loading gets no order.
+  std::vector<PlacedUpstream> upstreams;
 };
 
 /// Result of sending an order to an upstream.
--- a/source/decisions/lease_manager.cc
+++ b/source/decisions/lease_manager.cc
@@ -19,6 +19,14 @@
       event);
 }
 
+/// Returns in how many ticks a daemon of rank `rank` looks at the lease once.
+/// The reads of all daemons together don't grow with the group.
+std::size_t ReadPeriod(std::size_t rank) {
+  constexpr std::size_t kLinearRanks = 8;
+  const std::size_t place = rank + 1;
+  return place <= kLinearRanks ? place : place * place / kLinearRanks;
+}
+
 }  // namespace
 
 Duration TakeoverWait(const LeaseLimits& limits) {
@@ -59,7 +67,7 @@
                                                TimePoint now) {
   if (pending_) return {};
   if (owned_) return Write(record_->fencing, now);
-  if (idle_ticks_++ % std::min(tick.rank + 1, kMaxReadTicks) != 0) return {};
+  if (idle_ticks_++ % ReadPeriod(tick.rank) != 0) return {};
   pending_ = true;
   return {ReadLease{++operation_}};
 }
--- a/source/decisions/lease_manager.h
+++ b/source/decisions/lease_manager.h
@@ -97,13 +97,12 @@
 /// A holder measures its lease from before it sent the write, a successor from
 /// after it saw the write's version. The holder has therefore stopped before a
 /// successor starts, as long as no clock drifts by more than the stated bound.
+///
+/// The first daemon by rank reads a lease held by another in each tick, the
+/// next in every second one, and so on, and from the eighth on ever more
+/// rarely, so that the reads of a group hardly grow with its size.
 class LeaseManager {
  public:
-  /// Largest number of ticks between two reads of a lease held by another
-  /// daemon. The first daemon reads in each tick, the next in every second one,
-  /// and so on, so that the reads of a group hardly grow with its size.
-  static constexpr std::size_t kMaxReadTicks = 8;
-
   LeaseManager(DaemonName holder, std::string token, LeaseLimits limits)
       : holder_(std::move(holder)), token_(std::move(token)), limits_(limits) {}
 
--- a/source/decisions/leaving_tracker.cc
+++ b/source/decisions/leaving_tracker.cc
@@ -47,27 +47,45 @@
 void LeavingTracker::ApplyList(const InstanceListRead& list) {
   if (list.revision <= revision_) return;
   revision_ = list.revision;
+  listed_staying_.clear();
   for (const auto& listed : list.upstreams) {
     if (listed.leaving) {
       signs_[listed.upstream].by_list = true;
-    } else if (const auto found = signs_.find(listed.upstream);
-               found != signs_.end()) {
-      found->second.by_list = false;
+      continue;
+    }
+    listed_staying_.insert(listed.upstream);
+    const auto found = signs_.find(listed.upstream);
+    if (found == signs_.end()) continue;
+    Signs& signs = found->second;
+    signs.by_list = false;
+    if (IsOutdated(listed.upstream, signs.peer_list_revision)) {
+      signs.by_peer_until.reset();
     }
   }
 }
 
+/// Returns whether a sign from the list's revision `list_revision` was
+/// withdrawn by the latest list.
+bool LeavingTracker::IsOutdated(const UpstreamName& upstream,
+                                std::uint64_t list_revision) const {
+  return list_revision > 0 && list_revision < revision_ &&
+         listed_staying_.contains(upstream);
+}
+
 void LeavingTracker::ApplyPeerUpdate(const LeavingUpdate& update,
                                      TimePoint now) {
   if (update.age >= kPeerSignLifetime) return;
+  if (IsOutdated(update.upstream, update.list_revision)) return;
   const TimePoint until = now + kPeerSignLifetime - update.age;
   Signs& signs = signs_[update.upstream];
-  signs.by_peer_until = std::max(signs.by_peer_until.value_or(until), until);
+  if (signs.by_peer_until && until <= *signs.by_peer_until) return;
+  signs.by_peer_until = until;
+  signs.peer_list_revision = update.list_revision;
 }
 
 void LeavingTracker::UpdateMark(const UpstreamName& upstream, Signs& signs,
                                 TimePoint now,
-                                std::vector<LeavingAction>& actions) {
+                                std::vector<LeavingAction>& actions) const {
   const bool by_peer = signs.by_peer_until && now < *signs.by_peer_until;
   const bool leaving = signs.seen_directly() || by_peer;
   if (leaving != signs.marked) {
@@ -76,13 +94,14 @@
   }
   const bool due =
       !signs.announced_at || now - *signs.announced_at >= kRenewalInterval;
-  if (!signs.seen_directly() || !due) return;
+  if (!signs.certain() || !due) return;
   // A renewal by one daemon is enough for the whole group.
   const bool renewed = by_peer && *signs.by_peer_until - now >
                                       kPeerSignLifetime - kRenewalInterval;
   if (renewed) return;
   signs.announced_at = now;
-  actions.emplace_back(AnnounceLeaving{upstream});
+  const bool by_upstream = signs.by_upstream && !signs.staying_since;
+  actions.emplace_back(AnnounceLeaving{upstream, by_upstream ? 0 : revision_});
 }
 
 std::vector<UpstreamName> LeavingTracker::ListLeaving() const {
--- a/source/decisions/leaving_tracker.h
+++ b/source/decisions/leaving_tracker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -52,6 +53,8 @@
 /// Report to the peers that this daemon has seen a leaving sign.
 struct AnnounceLeaving {
   UpstreamName upstream;
+  /// Revision of the list that has the sign; 0 if the upstream gave it.
+  std::uint64_t list_revision = 0;
 };
 
 using LeavingAction = std::variant<MarkLeaving, AnnounceLeaving>;
@@ -61,7 +64,9 @@
 /// A sign from any source marks the upstream. Each sign is withdrawn only by
 /// its own source: the upstream's after it has reported for `kReturnTime` that
 /// it isn't leaving, the list's by a later revision with an entry that isn't
-/// leaving, a peer's by expiry.
+/// leaving, a peer's by expiry. A peer's sign that comes from the list is
+/// ordered by the list's revision, so a peer that reads the list late doesn't
+/// renew a sign that a later revision withdrew.
 class LeavingTracker {
  public:
   static constexpr Duration kTickInterval = std::chrono::milliseconds(200);
@@ -88,20 +93,27 @@
     /// First of the latest consecutive reports that it isn't leaving.
     std::optional<TimePoint> staying_since;
     std::optional<TimePoint> by_peer_until;
+    /// Revision of the list that the peer's sign comes from, or 0.
+    std::uint64_t peer_list_revision = 0;
     std::optional<TimePoint> announced_at;
     bool marked = false;
 
     bool seen_directly() const { return by_upstream || by_list; }
+    /// Whether a sign seen directly holds and isn't being withdrawn.
+    bool certain() const { return by_list || (by_upstream && !staying_since); }
   };
 
   void ApplyUpstreamReport(const UpstreamLeavingReport& report, TimePoint now);
   void ApplyList(const InstanceListRead& list);
   void ApplyPeerUpdate(const LeavingUpdate& update, TimePoint now);
-  static void UpdateMark(const UpstreamName& upstream, Signs& signs,
-                         TimePoint now, std::vector<LeavingAction>& actions);
+  bool IsOutdated(const UpstreamName& upstream,
+                  std::uint64_t list_revision) const;
+  void UpdateMark(const UpstreamName& upstream, Signs& signs, TimePoint now,
+                  std::vector<LeavingAction>& actions) const;
 
   std::map<UpstreamName, Signs> signs_;
-  std::uint64_t revision_ = 0;
+  std::uint64_t revision_ = 0;             ///< Of the latest list.
+  std::set<UpstreamName> listed_staying_;  ///< Not leaving by that list.
 };
 
 }  // namespace wisteriayoke
--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -31,6 +31,7 @@
             HandleCounts(counted);
           },
           [this](const TableHeadChanged& changed) { head_ = changed.head; },
+          [this](const AnnounceRequested&) { GossipNow({}); },
           [this](const LeaveRequested&) { HandleLeave(); },
       },
       event);
@@ -50,6 +51,16 @@
                     [this](const Member& m) { return m.name < self_.name; }));
 }
 
+std::size_t Membership::RankByDigest() const {
+  const auto key = [](const Member& member) {
+    return std::pair(DigestOf(member.name), member.name);
+  };
+  const std::vector<Member> present = members_.ListPresent();
+  return static_cast<std::size_t>(
+      std::count_if(present.begin(), present.end(),
+                    [&](const Member& m) { return key(m) < key(self_); }));
+}
+
 void Membership::HandleTick() {
   ExpireSuspects();
   std::erase_if(relayed_pings_, [this](const auto& item) {
--- a/source/decisions/membership.h
+++ b/source/decisions/membership.h
@@ -44,12 +44,16 @@
   TableVersion head;
 };
 
+/// This daemon's messages say something new, which some peers should know now.
+struct AnnounceRequested {};
+
 /// This daemon is about to stop.
 struct LeaveRequested {};
 
 using PeerEvent =
     std::variant<PeerTick, PeerMessageArrived, SeedsChanged, GossipUpdatePosted,
-                 InFlightCountsPosted, TableHeadChanged, LeaveRequested>;
+                 InFlightCountsPosted, TableHeadChanged, AnnounceRequested,
+                 LeaveRequested>;
 
 /// Send `message` to the daemon at `to`.
 struct SendPeerMessage {
@@ -128,6 +132,9 @@
   std::optional<Endpoint> SampleMember();
   /// Returns the number of present members with names before this daemon's.
   std::size_t RankByName() const;
+  /// Returns the number of present members ordered before this daemon by the
+  /// digests of their names, which spread over the data centres.
+  std::size_t RankByDigest() const;
   /// Returns the number of present members, including this one.
   std::size_t group_size() const { return members_.CountPresent() + 1; }
 
--- a/source/decisions/upstream_tracker.cc
+++ b/source/decisions/upstream_tracker.cc
@@ -37,6 +37,10 @@
   return state.declined_until && now < *state.declined_until;
 }
 
+bool IsHeldOff(const UpstreamState& state, TimePoint now) {
+  return state.held_off_until && now < *state.held_off_until;
+}
+
 bool IsEjected(const UpstreamState& state, TimePoint now) {
   return !state.leaving && state.ejected_until && now < *state.ejected_until;
 }
@@ -91,6 +95,19 @@
   state.declined_until = now + BackoffTime(kFirstDecline, ++state.declines);
 }
 
+void UpstreamTracker::RecordHoldOff(const UpstreamName& name, Duration time,
+                                    TimePoint now) {
+  UpstreamState& state = states_[name];
+  const TimePoint until = now + std::min(time, kMaxHoldOff);
+  state.held_off_until = std::max(state.held_off_until.value_or(until), until);
+}
+
+Duration UpstreamTracker::HoldOffLeft(const UpstreamName& name,
+                                      TimePoint now) const {
+  const UpstreamState& state = StateOf(name);
+  return IsHeldOff(state, now) ? *state.held_off_until - now : Duration::zero();
+}
+
 void UpstreamTracker::Restore(const UpstreamName& name) {
   UpstreamState& state = states_[name];
   state.consecutive_failures = 0;
@@ -160,7 +177,9 @@
                                          TimePoint now) const {
   const UpstreamState& state = StateOf(name);
   if (state.leaving) return UpstreamHealth::kLeaving;
-  if (IsDeclining(state, now)) return UpstreamHealth::kEjected;
+  if (IsDeclining(state, now) || IsHeldOff(state, now)) {
+    return UpstreamHealth::kEjected;
+  }
   if (!state.ejected_until) return UpstreamHealth::kHealthy;
   return now < *state.ejected_until ? UpstreamHealth::kEjected
                                     : UpstreamHealth::kProbing;
@@ -218,6 +237,7 @@
   std::vector<const UpstreamSpec*> usable;
   for (const auto& upstream : pool.upstreams) {
     if (excluded.contains(upstream.name)) continue;
+    if (IsHeldOff(StateOf(upstream.name), now)) continue;
     const UpstreamHealth health = HealthOf(upstream.name, now);
     const bool busy = StateOf(upstream.name).in_flight > 0;
     const bool is_kept =
--- a/source/decisions/upstream_tracker.h
+++ b/source/decisions/upstream_tracker.h
@@ -50,6 +50,8 @@
   std::optional<TimePoint> slow_start_from;
   std::uint32_t declines = 0;  ///< Consecutive, without a success between.
   std::optional<TimePoint> declined_until;
+  /// End of the time for which the upstream asked this daemon for no work.
+  std::optional<TimePoint> held_off_until;
   double slowdown = 1;  ///< Reported factor by which it is slower than usual.
   TimePoint slowdown_reported_at;
 };
@@ -62,6 +64,8 @@
  public:
   /// Largest share of a pool's upstreams that are ejected at a time.
   static constexpr double kMaxEjectedShare = 0.5;
+  /// Longest time for which an upstream may ask for no work.
+  static constexpr Duration kMaxHoldOff = std::chrono::minutes(1);
 
   /// Removes the upstreams that `tables` no longer lists.
   void Retain(const TableSet& tables);
@@ -90,6 +94,13 @@
   /// answer to a poll (`Restore`) doesn't end this.
   void RecordDecline(const UpstreamName& name, TimePoint now);
 
+  /// Records that `name` asked this daemon at `now` for no work for `time`, at
+  /// most `kMaxHoldOff`. Only a restart of the upstream ends this earlier.
+  void RecordHoldOff(const UpstreamName& name, Duration time, TimePoint now);
+
+  /// Returns how much longer `name` wants no work from this daemon.
+  Duration HoldOffLeft(const UpstreamName& name, TimePoint now) const;
+
   /// Ends an ejection of `name`, since it answered a poll.
   void Restore(const UpstreamName& name);
 
@@ -126,7 +137,7 @@
 
   /// Returns the upstreams of `pool` that may get new work. If more than
   /// `kMaxEjectedShare` of them are ejected, the excess whose ejection ends
-  /// first is returned as well.
+  /// first is returned as well, except upstreams that asked for no work.
   std::vector<const UpstreamSpec*> ListUsable(
       const Pool& pool, const std::set<UpstreamName>& excluded,
       TimePoint now) const;
--- a/source/supervisor/context/leaving_handler.cc
+++ b/source/supervisor/context/leaving_handler.cc
@@ -19,7 +19,9 @@
                          ResultCode::kOk, {{"upstream", mark.upstream.text()}});
                    },
                    [&state](const AnnounceLeaving& announce) {
-                     state.gossip.Post(LeavingUpdate{announce.upstream, {}});
+                     state.gossip.Post(LeavingUpdate{
+                         .upstream = announce.upstream,
+                         .list_revision = announce.list_revision});
                    },
                },
                action);
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -1,13 +1,17 @@
 #ifndef WISTERIAYOKE_SUPERVISOR_CONTEXT_RELAY_STATE_H_
 #define WISTERIAYOKE_SUPERVISOR_CONTEXT_RELAY_STATE_H_
 
+#include <cstddef>
 #include <map>
+#include <string>
 
 #include "decisions/fleet.h"
 #include "decisions/freshness.h"
 #include "decisions/link_budget.h"
 #include "decisions/relay_tables.h"
 #include "decisions/retry_budget.h"
+#include "decisions/store_view.h"
+#include "supervisor/context/peer_view_exchange.h"
 #include "supervisor/context/relay_metrics.h"
 
 namespace wisteriayoke {
@@ -17,7 +21,17 @@
   RelayTablesPtr tables;  ///< Null until the first tables are in force.
   Fleet fleet;
   bool fleet_known = false;  ///< Whether the list of upstreams was read.
-  Freshness freshness;       ///< Proven age of `tables`.
+  StoreMirrors mirrors;      ///< Copies of the store's tables.
+  /// Whether the newest document is valid and so in force.
+  bool document_valid = false;
+  Freshness freshness;  ///< Proven age of `tables`.
+  /// Whence the latest proof came: "store", or the name of a peer.
+  std::string proof_source;
+  bool follows_store = false;  ///< Whether this daemon follows the store.
+  /// Number of present daemons ordered before this one for following it.
+  std::size_t follow_rank = 0;
+  std::size_t group_size = 1;  ///< Present daemons, including this one.
+  PeerViewExchange peer_views;
   RetryLimits retry_limits;  ///< This daemon's share of each pool's limits.
   std::map<PoolName, RetryBudget> budgets;
   LinkBudget links;             ///< Budget of the links between data centres.
--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -5,6 +5,8 @@
 
 #include "base/overloaded.h"
 #include "platform/fleet_codec.h"
+#include "platform/relay_fields.h"
+#include "supervisor/context/fleet_leaving.h"
 #include "wire/order_codec.h"
 
 namespace wisteriayoke {
@@ -22,6 +24,8 @@
 /// without a slot.
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(500);
 
+constexpr std::uint64_t kMaxAnswerBytes = 256 * 1024;
+
 /// A late order is safe (see `LayerOrders`), so a successor waits for none.
 constexpr LeaseLimits kLeaseLimits{
     .length = std::chrono::seconds(2),
@@ -35,10 +39,10 @@
 }
 
 HttpCallLimits MakeCallLimits() {
-  HttpCallLimits limits;
-  limits.connect_timeout = kAnswerTimeout;
-  limits.idle_timeout = kAnswerTimeout;
-  return limits;
+  return {.message = {.body_bytes = kMaxAnswerBytes},
+          .connect_timeout = kAnswerTimeout,
+          .idle_timeout = kAnswerTimeout,
+          .total_timeout = kAnswerTimeout};
 }
 
 }  // namespace
@@ -172,17 +176,22 @@
     const UpstreamSpec& upstream = entry->upstream;
     const auto kind = model.accelerators.find(upstream.accelerator);
     if (kind == model.accelerators.end()) continue;
-    const auto health = context_.state.upstreams.HealthOf(upstream.name, now);
-    if (health == UpstreamHealth::kEjected) continue;
+    const auto& tracker = context_.state.upstreams;
+    // An upstream that asked for no work keeps its layers but gets no orders.
+    const bool held_off =
+        tracker.HoldOffLeft(upstream.name, now) > Duration::zero();
+    const bool suspected =
+        tracker.StateOf(upstream.name).ejected_until || !held_off;
+    const auto health = tracker.HealthOf(upstream.name, now);
+    if (health == UpstreamHealth::kEjected && suspected) continue;
     // A slow upstream is left out, so that others get its layers as well.
-    const double slowdown =
-        context_.state.upstreams.SlowdownOf(upstream.name, now);
+    const double slowdown = tracker.SlowdownOf(upstream.name, now);
     if (RelativeSlowdown(model, kind->second, slowdown) >= kTooSlow) continue;
-    const auto& tracker = context_.state.upstreams;
     tick.upstreams.push_back({{.name = upstream.name,
                                .data_centre = upstream.data_centre,
                                .memory_mb = kind->second.memory_mb,
                                .held = upstream.layers,
+                               .loading = held_off,
                                .in_flight = tracker.CountInFlight(
                                    upstream.name, context_.state.peer_loads)},
                               entry->started_ms});
@@ -218,6 +227,7 @@
       context_.loop, entry->upstream.endpoint, BuildLayerOrder(action),
       MakeCallLimits(),
       [self = shared_from_this(), pool, action](const FetchResult& result) {
+        self->RecordIfLeaving(action.upstream, result);
         const bool answered = result.code == ResultCode::kOk;
         const int status = result.response.head.status;
         const auto outcome =
@@ -228,6 +238,15 @@
       });
 }
 
+void LayerPlacement::RecordIfLeaving(const UpstreamName& upstream,
+                                     const FetchResult& result) {
+  const FleetEntry* entry = context_.state.relay.fleet.Find(upstream);
+  if (entry == nullptr || !ReadAnswerFields(result.response.head).leaving) {
+    return;
+  }
+  RecordLeaving(context_, upstream, entry->started_ms);
+}
+
 void LayerPlacement::RecordOrder(const SendLayerOrder& action,
                                  LayerOrderResult result,
                                  const std::string& reason) {
@@ -262,6 +281,7 @@
                 MakeCallLimits(),
                 [self = shared_from_this(), pool,
                  upstream = action.upstream](const FetchResult& result) {
+                  self->RecordIfLeaving(upstream, result);
                   self->FeedOrders(pool, self->ReadReport(upstream, result));
                 });
 }
--- a/source/supervisor/layer_placement/layer_placement.h
+++ b/source/supervisor/layer_placement/layer_placement.h
@@ -41,6 +41,7 @@
   void FeedOrders(const PoolName& pool, const LayerOrderEvent& event);
   void Execute(const PoolName& pool, const SendLayerOrder& action);
   void Execute(const PoolName& pool, const QuerySequence& action);
+  void RecordIfLeaving(const UpstreamName& upstream, const FetchResult& result);
   void RecordOrder(const SendLayerOrder& action, LayerOrderResult result,
                    const std::string& reason);
   bool HoldsLease() const;
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -9,6 +9,7 @@
 #include "base/overloaded.h"
 #include "supervisor/context/log.h"
 #include "wire/datagram_codec.h"
+#include "wire/mirror_codec.h"
 
 namespace wisteriayoke {
 namespace {
@@ -73,7 +74,7 @@
           const std::shared_ptr<HttpServerSession>& session) {
         const auto self = weak.lock();
         if (!self) return session->Abort();
-        session->Respond(self->ServeContent(request));
+        session->Respond(self->Serve(request));
       },
       [](const LastReason&) {
         return HttpResponse{{400, {}}, ""};
@@ -126,7 +127,26 @@
   }
   context_.state.timeline.AdvancePast(
       {message->clock_us, message->clock_counter});
+  if (const auto* ack = std::get_if<Ack>(&message->content)) {
+    HandleProof(*message, *ack);
+  }
   Feed(PeerMessageArrived{*message, from});
+  if (message->store) {
+    context_.state.relay.peer_views.Deliver(*message->store, from);
+  }
+}
+
+/// Takes over the peer's proof that the tables are up to date, if this daemon's
+/// tables are at least as new as the peer's.
+void PeerLink::HandleProof(const PeerMessage& message, const Ack& ack) {
+  const auto proven =
+      proofs_.TakeProof(ack.sequence, ack.proof_age, context_.loop.BootNow());
+  RelayState& relay = context_.state.relay;
+  const std::uint64_t head = message.store ? message.store->tables.head : 0;
+  const bool up_to_date = head > 0 && relay.mirrors.tables.view().head >= head;
+  if (!proven || !up_to_date || !relay.document_valid) return;
+  if (!relay.freshness.RecordProof(*proven)) return;
+  relay.proof_source = message.sender.name.text();
 }
 
 void PeerLink::Feed(const PeerEvent& event) {
@@ -157,6 +177,17 @@
   const HybridTime time = context_.state.timeline.Tick();
   message.clock_us = time.wall_us;
   message.clock_counter = time.counter;
+  const StoreView view = context_.state.relay.mirrors.View();
+  if (CarriesStoreView(message.content) && view != StoreView{}) {
+    message.store = view;
+  }
+  if (const auto* ping = std::get_if<Ping>(&message.content)) {
+    proofs_.RecordPing(ping->sequence, context_.loop.BootNow());
+  }
+  if (auto* ack = std::get_if<Ack>(&message.content)) {
+    ack->proof_age =
+        context_.state.relay.freshness.AgeAt(context_.loop.BootNow());
+  }
   LastReason reason;
   const auto data = EncodeDatagram(std::move(message), reason);
   if (data) return udp_->Send(*data, action.to);
@@ -168,6 +199,8 @@
   PeerLoads& loads = context_.state.peer_loads;
   loads.SetPeerCount(membership_.group_size() - 1);
   context_.state.rank = membership_.RankByName();
+  context_.state.relay.follow_rank = membership_.RankByDigest();
+  context_.state.relay.group_size = membership_.group_size();
   if (!member.present()) loads.Drop(member.name);
   context_.state.timeline.Record(
       LogLevel::kInfo, EventKind::kMemberChanged, ResultCode::kOk,
@@ -199,6 +232,8 @@
   Feed(changed);
 }
 
+void PeerLink::AnnounceStoreView() { Feed(AnnounceRequested{}); }
+
 void PeerLink::SetHeadInForce(const TableVersion& head) {
   Feed(TableHeadChanged{head});
 }
@@ -214,6 +249,27 @@
   return members;
 }
 
+HttpResponse PeerLink::Serve(const HttpRequest& request) const {
+  return request.target.starts_with(kMirrorPrefix) ? ServeRows(request.target)
+                                                   : ServeContent(request);
+}
+
+/// Serves the changes of a mirrored table after a version.
+HttpResponse PeerLink::ServeRows(std::string_view target) const {
+  const RelayState& relay = context_.state.relay;
+  const auto wanted = ParseMirrorTarget(target);
+  if (!wanted || !relay.mirrors.Of(wanted->table).complete()) {
+    return {{kStatusNotFound, {}}, ""};
+  }
+  MirrorPage page{
+      .changes = relay.mirrors.Of(wanted->table).ChangesAfter(wanted->after)};
+  if (const auto returned = relay.fleet.store_returned()) {
+    page.since_recovery = context_.loop.Now() - *returned;
+  }
+  return {{kStatusOk, {{"Content-Type", "application/octet-stream"}}},
+          EncodeMirrorPage(page)};
+}
+
 HttpResponse PeerLink::ServeContent(const HttpRequest& request) const {
   const DaemonState& state = context_.state;
   const std::string path = std::string(kContentPrefix) + state.version.hash;
--- a/source/supervisor/peers/peer_link.h
+++ b/source/supervisor/peers/peer_link.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "decisions/membership.h"
+#include "decisions/proof_clock.h"
 #include "runtime/http_server.h"
 #include "runtime/supervisor.h"
 #include "runtime/udp_endpoint.h"
@@ -32,6 +33,9 @@
   /// Sets the version of the tables in force, sent with each message to peers.
   void SetHeadInForce(const TableVersion& head);
 
+  /// Sends this daemon's view of the store to some peers at once.
+  void AnnounceStoreView();
+
   /// Returns a peer to fetch the content `hash` from: at the first call the one
   /// that announced it last, else a random member. Empty if there is none.
   std::optional<Endpoint> ChooseContentPeer(const std::string& hash);
@@ -46,7 +50,10 @@
   void Tick();
   void ShareLoads();
   void HandleDatagram(std::string_view data, const Endpoint& from);
+  HttpResponse Serve(const HttpRequest& request) const;
   HttpResponse ServeContent(const HttpRequest& request) const;
+  HttpResponse ServeRows(std::string_view target) const;
+  void HandleProof(const PeerMessage& message, const Ack& ack);
   void Feed(const PeerEvent& event);
   void SendMessage(const SendPeerMessage& action);
   void HandleMember(const Member& member);
@@ -61,6 +68,7 @@
   GossipExchange::Subscription gossip_sender_;
   LoopTimerPtr tick_timer_;
   LoopTimerPtr load_timer_;
+  ProofClock proofs_;
   TableVersion head_;  ///< Highest head received from a peer.
   /// Peer that sent `head_`; empty once it was chosen for a fetch.
   std::optional<Endpoint> head_peer_;
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "platform/fleet_codec.h"
+#include "platform/relay_fields.h"
+#include "supervisor/context/fleet_leaving.h"
 #include "supervisor/context/server_limits.h"
 #include "supervisor/context/suspect_guard.h"
 #include "supervisor/relay/relay_refusal.h"
@@ -25,6 +27,8 @@
 constexpr Duration kDegradedPollInterval = std::chrono::seconds(1);
 /// Timeout of a poll; an upstream needs no slot to answer it.
 constexpr Duration kReportTimeout = std::chrono::milliseconds(200);
+/// Most bytes of a report; it lists the requests that the upstream stalls.
+constexpr std::uint64_t kMaxReportBytes = 256 * 1024;
 /// Time without an answer to a poll after which the upstream gets no new work
 /// and streams that it may stall go on elsewhere. It is many times what an
 /// answer takes, but much shorter than a pause that callers notice, so a wrong
@@ -73,6 +77,7 @@
       reason);
   if (!server_) return false;
   suspect_updates_ = FollowSuspects(context_);
+  leaving_updates_ = FollowLeaving(context_);
   RelayState& relay = context_.state.relay;
   relay.max_members_seen =
       std::max(relay.max_members_seen, CountListedDaemons(context_.settings));
@@ -230,6 +235,7 @@
   for (const auto& name : degraded) {
     const FleetEntry* entry = context_.state.relay.fleet.Find(name);
     if (entry == nullptr || entry->upstream.layers == LayerRange{}) continue;
+    if (tracker.HoldOffLeft(name, now) > Duration::zero()) continue;
     PollReport(name, kDegradedPollInterval);
   }
 }
@@ -262,15 +268,20 @@
   polls_[upstream].pending = true;
   polls_[upstream].unresponsive_timer = context_.loop.Schedule(
       kUnresponsiveAfter, [this, upstream] { HandleUnresponsive(upstream); });
-  HttpCallLimits limits;
-  limits.connect_timeout = kReportTimeout;
-  limits.idle_timeout = kReportTimeout;
+  const HttpCallLimits limits{.message = {.body_bytes = kMaxReportBytes},
+                              .connect_timeout = kReportTimeout,
+                              .idle_timeout = kReportTimeout,
+                              .total_timeout = kReportTimeout};
   FetchResponse(context_.loop, entry->upstream.endpoint, BuildReportRequest(),
                 limits,
-                [weak = weak_from_this(), upstream](const FetchResult& result) {
-                  if (const auto self = weak.lock()) {
-                    self->HandleReport(upstream, result);
+                [weak = weak_from_this(), upstream,
+                 started_ms = entry->started_ms](const FetchResult& result) {
+                  const auto self = weak.lock();
+                  if (!self) return;
+                  if (ReadAnswerFields(result.response.head).leaving) {
+                    RecordLeaving(self->context_, upstream, started_ms);
                   }
+                  self->HandleReport(upstream, result);
                 });
 }
 
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -51,6 +51,7 @@
   DaemonContext context_;
   std::shared_ptr<HttpServer> server_;
   GossipExchange::Subscription suspect_updates_;
+  GossipExchange::Subscription leaving_updates_;
   std::vector<std::weak_ptr<RelaySession>> sessions_;
   /// Latest request for an upstream's report.
   struct ReportPoll {
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/overloaded.h"
+#include "supervisor/context/fleet_leaving.h"
 #include "supervisor/relay/relay_refusal.h"
 #include "wire/digest.h"
 
@@ -29,6 +30,8 @@
 /// Part of the latency objective, in thousandths, after which an attempt of an
 /// idempotent call is given up and another upstream is tried.
 constexpr int kAttemptTimeoutPerMille = 600;
+/// Most bytes of an answer. One that isn't a stream is held until it is whole.
+constexpr std::uint64_t kMaxAnswerBytes = 8 * 1024 * 1024;
 constexpr int kStatusOk = 200;
 constexpr int kStatusMultipleChoices = 300;
 constexpr int kStatusRequestTimeout = 408;
@@ -168,7 +171,8 @@
     context_.state.upstreams.RecordPrefillStart(name);
   }
   HttpCallLimits limits;
-  limits.message.allow_close_delimited = true;
+  limits.message = {.body_bytes = kMaxAnswerBytes,
+                    .allow_close_delimited = true};
   limits.connect_timeout = std::min(kConnectTimeout, TimeLeft());
   limits.idle_timeout = TimeLeft();
   limits.reset_on_close = true;
@@ -208,6 +212,10 @@
   head_ = event.head;
   status_ = head_.status;
   const AnswerFields fields = ReadAnswerFields(head_);
+  if (fields.leaving) {
+    RecordLeaving(context_, target_->upstream, target_->started_ms);
+  }
+  RecordHoldOff(fields);
   if (fields.not_run) {
     const UpstreamName failed_upstream = FindFailedUpstream(fields);
     if (!target_->chain.empty() || head_.status == kStatusMisdirected) {
@@ -222,12 +230,36 @@
   event_stream_ = is_stream() && IsGood(head_.status);
 }
 
+/// Records that the upstream asked this daemon for no work. The stage that the
+/// answer names as failed is spared as well.
+void RelaySession::RecordHoldOff(const AnswerFields& fields) {
+  if (!fields.hold_off && fields.unreadable_hold_off.empty()) return;
+  const UpstreamName& upstream = target_->upstream;
+  const UpstreamName stage = FindFailedUpstream(fields);
+  const Duration asked = fields.hold_off.value_or(Duration::zero());
+  const TimePoint now = context_.loop.Now();
+  context_.state.upstreams.RecordHoldOff(upstream, asked, now);
+  if (stage != upstream) {
+    context_.state.upstreams.RecordHoldOff(stage, asked, now);
+  }
+  context_.state.timeline.Record(LogLevel::kInfo, EventKind::kUpstreamHeldOff,
+                                 ResultCode::kOk,
+                                 {{"upstream", upstream.text()},
+                                  {"stage", stage.text()},
+                                  {"request", request_.fields.attempt_id},
+                                  {"asked_us", std::to_string(asked.count())},
+                                  {"unreadable", fields.unreadable_hold_off}});
+}
+
 void RelaySession::HandleBodyData(const CallBodyData& body) {
   if (!event_stream_) {
     body_ += body.data;
     return;
   }
   ForwardEvents(splitter_.Push(body.data));
+  if (splitter_.overflowed() && target_) {
+    LoseAttempt(ResultCode::kMalformedHttp, false);
+  }
 }
 
 void RelaySession::ForwardEvents(std::vector<StreamEvent> events) {
@@ -458,7 +490,7 @@
 }
 
 void RelaySession::Execute(const RefuseNotRun& action) {
-  RespondWithError(action.code, kRetryAfter);
+  RespondWithError(action.code, ComputeRetryDelay(context_, request_.pool));
 }
 
 void RelaySession::Execute(const FailOutcomeUnknown& action) {
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -70,6 +70,7 @@
   HttpRequest BuildAttempt(const RelayTarget& target) const;
   void HandleCall(CallEvent event);
   void HandleHead(const CallHead& event);
+  void RecordHoldOff(const AnswerFields& fields);
   void HandleBodyData(const CallBodyData& body);
   void HandleEnd();
   void HandleFailure(const CallFailure& failure);
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "decisions/layer_path.h"
+#include "supervisor/relay/relay_refusal.h"
 
 namespace wisteriayoke {
 namespace {
@@ -59,6 +60,11 @@
   return candidates;
 }
 
+std::uint64_t StartOf(const DaemonContext& context, const UpstreamName& name) {
+  const FleetEntry* entry = context.state.relay.fleet.Find(name);
+  return entry == nullptr ? 0 : entry->started_ms;
+}
+
 /// Charges `hidden_states` to this daemon's share of the links. Returns false,
 /// and charges nothing, if the share doesn't allow it.
 bool TryTakeLinks(const DaemonContext& context, const LayeredModel& model,
@@ -84,7 +90,8 @@
   }
   if (choice.outcome == PathOutcome::kUncovered) return {};
   const Stage& first = choice.chain.front();
-  return {RelayTarget{first.upstream, first.endpoint, std::move(choice.chain)},
+  return {RelayTarget{first.upstream, first.endpoint, std::move(choice.chain),
+                      StartOf(context, first.upstream)},
           ResultCode::kOk};
 }
 
@@ -106,7 +113,11 @@
       ChooseUpstream(state.routing, candidates, {}, state.random);
   if (!chosen) return {};
   const UpstreamSpec& upstream = *candidates[*chosen].upstream;
-  return {RelayTarget{upstream.name, upstream.endpoint, {}}, ResultCode::kOk};
+  return {RelayTarget{upstream.name,
+                      upstream.endpoint,
+                      {},
+                      StartOf(context, upstream.name)},
+          ResultCode::kOk};
 }
 
 }  // namespace
@@ -129,6 +140,17 @@
   return text;
 }
 
+Duration ComputeRetryDelay(const DaemonContext& context, const PoolName& pool) {
+  const TimePoint now = context.loop.Now();
+  std::optional<Duration> least;
+  for (const auto* entry : context.state.relay.fleet.ListAvailable(pool)) {
+    const Duration left =
+        context.state.upstreams.HoldOffLeft(entry->upstream.name, now);
+    least = std::min(least.value_or(left), left);
+  }
+  return std::max(least.value_or(Duration::zero()), kRetryAfter);
+}
+
 TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
                           const std::set<UpstreamName>& excluded,
                           double tokens) {
--- a/source/supervisor/relay/relay_target.h
+++ b/source/supervisor/relay/relay_target.h
@@ -14,7 +14,8 @@
 struct RelayTarget {
   UpstreamName upstream;  ///< Upstream that gets the request.
   Endpoint endpoint;
-  Chain chain;  ///< All stages; empty for plain services.
+  Chain chain;                   ///< All stages; empty for plain services.
+  std::uint64_t started_ms = 0;  ///< Start of the upstream's run, Unix ms.
 
   /// Returns every upstream that works on the attempt.
   std::vector<UpstreamName> ListUpstreams() const;
@@ -36,6 +37,11 @@
                           const std::set<UpstreamName>& excluded,
                           double tokens);
 
+/// Returns after what time a caller that was refused for want of an upstream
+/// should retry: when the first upstream of `pool` wants work again if all
+/// asked for none, else kRetryAfter.
+Duration ComputeRetryDelay(const DaemonContext& context, const PoolName& pool);
+
 }  // namespace wisteriayoke
 
 #endif  // WISTERIAYOKE_SUPERVISOR_RELAY_RELAY_TARGET_H_
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -116,9 +116,19 @@
   return AddChild<PeerLink>("peers", reason);
 }
 
+bool RootSupervisor::AddStoreFollower(LastReason& reason) {
+  return children_.Add(
+      {.name = "store-follower",
+       .create =
+           [this](FailureHandler on_failure) {
+             return Child(std::make_shared<StoreFollower>(
+                 Context(), MakePeerFinder(), std::move(on_failure)));
+           }},
+      reason);
+}
+
 bool RootSupervisor::StartRelay(LastReason& reason) {
-  return AddOperators(reason) && AddPeers(reason) &&
-         AddChild<StoreFollower>("store-follower", reason) &&
+  return AddOperators(reason) && AddPeers(reason) && AddStoreFollower(reason) &&
          AddChild<LayerPlacement>("layer-placement", reason) &&
          AddChild<ReadinessServer>("ready", reason) &&
          AddChild<RelayFrontEnd>("relay", reason);
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -68,6 +68,7 @@
   bool StartRelay(LastReason& reason);
   bool AddOperators(LastReason& reason);
   bool AddPeers(LastReason& reason);
+  bool AddStoreFollower(LastReason& reason);
   /// Adds a child that is made from the context and a failure handler alone.
   template <typename Kind>
   bool AddChild(const std::string& name, LastReason& reason);
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -12,9 +12,9 @@
 namespace {
 
 /// Wait for changes of the tables in thousandths of the revocation time. Each
-/// wait that ends proves the tables fresh, so a daemon that loses the store
-/// still accepts keys for most of the revocation time.
-constexpr int kTablesWaitPerMille = 300;
+/// wait that ends proves the tables fresh, and the proof has to reach daemons
+/// that don't follow the store.
+constexpr int kTablesWaitPerMille = 200;
 /// Wait for changes of the entries, whose freshness needs no proof.
 constexpr Duration kEntriesWait = std::chrono::seconds(5);
 /// Delay of the next call after one with changes of the entries, so that many
@@ -25,8 +25,15 @@
 constexpr Duration kWaitTolerance = std::chrono::milliseconds(5);
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(400);
+/// Time between two checks whether this daemon must follow the store.
+constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(100);
 /// A fraction of the time for which an expired entry is kept.
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(200);
+/// Timeout of a fetch from a peer, which is a few milliseconds away.
+constexpr Duration kFetchTimeout = std::chrono::milliseconds(500);
+constexpr std::uint64_t kMaxPageBytes = 8 * 1024 * 1024;
+constexpr int kStatusOk = 200;
+constexpr auto kStoreSource = "store";
 
 Duration RetryDelay(unsigned failures) {
   Duration delay = kFirstRetryDelay;
@@ -36,111 +43,237 @@
   return std::min(delay, kMaxRetryDelay);
 }
 
+/// Converts a page of the store. One of changes follows on `head`.
+MirrorChanges ConvertPage(const RowPage& page, bool whole, std::uint64_t head) {
+  MirrorChanges changes{.head = whole ? page.version : head,
+                        .position = page.version,
+                        .whole = whole};
+  for (const auto& row : page.rows) {
+    changes.head = std::max(changes.head, row.version);
+    changes.rows.push_back({row.key, row.value, row.version, row.removed});
+  }
+  return changes;
+}
+
 }  // namespace
 
-StoreFollower::StoreFollower(DaemonContext context,
+StoreFollower::StoreFollower(DaemonContext context, PeerFinder peers,
                              const FailureHandler& /*on_failure*/)
     : context_(context),
+      peers_(std::move(peers)),
       store_(std::make_shared<RowStore>(
           context.loop,
           context.settings.EndpointOf(SettingKey::kPlatformAddress))),
+      policy_(context.settings.Milliseconds(SettingKey::kRevocationTime),
+              context.loop.Now()),
       tables_{
-          .table = kDocumentTable,
+          .table = MirroredTable::kTables,
+          .store_table = kDocumentTable,
           .wait = context.settings.Milliseconds(SettingKey::kRevocationTime) *
                   kTablesWaitPerMille / 1000},
-      entries_{.table = kEntriesTable,
+      entries_{.table = MirroredTable::kEntries,
+               .store_table = kEntriesTable,
                .wait = kEntriesWait,
                .pause = kEntriesPause} {}
 
 bool StoreFollower::Start(LastReason& /*reason*/) {
-  CallStore(tables_, &StoreFollower::ApplyTables);
-  CallStore(entries_, &StoreFollower::ApplyEntries);
+  peer_views_ = context_.state.relay.peer_views.Subscribe(
+      [this](const StoreView& view, const Endpoint& source) {
+        HandlePeerView(view, source);
+      });
+  CheckRole(tables_);
+  CheckRole(entries_);
   ExpireEntries();
   return true;
 }
 
 void StoreFollower::Stop(const std::function<void()>& done) {
   stopped_ = true;
+  peer_views_.reset();
   tables_.timer.reset();
   entries_.timer.reset();
   expiry_timer_.reset();
   done();
 }
 
-void StoreFollower::CallStore(ChangeFeed& feed, Handler handler) {
+/// Decides whether this daemon follows the store, and records a change.
+bool StoreFollower::MustFollow() {
+  RelayState& relay = context_.state.relay;
+  const auto age = relay.freshness.AgeAt(context_.loop.BootNow());
+  const bool follows = policy_.MustFollow({.rank = relay.follow_rank,
+                                           .group_size = relay.group_size,
+                                           .proof_age = age},
+                                          context_.loop.Now());
+  if (follows == std::exchange(relay.follows_store, follows)) return follows;
+  context_.state.timeline.Record(
+      LogLevel::kInfo,
+      follows ? EventKind::kStoreFollowed : EventKind::kStoreUnfollowed,
+      ResultCode::kOk,
+      {{"rank", std::to_string(relay.follow_rank)},
+       {"group", std::to_string(relay.group_size)},
+       {"tables_age_us", age ? std::to_string(age->count()) : "unknown"},
+       {"proof_source", relay.proof_source}});
+  return follows;
+}
+
+void StoreFollower::CheckRole(ChangeFeed& feed) {
   if (stopped_) return;
-  auto done = [self = shared_from_this(), &feed, handler,
-               sent = context_.loop.BootNow()](const RowReply& reply) {
-    self->HandleReply(feed, handler, sent, reply);
+  if (MustFollow()) return CallStore(feed);
+  feed.failures = 0;
+  Schedule(kRoleCheckInterval, feed);
+}
+
+void StoreFollower::CallStore(ChangeFeed& feed) {
+  const RowMirror& mirror = MirrorOf(feed);
+  const bool whole = feed.read_whole || !mirror.complete();
+  const BootTime now = context_.loop.BootNow();
+  const Duration wait =
+      policy_.ChooseWait(feed.wait, context_.state.relay.freshness.AgeAt(now));
+  auto done = [self = shared_from_this(), &feed, whole, wait,
+               sent = now](const RowReply& reply) {
+    self->HandleReply(feed, whole, sent, wait, reply);
   };
-  if (feed.synced) {
-    store_->Follow(feed.table, feed.version, feed.wait, std::move(done));
+  if (whole) {
+    store_->ReadTable(feed.store_table, std::move(done));
   } else {
-    store_->ReadTable(feed.table, std::move(done));
+    store_->Follow(feed.store_table, mirror.view().position, wait,
+                   std::move(done));
   }
 }
 
-void StoreFollower::HandleReply(ChangeFeed& feed, Handler handler,
-                                BootTime sent, const RowReply& reply) {
+void StoreFollower::HandleReply(ChangeFeed& feed, bool whole, BootTime sent,
+                                Duration wait, const RowReply& reply) {
   if (stopped_) return;
-  const auto kind = feed.synced ? StoreCallKind::kFollow : StoreCallKind::kRead;
-  context_.state.relay.metrics.CountStoreCall(kind, reply.code);
+  const auto kind = whole ? StoreCallKind::kRead : StoreCallKind::kFollow;
+  RelayState& relay = context_.state.relay;
+  relay.metrics.CountStoreCall(kind, reply.code);
   if (reply.code == ResultCode::kObjectMissing) {
-    feed.synced = false;
-    return CallStore(feed, handler);
+    feed.read_whole = true;
+    return CallStore(feed);
   }
-  if (reply.code != ResultCode::kOk) return HandleFailure(feed, handler, reply);
+  if (reply.code != ResultCode::kOk) return HandleFailure(feed, reply);
   RecordReturn(feed);
-  const bool whole = !feed.synced;
-  feed.synced = true;
-  feed.version = reply.page.version;
-  (this->*handler)(reply.page, whole);
+  feed.read_whole = false;
+  Apply(feed, ConvertPage(reply.page, whole, MirrorOf(feed).view().head));
   // An empty answer to a wait proves that nothing changed until its end; any
   // other answer may be as old as the call.
-  const BootTime wait_end = sent + feed.wait - kWaitTolerance;
+  const BootTime wait_end = sent + std::max(wait - kWaitTolerance, Duration());
   const bool idle =
       !whole && reply.page.rows.empty() && context_.loop.BootNow() >= wait_end;
-  if (&feed == &tables_ && document_valid_) {
-    context_.state.relay.freshness.RecordProof(idle ? wait_end : sent);
+  if (feed.table == MirroredTable::kTables && relay.document_valid &&
+      relay.freshness.RecordProof(idle ? wait_end : sent)) {
+    relay.proof_source = kStoreSource;
   }
-  if (reply.page.rows.empty()) return CallStore(feed, handler);
-  ScheduleCall(feed.pause, feed, handler);
+  if (reply.page.rows.empty()) return CheckRole(feed);
+  Schedule(feed.pause, feed);
 }
 
-void StoreFollower::ScheduleCall(Duration delay, ChangeFeed& feed,
-                                 Handler handler) {
-  feed.timer = context_.loop.Schedule(
-      delay, [this, &feed, handler] { CallStore(feed, handler); });
+void StoreFollower::Schedule(Duration delay, ChangeFeed& feed) {
+  feed.timer =
+      context_.loop.Schedule(delay, [this, &feed] { CheckRole(feed); });
 }
 
-void StoreFollower::HandleFailure(ChangeFeed& feed, Handler handler,
-                                  const RowReply& reply) {
+void StoreFollower::HandleFailure(ChangeFeed& feed, const RowReply& reply) {
   if (++feed.failures == 1) {
     context_.state.timeline.Record(
         LogLevel::kWarning, EventKind::kStoreLost, reply.code,
-        {{"table", feed.table}, {"reason", reply.message}});
+        {{"table", feed.store_table}, {"reason", reply.message}});
   }
-  ScheduleCall(RetryDelay(feed.failures), feed, handler);
+  Schedule(RetryDelay(feed.failures), feed);
 }
 
 void StoreFollower::RecordReturn(ChangeFeed& feed) {
   if (feed.failures == 0) return;
-  context_.state.timeline.Record(
-      LogLevel::kInfo, EventKind::kStoreReturned, ResultCode::kOk,
-      {{"table", feed.table}, {"failures", std::to_string(feed.failures)}});
+  context_.state.timeline.Record(LogLevel::kInfo, EventKind::kStoreReturned,
+                                 ResultCode::kOk,
+                                 {{"table", feed.store_table},
+                                  {"failures", std::to_string(feed.failures)}});
   feed.failures = 0;
-  if (&feed == &entries_) {
+  if (feed.table == MirroredTable::kEntries) {
     context_.state.relay.fleet.RecordStoreRecovery(context_.loop.Now());
   }
 }
 
-void StoreFollower::ApplyTables(const RowPage& page, bool /*whole*/) {
+/// Fetches the changes that a peer knows and this daemon doesn't.
+void StoreFollower::HandlePeerView(const StoreView& view,
+                                   const Endpoint& source) {
+  for (ChangeFeed* feed : {&tables_, &entries_}) {
+    RowMirror& mirror = MirrorOf(*feed);
+    const MirrorView& theirs = view.Of(feed->table);
+    mirror.RecordPosition(theirs);
+    if (theirs.head <= mirror.view().head) continue;
+    if (!feed->fetching) {
+      Fetch(*feed, source);
+    } else if (theirs.head > feed->next_head) {
+      feed->next_head = theirs.head;
+      feed->next_peer = source;
+    }
+  }
+}
+
+void StoreFollower::Fetch(ChangeFeed& feed, const Endpoint& source) {
+  feed.fetching = true;
+  const HttpCallLimits limits{.message = {.body_bytes = kMaxPageBytes},
+                              .connect_timeout = kFetchTimeout,
+                              .idle_timeout = kFetchTimeout,
+                              .total_timeout = kFetchTimeout};
+  const MirrorTarget wanted{feed.table, MirrorOf(feed).view().head};
+  FetchResponse(
+      context_.loop, source, {.target = FormatMirrorTarget(wanted)}, limits,
+      [self = shared_from_this(), &feed, source](const FetchResult& result) {
+        if (!self->stopped_) self->HandlePage(feed, source, result);
+      });
+}
+
+void StoreFollower::HandlePage(ChangeFeed& feed, const Endpoint& source,
+                               const FetchResult& result) {
+  feed.fetching = false;
+  LastReason reason;
+  const bool answered = result.code == ResultCode::kOk &&
+                        result.response.head.status == kStatusOk;
+  const auto page =
+      answered ? ParseMirrorPage(result.response.body, reason) : std::nullopt;
+  if (page) {
+    if (page->since_recovery && feed.table == MirroredTable::kEntries) {
+      context_.state.relay.fleet.RecordStoreRecovery(context_.loop.Now() -
+                                                     *page->since_recovery);
+    }
+    Apply(feed, page->changes);
+  } else {
+    // Another peer's next message starts another fetch.
+    context_.state.timeline.Record(
+        LogLevel::kInfo, EventKind::kPeerFetchFailed,
+        answered ? reason.code() : ResultCode::kConnectionBroken,
+        {{"table", std::string(kMirroredTableNames.NameOf(feed.table))},
+         {"peer", source.ToString()},
+         {"reason", answered ? reason.message() : result.message}});
+  }
+  const std::uint64_t next = std::exchange(feed.next_head, 0);
+  if (next > MirrorOf(feed).view().head) Fetch(feed, feed.next_peer);
+}
+
+/// Puts changes in force and, if there are any, announces them to peers.
+void StoreFollower::Apply(const ChangeFeed& feed,
+                          const MirrorChanges& changes) {
+  RowMirror& mirror = MirrorOf(feed);
+  const std::uint64_t before = mirror.view().head;
+  const std::vector<MirrorRow> rows = mirror.Apply(changes);
+  if (feed.table == MirroredTable::kTables) {
+    ApplyTables(rows);
+  } else {
+    ApplyEntries(rows);
+  }
+  if (mirror.view().head == before) return;
+  if (const auto link = peers_()) link->AnnounceStoreView();
+}
+
+void StoreFollower::ApplyTables(const std::vector<MirrorRow>& rows) {
   RelayState& relay = context_.state.relay;
-  for (const auto& row : page.rows) {
+  for (const auto& row : rows) {
     if (row.key != kDocumentKey || row.removed) continue;
     LastReason reason;
     auto spec = ParseRelaySpec(row.value, reason);
-    document_valid_ = spec.has_value();
+    relay.document_valid = spec.has_value();
     if (!spec) {
       context_.state.timeline.Record(LogLevel::kError,
                                      EventKind::kTablesRefused, reason.code(),
@@ -159,19 +292,19 @@
   }
 }
 
-void StoreFollower::ApplyEntries(const RowPage& page, bool whole) {
-  for (const auto& row : page.rows) {
+void StoreFollower::ApplyEntries(const std::vector<MirrorRow>& rows) {
+  for (const auto& row : rows) {
     if (row.removed) {
       RemoveEntry(UpstreamName(row.key));
     } else {
       ApplyEntry(row);
     }
   }
-  if (whole) RemoveMissing(page);
-  context_.state.relay.fleet_known = true;
+  context_.state.relay.fleet_known =
+      context_.state.relay.mirrors.entries.complete();
 }
 
-void StoreFollower::ApplyEntry(const StoreRow& row) {
+void StoreFollower::ApplyEntry(const MirrorRow& row) {
   LastReason reason;
   const auto entry = ParseFleetEntry(row.key, row.value, reason);
   if (!entry) {
@@ -198,14 +331,6 @@
        {"version", std::to_string(row.version)}});
 }
 
-void StoreFollower::RemoveMissing(const RowPage& page) {
-  std::vector<UpstreamName> present;
-  for (const auto& row : page.rows) present.emplace_back(row.key);
-  for (const auto& name : context_.state.relay.fleet.ListMissing(present)) {
-    RemoveEntry(name);
-  }
-}
-
 void StoreFollower::RemoveEntry(const UpstreamName& name) {
   if (context_.state.relay.fleet.Remove(name, context_.loop.Now())) {
     ForgetUpstream(name);
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -5,59 +5,80 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "decisions/store_follow_policy.h"
 #include "platform/row_store.h"
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/peers/peer_link.h"
+#include "wire/mirror_codec.h"
 
 namespace wisteriayoke {
 
-/// Follows the tables and the upstreams' entries in the platform's store, and
-/// records when the tables are proven to be fresh. A child of the root.
+/// Mirrors the tables and the upstreams' entries of the platform's store and
+/// puts their changes in force. A few daemons of the group follow the store;
+/// the others fetch changes from peers. Records when the tables are proven to
+/// be fresh. A child of the root.
 class StoreFollower : public std::enable_shared_from_this<StoreFollower> {
  public:
-  StoreFollower(DaemonContext context, const FailureHandler& on_failure);
+  StoreFollower(DaemonContext context, PeerFinder peers,
+                const FailureHandler& on_failure);
 
   bool Start(LastReason& reason);
   void Stop(const std::function<void()>& done);
 
  private:
-  /// Position in the changes of one table of the store.
+  /// How one table is followed at the store and at peers.
   struct ChangeFeed {
-    std::string table;
+    MirroredTable table = MirroredTable::kTables;
+    std::string store_table;  ///< Its name in the store.
     Duration wait{};   ///< Maximum time that one call waits for a change.
     Duration pause{};  ///< Delay of the next call after one with changes.
-    std::uint64_t version = 0;
-    bool synced = false;    ///< Whether the whole table was read.
-    unsigned failures = 0;  ///< Consecutive failures.
-    LoopTimerPtr timer;     ///< Timer of the next call.
+    bool read_whole = false;  ///< Whether the next call reads the whole table.
+    unsigned failures = 0;    ///< Consecutive failures.
+    LoopTimerPtr timer;       ///< Timer of the next call or role check.
+    bool fetching = false;    ///< Whether a fetch from a peer is open.
+    /// Peer that announced a change while a fetch was open, and its head.
+    Endpoint next_peer;
+    std::uint64_t next_head = 0;
   };
 
-  /// `whole`: whether the page has all rows of the table, not only changes.
-  using Handler = void (StoreFollower::*)(const RowPage&, bool whole);
+  RowMirror& MirrorOf(const ChangeFeed& feed) {
+    return context_.state.relay.mirrors.Of(feed.table);
+  }
 
-  void CallStore(ChangeFeed& feed, Handler handler);
-  void HandleReply(ChangeFeed& feed, Handler handler, BootTime sent,
+  bool MustFollow();
+  void CheckRole(ChangeFeed& feed);
+  void CallStore(ChangeFeed& feed);
+  void HandleReply(ChangeFeed& feed, bool whole, BootTime sent, Duration wait,
                    const RowReply& reply);
-  void ScheduleCall(Duration delay, ChangeFeed& feed, Handler handler);
-  void HandleFailure(ChangeFeed& feed, Handler handler, const RowReply& reply);
+  void Schedule(Duration delay, ChangeFeed& feed);
+  void HandleFailure(ChangeFeed& feed, const RowReply& reply);
   void RecordReturn(ChangeFeed& feed);
 
-  void ApplyTables(const RowPage& page, bool whole);
-  void ApplyEntries(const RowPage& page, bool whole);
-  void ApplyEntry(const StoreRow& row);
-  void RemoveMissing(const RowPage& page);
+  void HandlePeerView(const StoreView& view, const Endpoint& source);
+  void Fetch(ChangeFeed& feed, const Endpoint& source);
+  void HandlePage(ChangeFeed& feed, const Endpoint& source,
+                  const FetchResult& result);
+
+  void Apply(const ChangeFeed& feed, const MirrorChanges& changes);
+  void ApplyTables(const std::vector<MirrorRow>& rows);
+  void ApplyEntries(const std::vector<MirrorRow>& rows);
+  void ApplyEntry(const MirrorRow& row);
   void RemoveEntry(const UpstreamName& name);
   void ForgetUpstream(const UpstreamName& name);
   void ExpireEntries();
   void RecordFreshness();
 
   DaemonContext context_;
+  PeerFinder peers_;
   std::shared_ptr<RowStore> store_;
+  StoreFollowPolicy policy_;
   ChangeFeed tables_;
   ChangeFeed entries_;
-  bool document_valid_ = false;  ///< Whether the newest document was valid.
-  bool keys_fresh_ = false;      ///< Whether the last check allowed keys.
+  PeerViewExchange::Subscription peer_views_;
+  bool keys_fresh_ = false;  ///< Whether the last check allowed keys.
   LoopTimerPtr expiry_timer_;
   bool stopped_ = false;
 };
--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -1,5 +1,6 @@
 #include "wire/datagram_codec.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <limits>
 #include <sstream>
@@ -10,7 +11,7 @@
 namespace {
 
 constexpr std::uint16_t kMagic = 0x5759;
-constexpr std::uint8_t kVersion = 2;
+constexpr std::uint8_t kVersion = 3;
 /// Most bytes of a text and most items of a list.
 constexpr std::size_t kMaxLength = std::numeric_limits<std::uint8_t>::max();
 
@@ -57,6 +58,15 @@
     duration = Duration(static_cast<Duration::rep>(count));
   }
 
+  template <typename Value>
+  void Serialize(std::optional<Value>& value) {
+    bool present = value.has_value();
+    Serialize(present);
+    if (!present) return value.reset();
+    if constexpr (kIsInput) value.emplace();
+    Serialize(*value);
+  }
+
   void Serialize(MemberStatus& status) {
     auto number = static_cast<std::uint8_t>(status);
     archive_(number);
@@ -77,11 +87,21 @@
                  member.status);
   }
 
+  /// The position is never before the head and rarely far after it.
+  void Serialize(MirrorView& view) {
+    constexpr std::uint64_t kMost = std::numeric_limits<std::uint32_t>::max();
+    auto distance = static_cast<std::uint32_t>(
+        std::min(view.position - std::min(view.position, view.head), kMost));
+    SerializeAll(view.head, distance);
+    view.position = view.head + distance;
+  }
+  void Serialize(StoreView& view) { SerializeAll(view.tables, view.entries); }
+
   void Serialize(Ping& ping) { SerializeAll(ping.sequence, ping.joining); }
   void Serialize(PingRequest& request) {
     SerializeAll(request.sequence, request.target);
   }
-  void Serialize(Ack& ack) { Serialize(ack.sequence); }
+  void Serialize(Ack& ack) { SerializeAll(ack.sequence, ack.proof_age); }
   void Serialize(GossipNotice& /*notice*/) {}
   void Serialize(InFlightCountsNotice& notice) { Serialize(notice.counts); }
   void Serialize(InFlightCount& count) {
@@ -90,7 +110,8 @@
 
   void Serialize(TableHeadUpdate& update) { Serialize(update.version); }
   void Serialize(LeavingUpdate& update) {
-    SerializeAll(update.upstream, update.age);
+    SerializeAll(update.upstream, update.age, update.started_ms,
+                 update.list_revision);
   }
   void Serialize(SuspectUpdate& update) {
     SerializeAll(update.fingerprint, update.upstream, update.age,
@@ -119,8 +140,9 @@
   }
 
   void Serialize(PeerMessage& message) {
-    SerializeAll(message.sender, message.head, message.content, message.members,
-                 message.updates, message.clock_us, message.clock_counter);
+    SerializeAll(message.sender, message.head, message.store, message.content,
+                 message.members, message.updates, message.clock_us,
+                 message.clock_counter);
   }
 
   template <typename... Parts>
--- /dev/null
+++ b/source/wire/mirror_codec.cc
@@ -0,0 +1,142 @@
+#include "wire/mirror_codec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <charconv>
+#include <cstdint>
+#include <sstream>
+
+namespace wisteriayoke {
+namespace {
+
+constexpr std::uint16_t kMagic = 0x574d;
+constexpr std::uint8_t kVersion = 1;
+/// A time since recovery that stands for none.
+constexpr std::int64_t kNoRecovery = -1;
+
+using Output = cereal::PortableBinaryOutputArchive;
+using Input = cereal::PortableBinaryInputArchive;
+
+/// Reads the parts of a page. Sizes are compared with the bytes that are there
+/// before memory is taken for them.
+class PageReader {
+ public:
+  explicit PageReader(std::string_view data)
+      : size_(data.size()), stream_(std::string(data)), archive_(stream_) {}
+
+  template <typename Number>
+  Number ReadNumber() {
+    Number number{};
+    archive_(number);
+    return number;
+  }
+
+  std::uint32_t ReadSize() {
+    const auto size = ReadNumber<std::uint32_t>();
+    const auto used = static_cast<std::size_t>(stream_.tellg());
+    if (size > size_ - used) throw cereal::Exception("a size is too large");
+    return size;
+  }
+
+  std::string ReadText() {
+    std::string text(ReadSize(), '\0');
+    archive_(cereal::binary_data(text.data(), text.size()));
+    return text;
+  }
+
+  bool AtEnd() { return static_cast<std::size_t>(stream_.tellg()) == size_; }
+
+ private:
+  std::size_t size_;
+  std::istringstream stream_;
+  Input archive_;
+};
+
+void WriteText(Output& archive, const std::string& text) {
+  archive(static_cast<std::uint32_t>(text.size()));
+  archive(cereal::binary_data(text.data(), text.size()));
+}
+
+MirrorRow ReadRow(PageReader& reader) {
+  MirrorRow row;
+  row.key = reader.ReadText();
+  row.value = reader.ReadText();
+  row.version = reader.ReadNumber<std::uint64_t>();
+  row.removed = reader.ReadNumber<std::uint8_t>() != 0;
+  return row;
+}
+
+MirrorPage ReadPage(PageReader& reader) {
+  if (reader.ReadNumber<std::uint16_t>() != kMagic ||
+      reader.ReadNumber<std::uint8_t>() != kVersion) {
+    throw cereal::Exception("not a page of version " +
+                            std::to_string(kVersion));
+  }
+  MirrorPage page;
+  page.changes.head = reader.ReadNumber<std::uint64_t>();
+  page.changes.position = reader.ReadNumber<std::uint64_t>();
+  page.changes.whole = reader.ReadNumber<std::uint8_t>() != 0;
+  const auto recovery = reader.ReadNumber<std::int64_t>();
+  if (recovery >= 0) page.since_recovery = Duration(recovery);
+  const std::uint32_t rows = reader.ReadSize();
+  for (std::uint32_t i = 0; i < rows; ++i) {
+    page.changes.rows.push_back(ReadRow(reader));
+  }
+  if (!reader.AtEnd()) throw cereal::Exception("a page has trailing bytes");
+  return page;
+}
+
+}  // namespace
+
+std::string FormatMirrorTarget(const MirrorTarget& wanted) {
+  return std::string(kMirrorPrefix) +
+         std::string(kMirroredTableNames.NameOf(wanted.table)) + "/" +
+         std::to_string(wanted.after);
+}
+
+std::optional<MirrorTarget> ParseMirrorTarget(std::string_view target) {
+  if (!target.starts_with(kMirrorPrefix)) return std::nullopt;
+  target.remove_prefix(kMirrorPrefix.size());
+  const std::size_t slash = target.find('/');
+  if (slash == std::string_view::npos) return std::nullopt;
+  const auto table = kMirroredTableNames.Find(target.substr(0, slash));
+  target.remove_prefix(slash + 1);
+  std::uint64_t after = 0;
+  const char* end = target.data() + target.size();
+  const auto parsed = std::from_chars(target.data(), end, after);
+  if (!table || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return MirrorTarget{*table, after};
+}
+
+std::string EncodeMirrorPage(const MirrorPage& page) {
+  std::ostringstream stream;
+  Output archive(stream);
+  const MirrorChanges& changes = page.changes;
+  const std::int64_t recovery =
+      page.since_recovery ? page.since_recovery->count() : kNoRecovery;
+  archive(kMagic, kVersion, changes.head, changes.position,
+          static_cast<std::uint8_t>(changes.whole), recovery,
+          static_cast<std::uint32_t>(changes.rows.size()));
+  for (const auto& row : changes.rows) {
+    WriteText(archive, row.key);
+    WriteText(archive, row.value);
+    archive(row.version, static_cast<std::uint8_t>(row.removed));
+  }
+  return stream.str();
+}
+
+std::optional<MirrorPage> ParseMirrorPage(std::string_view data,
+                                          LastReason& reason) {
+  try {
+    PageReader reader(data);
+    return ReadPage(reader);
+  } catch (const cereal::Exception& error) {
+    reason.Set(
+        ResultCode::kMalformedDatagram,
+        std::string(error.what()) + "; run the same release on every daemon.");
+    return std::nullopt;
+  }
+}
+
+}  // namespace wisteriayoke
--- a/tests/decisions/fleet_test.cc
+++ b/tests/decisions/fleet_test.cc
@@ -29,6 +29,41 @@
   CHECK(fleet.Apply(entry) == FleetChange::kRestarted);
 }
 
+TEST_CASE(
+    "an upstream that announced its leaving takes no work until it starts "
+    "anew") {
+  Fleet fleet;
+  FleetEntry entry = MakeEntry("a");
+  entry.started_ms = 5;
+  fleet.Apply(entry);
+  CHECK(fleet.RecordLeaving(UpstreamName("a"), 5, At(0)));
+  CHECK_FALSE(fleet.RecordLeaving(UpstreamName("a"), 5, At(1)));
+  CHECK(fleet.ListAvailable(PoolName("p")).empty());
+  // The entry lapses during an outage of the store and returns.
+  CHECK(fleet.Remove(UpstreamName("a"), At(2)));
+  fleet.Apply(entry);
+  CHECK(fleet.ListAvailable(PoolName("p")).empty());
+  entry.started_ms = 9;
+  fleet.Apply(entry);
+  CHECK(fleet.ListAvailable(PoolName("p")).size() == 1);
+  // Late word of the run before.
+  CHECK(fleet.RecordLeaving(UpstreamName("a"), 5, At(3)) == false);
+  CHECK(fleet.ListAvailable(PoolName("p")).size() == 1);
+}
+
+TEST_CASE("a peer's word of a leaving run may come before its entry") {
+  Fleet fleet;
+  CHECK(fleet.RecordLeaving(UpstreamName("a"), 5, At(0)));
+  FleetEntry entry = MakeEntry("a");
+  entry.started_ms = 5;
+  fleet.Apply(entry);
+  CHECK(fleet.ListAvailable(PoolName("p")).empty());
+  fleet.Remove(UpstreamName("a"), At(1));
+  fleet.Expire(At(1) + Fleet::kLeavingRetention);
+  fleet.Apply(entry);
+  CHECK(fleet.ListAvailable(PoolName("p")).size() == 1);
+}
+
 TEST_CASE("a draining upstream takes no new work") {
   Fleet fleet;
   FleetEntry entry = MakeEntry("a");
--- a/tests/decisions/leaving_tracker_test.cc
+++ b/tests/decisions/leaving_tracker_test.cc
@@ -149,6 +149,37 @@
   CHECK_FALSE(tracker.IsLeaving(kEngine));
 }
 
+TEST_CASE("a peer that reads the list late doesn't renew a withdrawn sign") {
+  LeavingTracker tracker;
+  const TimePoint start;
+  tracker.Handle(InstanceListRead{1, {{kEngine, true}}}, start);
+  tracker.Handle(
+      LeavingUpdateReceived{{.upstream = kEngine, .list_revision = 1}},
+      start + milliseconds(100));
+  tracker.Handle(InstanceListRead{2, {{kEngine, false}}},
+                 start + milliseconds(200));
+  CHECK_FALSE(tracker.IsLeaving(kEngine));
+  tracker.Handle(
+      LeavingUpdateReceived{{.upstream = kEngine, .list_revision = 1}},
+      start + milliseconds(253));
+  CHECK_FALSE(tracker.IsLeaving(kEngine));
+  // A sign of the upstream itself, or of a later list, isn't withdrawn by it.
+  tracker.Handle(
+      LeavingUpdateReceived{{.upstream = kEngine, .list_revision = 3}},
+      start + milliseconds(300));
+  CHECK(tracker.IsLeaving(kEngine));
+}
+
+TEST_CASE("a sign that the upstream is withdrawing isn't announced") {
+  LeavingTracker tracker;
+  const TimePoint start;
+  tracker.Handle(UpstreamLeavingReport{kEngine, true}, start);
+  tracker.Handle(UpstreamLeavingReport{kEngine, false},
+                 start + milliseconds(500));
+  CHECK(tracker.Handle(LeavingTick{}, start + milliseconds(1500)).empty());
+  CHECK(tracker.IsLeaving(kEngine));
+}
+
 TEST_CASE("the first sign marks at once and is announced once a second") {
   LeavingTracker tracker;
   const TimePoint start;
--- a/tests/peers/membership_cost_test.cc
+++ b/tests/peers/membership_cost_test.cc
@@ -54,6 +54,14 @@
     REQUIRE(group.membership(i).group_size() == count);
     group.Feed(i, TableHeadChanged{{1700, std::string(64, 'a')}});
   }
+  group.set_stamp([](std::size_t, PeerMessage& message) {
+    if (CarriesStoreView(message.content)) {
+      message.store = StoreView{{1700, 1800}, {1790, 1800}};
+    }
+    if (auto* ack = std::get_if<Ack>(&message.content)) {
+      ack->proof_age = std::chrono::milliseconds(700);
+    }
+  });
   std::vector<std::uint64_t> sent(count);
   group.set_observer([&sent](std::size_t from, const PeerMessage& message) {
     LastReason reason;
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "base/parse_decimal.h"
 #include "relay/relay_fixture.h"
 #include "supervisor/relay/readiness_server.h"
 
@@ -360,6 +361,85 @@
   CHECK(Call("/read/1").code == ResultCode::kConnectFailed);
 }
 
+TEST_CASE_FIXTURE(RelayFixture,
+                  "an upstream that says it is leaving gets no new request") {
+  std::vector<GossipUpdate> posted;
+  const auto sender = state.gossip.SetSender(
+      [&posted](const GossipUpdate& update) { posted.push_back(update); });
+  answers = {[](const HttpRequest& request, const CallerPtr& caller) {
+    auto answer = MakeSealed(request, 200, "whole");
+    answer.head.fields.push_back({"Server-Leaving", "1"});
+    caller->Respond(answer);
+  }};
+  CHECK(StatusOf("/read/1") == 200);
+  for (int i = 0; i < 6; ++i) CHECK(StatusOf("/read/1") == 200);
+  REQUIRE(seen.size() == 7);
+  const auto leaving = FindField(seen[0].fields, "Expect-Instance");
+  for (std::size_t i = 1; i < seen.size(); ++i) {
+    CHECK(FindField(seen[i].fields, "Expect-Instance") != leaving);
+  }
+  REQUIRE(posted.size() == 1);
+  CHECK(std::get<LeavingUpdate>(posted[0]).upstream.text() == leaving);
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a refusal, a failure and a report say that an upstream is "
+                  "leaving as well") {
+  const std::vector<HttpResponse> texts{
+      {{503, {{"Not-Executed", "1"}, {"Server-Leaving", "1"}}}, ""},
+      {{500, {{"Server-Leaving", "1"}}}, ""}};
+  for (const auto& text : texts) {
+    state.relay.fleet = Fleet();
+    AddUpstream("s-1", "s", {}, TestPorts::kPeers);
+    answers = {[&text](const HttpRequest&, const CallerPtr& caller) {
+      caller->Respond(text);
+    }};
+    StatusOf("/read/1");
+    CHECK(state.relay.fleet.ListAvailable(PoolName("s")).empty());
+  }
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a peer's word that an upstream is leaving is followed") {
+  state.gossip.Deliver(LeavingUpdate{.upstream = UpstreamName("s-1")});
+  for (int i = 0; i < 4; ++i) CHECK(StatusOf("/read/1") == 200);
+  for (const auto& request : seen) {
+    CHECK(FindField(request.fields, "Expect-Instance") == "s-2");
+  }
+}
+
+TEST_CASE_FIXTURE(RelayFixture,
+                  "an upstream that asks for no work gets none for that time") {
+  const auto turn_away = [](const HttpRequest&, const CallerPtr& caller) {
+    auto answer = MakeDeclined();
+    answer.head.fields.push_back({"Retry-After", "0.4"});
+    caller->Respond(answer);
+  };
+  answers = {turn_away};
+  for (int i = 0; i < 6; ++i) CHECK(StatusOf("/read/1") == 200);
+  REQUIRE(seen.size() == 7);
+  const auto asked = FindField(seen[0].fields, "Expect-Instance");
+  for (std::size_t i = 1; i < seen.size(); ++i) {
+    CHECK(FindField(seen[i].fields, "Expect-Instance") != asked);
+  }
+  // Now the other asks for the same, and callers learn when to return.
+  answers = {turn_away};
+  const auto refused = Call("/read/1").response;
+  CHECK(refused.head.status == 503);
+  seen.clear();
+  const auto at_once = Call("/read/1").response;
+  CHECK(at_once.head.status == 503);
+  CHECK(seen.empty());
+  const auto delay =
+      ParseDecimal(FindField(at_once.head.fields, "Retry-After"));
+  REQUIRE(delay.has_value());
+  CHECK(*delay >= 0.25);
+  CHECK(*delay <= 0.4);
+  const TimePoint until = loop.Now() + std::chrono::milliseconds(420);
+  RunUntil([&] { return loop.Now() >= until; });
+  CHECK(StatusOf("/read/1") == 200);
+}
+
 TEST_CASE("a daemon is ready with fresh tables and a list of upstreams") {
   DaemonFixture fixture;
   LastReason reason;
--- /dev/null
+++ b/tests/wire/mirror_codec_test.cc
@@ -0,0 +1,55 @@
+#include "wire/mirror_codec.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace wisteriayoke {
+
+TEST_CASE("a page of a mirrored table is read as it was written") {
+  const MirrorPage page{
+      .changes = {.head = 7,
+                  .position = 9,
+                  .whole = true,
+                  .rows = {{"a", std::string(100'000, 'x'), 7, false},
+                           {"b", "", 3, true}}},
+      .since_recovery = std::chrono::milliseconds(1500)};
+  LastReason reason;
+  const auto read = ParseMirrorPage(EncodeMirrorPage(page), reason);
+  REQUIRE_MESSAGE(read.has_value(), reason.message());
+  CHECK(read->changes == page.changes);
+  CHECK(read->since_recovery == page.since_recovery);
+  const auto empty = ParseMirrorPage(EncodeMirrorPage({}), reason);
+  REQUIRE(empty.has_value());
+  CHECK_FALSE(empty->since_recovery.has_value());
+}
+
+TEST_CASE("a damaged page is refused") {
+  const std::string bytes = EncodeMirrorPage(
+      {.changes = {.head = 7, .rows = {{"a", "value", 7, false}}}});
+  const bool held = rc::check("damaged pages", [&bytes] {
+    std::string damaged = bytes;
+    const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    damaged[at] = *rc::gen::arbitrary<char>();
+    if (*rc::gen::arbitrary<bool>()) damaged.resize(at);
+    LastReason reason;
+    const auto read = ParseMirrorPage(damaged, reason);
+    if (damaged.size() < bytes.size()) RC_ASSERT_FALSE(read.has_value());
+  });
+  CHECK(held);
+}
+
+TEST_CASE("targets of mirrored tables are parsed") {
+  const MirrorTarget wanted{MirroredTable::kEntries, 120};
+  CHECK(FormatMirrorTarget(wanted) == "/rows/entries/120");
+  const auto read = ParseMirrorTarget("/rows/entries/120");
+  REQUIRE(read.has_value());
+  CHECK(read->table == MirroredTable::kEntries);
+  CHECK(read->after == 120);
+  for (const char* target :
+       {"/rows/", "/rows/entries", "/rows/others/1", "/rows/tables/x",
+        "/rows/tables/-1", "/rows/tables/1x", "/tables/1"}) {
+    CHECK_FALSE(ParseMirrorTarget(target).has_value());
+  }
+}
+
+}  // namespace wisteriayoke
