--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -120,9 +120,9 @@
   return children_.Add(
       {.name = "store-follower",
        .create =
-           [this](FailureHandler on_failure) {
+           [this](const FailureHandler& on_failure) {
              return Child(std::make_shared<StoreFollower>(
-                 Context(), MakePeerFinder(), std::move(on_failure)));
+                 Context(), MakePeerFinder(), on_failure));
            }},
       reason);
 }
--- a/source/wire/http_request_parser.cc
+++ b/source/wire/http_request_parser.cc
@@ -82,7 +82,8 @@
   }
   if (!complete) return false;
   // A field continued on the next line is obsolete, and parsers differ on it.
-  const std::string_view header = std::string_view(input_).substr(0, size);
+  const std::string_view input = input_;
+  const std::string_view header = input.substr(0, size);
   if (header.find("\r\n ") != std::string_view::npos ||
       header.find("\r\n\t") != std::string_view::npos) {
     SetReason(http::error::bad_value, reason);
