--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -117,14 +117,13 @@
 }
 
 bool RootSupervisor::AddStoreFollower(LastReason& reason) {
-  return children_.Add(
-      {.name = "store-follower",
-       .create =
-           [this](const FailureHandler& on_failure) {
-             return Child(std::make_shared<StoreFollower>(
-                 Context(), MakePeerFinder(), on_failure));
-           }},
-      reason);
+  return children_.Add({.name = "store-follower",
+                        .create =
+                            [this](const FailureHandler& on_failure) {
+                              return Child(std::make_shared<StoreFollower>(
+                                  Context(), MakePeerFinder(), on_failure));
+                            }},
+                       reason);
 }
 
 bool RootSupervisor::StartRelay(LastReason& reason) {
