relay: split the session into search, attempt, times and return time

The search for a target with its wait, the attempt under way with its load on the upstreams, the times of a stream's events, the attempt's message and the return time of refused callers are classes and functions of their own. No change of behaviour; relay_test passes but for the known red.

--- /dev/null
+++ b/source/supervisor/relay/path_search.cc
@@ -0,0 +1,83 @@
+#include "supervisor/relay/path_search.h"
+
+#include <utility>
+
+namespace wisteriayoke {
+namespace {
+
+/// Time between two searches of a started stream for another path.
+constexpr Duration kPathSearchInterval = std::chrono::milliseconds(30);
+/// Part of the latency objective, in thousandths, for which a request waits for
+/// a place; the rest is for its first event.
+constexpr int kPlaceWaitPerMille = 300;
+
+}  // namespace
+
+PlaceQueue& PathSearch::Places() const {
+  return context_.state.relay.places[request_.pool];
+}
+
+TargetChoice PathSearch::Search(bool begun) {
+  const RelayPool* pool = request_.tables->FindPool(request_.pool);
+  if (pool == nullptr) return {};
+  const TimePoint now = context_.loop.Now();
+  const bool queues = pool->model && !begun;
+  if (queues && !Places().MaySearch(queued_, now)) {
+    return {.code = ResultCode::kOverloaded};
+  }
+  searched_at_ = now;
+  TargetChoice choice = Choose(*pool);
+  if (choice.target) {
+    StopWaiting();
+    Places().RecordStart(now);
+    return choice;
+  }
+  // A request that avoids some upstreams says nothing about the others.
+  const bool all_busy = choice.code == ResultCode::kOverloaded &&
+                        failed_.empty() && stalled_.empty();
+  if (all_busy) Places().RecordBusy(now);
+  return choice;
+}
+
+/// Chooses a target without the upstreams that failed the request and, if there
+/// is such a target, without those that may have stalled it.
+TargetChoice PathSearch::Choose(const RelayPool& pool) const {
+  const double tokens = request_.fields.prompt_tokens;
+  if (!stalled_.empty()) {
+    std::set<UpstreamName> avoided = failed_;
+    avoided.insert(stalled_.begin(), stalled_.end());
+    TargetChoice choice = ChooseTarget(context_, pool, avoided, tokens);
+    if (choice.target) return choice;
+  }
+  return ChooseTarget(context_, pool, failed_, tokens);
+}
+
+bool PathSearch::HasTargetWithout(const std::set<UpstreamName>& others) const {
+  const RelayPool* pool = request_.tables->FindPool(request_.pool);
+  if (pool == nullptr) return false;
+  std::set<UpstreamName> avoided = failed_;
+  avoided.insert(stalled_.begin(), stalled_.end());
+  avoided.insert(others.begin(), others.end());
+  return ChooseTarget(context_, *pool, avoided, 0).target.has_value();
+}
+
+bool PathSearch::MayWait(ResultCode code, bool begun) {
+  if (begun) return true;
+  const TimePoint now = context_.loop.Now();
+  const Duration limit =
+      request_.route.latency_objective * kPlaceWaitPerMille / 1000;
+  if (code != ResultCode::kOverloaded || !request_.is_stream()) return false;
+  if (now - arrived_ >= limit) return false;
+  queued_ = queued_ || Places().TryJoin(limit, now);
+  return queued_;
+}
+
+bool PathSearch::IsDue(bool begun) const {
+  return !begun || context_.loop.Now() - searched_at_ >= kPathSearchInterval;
+}
+
+void PathSearch::StopWaiting() {
+  if (std::exchange(queued_, false)) Places().Leave();
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/relay/path_search.h
@@ -0,0 +1,61 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_RELAY_PATH_SEARCH_H_
+#define WISTERIAYOKE_SUPERVISOR_RELAY_PATH_SEARCH_H_
+
+#include <set>
+
+#include "supervisor/context/daemon_context.h"
+#include "supervisor/relay/relay_target.h"
+#include "supervisor/relay/relayed_request.h"
+
+namespace wisteriayoke {
+
+/// Searches targets for the attempts of one request, and decides whether it
+/// waits while there is none. `request` must outlive the search.
+class PathSearch {
+ public:
+  PathSearch(DaemonContext context, const RelayedRequest& request,
+             TimePoint arrived)
+      : context_(context), request_(request), arrived_(arrived) {}
+
+  /// Never chooses `upstream` again, since it failed this request.
+  void Exclude(const UpstreamName& upstream) { failed_.insert(upstream); }
+
+  /// Chooses `upstream` only if there is no other target, since it may have
+  /// stalled this request.
+  void Avoid(const UpstreamName& upstream) { stalled_.insert(upstream); }
+
+  /// Searches a target. Requests whose answer has begun don't queue.
+  TargetChoice Search(bool begun);
+
+  /// Returns whether there is a target without the excluded upstreams, those to
+  /// avoid and `others`.
+  bool HasTargetWithout(const std::set<UpstreamName>& others) const;
+
+  /// Returns whether a request that found no target for `code` waits. A caller
+  /// that has a part of its answer loses more by the end of the stream than by
+  /// a pause, and decides itself how long it stays. Another request waits if it
+  /// can still be answered in time.
+  bool MayWait(ResultCode code, bool begun);
+
+  /// Returns whether a request that waits should search again.
+  bool IsDue(bool begun) const;
+
+  /// Ends the wait, if there is one.
+  void StopWaiting();
+
+ private:
+  PlaceQueue& Places() const;
+  TargetChoice Choose(const RelayPool& pool) const;
+
+  DaemonContext context_;
+  const RelayedRequest& request_;
+  TimePoint arrived_;
+  std::set<UpstreamName> failed_;
+  std::set<UpstreamName> stalled_;
+  TimePoint searched_at_;  ///< When the last search took place.
+  bool queued_ = false;    ///< Whether it is counted in the pool's queue.
+};
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_RELAY_PATH_SEARCH_H_
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -6,7 +6,7 @@
 #include "base/overloaded.h"
 #include "supervisor/context/fleet_leaving.h"
 #include "supervisor/relay/relay_refusal.h"
-#include "wire/digest.h"
+#include "supervisor/relay/return_time.h"
 
 namespace wisteriayoke {
 namespace {
@@ -14,28 +14,9 @@
 /// Longest time to connect to an upstream; upstreams are a few milliseconds
 /// away, and one that is down never answers.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-/// Silence of a stream, as a multiple of its mean time between events, after
-/// which it is treated as stalled and its stages are polled.
-constexpr int kStallGapFactor = 3;
-/// Bounds of that silence: the time that the prefill of another request adds to
-/// a gap, and the longest pause that callers don't notice.
-constexpr Duration kMinStallThreshold = std::chrono::milliseconds(70);
-constexpr Duration kMaxStallThreshold = std::chrono::milliseconds(200);
 /// Silence after which a stalled stream is moved although no stage is known to
 /// be at fault; callers leave after two seconds.
 constexpr Duration kStallTimeout = std::chrono::milliseconds(1100);
-/// Time between two searches of a started stream for another path.
-constexpr Duration kPathSearchInterval = std::chrono::milliseconds(30);
-/// Part of the latency objective, in thousandths, for which a request waits for
-/// a place; the rest is for its first event.
-constexpr int kPlaceWaitPerMille = 300;
-/// Longest return time given to a refused caller, and the part of its remaining
-/// time, in thousandths, that it is at most.
-constexpr Duration kMaxReturnTime = std::chrono::seconds(6);
-constexpr int kReturnTimePerMille = 330;
-/// Return time while no upstream holds some layers; about what it takes to load
-/// them.
-constexpr Duration kRepairTime = std::chrono::milliseconds(1200);
 /// Part of the latency objective, in thousandths, after which an attempt of an
 /// idempotent call is given up and another upstream is tried.
 constexpr int kAttemptTimeoutPerMille = 600;
@@ -55,14 +36,6 @@
   return status >= kStatusOk && status < kStatusMultipleChoices;
 }
 
-/// Returns a digest that requests of one workspace with the same content share.
-std::string ComputeFingerprint(const RelayedRequest& relayed) {
-  const HttpRequest& request = relayed.request;
-  return ComputeDigest(request.method + "\n" + relayed.fields.host + "\n" +
-                       request.target + "\n" + relayed.workspace.text() + "\n" +
-                       request.body);
-}
-
 /// Returns whether callers take `status` for a promise that nothing has run.
 bool ImpliesNotRun(int status) {
   return status == kStatusRequestTimeout || status == kStatusMisdirected ||
@@ -80,7 +53,9 @@
                 .max_attempts = request_.route.max_attempts}),
       guard_(context, ComputeFingerprint(request_),
              RequestId(request_.fields.attempt_id)),
-      arrived_(context.loop.Now()) {
+      arrived_(context.loop.Now()),
+      search_(context, request_, arrived_),
+      times_(arrived_) {
   timeout_ = request_.route.timeout;
   if (request_.fields.deadline) {
     timeout_ = std::min(timeout_, *request_.fields.deadline);
@@ -111,17 +86,13 @@
     if (!self || !self->paused_) return;
     self->paused_ = false;
     self->last_progress_ = self->context_.loop.Now();
-    if (self->call_) self->call_->Resume();
+    if (self->attempt_) self->attempt_->Resume();
   });
   timeout_timer_ = context_.loop.Schedule(
       timeout_, [self = shared_from_this()] { self->Feed(TimeLimitPassed{}); });
   StartAttempt();
 }
 
-PlaceQueue& RelaySession::Places() {
-  return context_.state.relay.places[request_.pool];
-}
-
 void RelaySession::StartAttempt() {
   if (TimeLeft() <= Duration::zero()) return Feed(TimeLimitPassed{});
   const DaemonState& state = context_.state;
@@ -132,127 +103,47 @@
     return Feed(TargetUnavailable{ResultCode::kNotReady});
   }
   if (guard_.Blocks()) return Feed(TargetUnavailable{ResultCode::kQuarantined});
-  const RelayPool* pool = request_.tables->FindPool(request_.pool);
-  if (pool == nullptr) return Feed(TargetUnavailable{});
-  const TimePoint now = context_.loop.Now();
-  const bool queues = pool->model && !delivering_;
-  if (queues && !Places().MaySearch(queued_, now)) {
-    return HandleTargetUnavailable(ResultCode::kOverloaded);
-  }
-  searched_at_ = now;
-  const TargetChoice choice = Choose(*pool);
-  if (choice.target) {
-    StopWaiting();
-    Places().RecordStart(now);
-    return Send(*choice.target);
-  }
-  // A request that avoids some upstreams says nothing about the others.
-  const bool all_busy = choice.code == ResultCode::kOverloaded &&
-                        failed_.empty() && stalled_.empty();
-  if (all_busy) Places().RecordBusy(now);
-  HandleTargetUnavailable(choice.code);
+  const TargetChoice choice = search_.Search(times_.begun());
+  if (!choice.target) return HandleTargetUnavailable(choice.code);
+  waiting_ = false;
+  Send(*choice.target);
 }
 
 void RelaySession::HandleTargetUnavailable(ResultCode code) {
-  waiting_ = MayWait(code);
+  waiting_ = search_.MayWait(code, times_.begun());
   if (waiting_) return;
   StopWaiting();
   Feed(TargetUnavailable{code});
 }
 
-/// Returns whether the request waits for a path. A caller that has a part of
-/// its answer loses more by the end of the stream than by a pause, and decides
-/// itself how long it stays. Another request waits if it can still be answered
-/// in time.
-bool RelaySession::MayWait(ResultCode code) {
-  const TimePoint now = context_.loop.Now();
-  const RelayRoute& route = request_.route;
-  if (delivering_) return true;
-  const Duration limit = route.latency_objective * kPlaceWaitPerMille / 1000;
-  if (code != ResultCode::kOverloaded || !is_stream()) return false;
-  if (now - arrived_ >= limit) return false;
-  queued_ = queued_ || Places().TryJoin(limit, now);
-  return queued_;
-}
-
 void RelaySession::StopWaiting() {
   waiting_ = false;
-  if (std::exchange(queued_, false)) Places().Leave();
-}
-
-/// Returns after what time a caller that is refused for `code` should return.
-Duration RelaySession::ComputeReturnTime(ResultCode code) {
-  const Duration least = ComputeRetryDelay(context_, request_.pool);
-  const Duration most =
-      std::min(kMaxReturnTime, TimeLeft() * kReturnTimePerMille / 1000);
-  if (code == ResultCode::kNoUpstream) {
-    return Places().ScheduleReturn(std::max(least, kRepairTime), most,
-                                   context_.loop.Now());
-  }
-  if (code == ResultCode::kOverloaded || code == ResultCode::kUpstreamRefused) {
-    return Places().ScheduleReturn(least, most, context_.loop.Now());
-  }
-  return least;
-}
-
-std::set<UpstreamName> RelaySession::ListAvoided() const {
-  std::set<UpstreamName> all = failed_;
-  all.insert(stalled_.begin(), stalled_.end());
-  return all;
-}
-
-/// Chooses a target without the upstreams that failed the request and, if there
-/// is such a target, without those that may have stalled it.
-TargetChoice RelaySession::Choose(const RelayPool& pool) const {
-  const double tokens = request_.fields.prompt_tokens;
-  if (!stalled_.empty()) {
-    TargetChoice choice = ChooseTarget(context_, pool, ListAvoided(), tokens);
-    if (choice.target) return choice;
-  }
-  return ChooseTarget(context_, pool, failed_, tokens);
+  search_.StopWaiting();
 }
 
 void RelaySession::Send(const RelayTarget& target) {
-  target_ = target;
+  attempt_.emplace(context_, target);
   head_ = {};
   status_.reset();
   event_stream_ = false;
   body_.clear();
   splitter_ = {};
-  sent_at_ = last_progress_ = context_.loop.Now();
+  last_progress_ = attempt_->sent_at();
   stall_reported_at_.reset();
   ++attempts_;
   path_ = target.Describe();
   decider_.RecordSent();
-  prefilling_ = true;
-  for (const auto& name : target.ListUpstreams()) {
-    context_.state.upstreams.RecordStart(name);
-    context_.state.upstreams.RecordPrefillStart(name);
-  }
   HttpCallLimits limits;
   limits.message.allow_close_delimited = true;
   limits.connect_timeout = std::min(kConnectTimeout, TimeLeft());
   limits.idle_timeout = TimeLeft();
   limits.reset_on_close = true;
-  call_ = HttpClientCall::Start(context_.loop, target.endpoint,
-                                BuildAttempt(target), limits,
-                                [self = shared_from_this()](CallEvent event) {
-                                  self->HandleCall(std::move(event));
-                                });
-}
-
-HttpRequest RelaySession::BuildAttempt(const RelayTarget& target) const {
-  AttemptFields fields{.upstream = target.upstream,
-                       .workspace = request_.workspace,
-                       .time_left = TimeLeft(),
-                       .chain = target.chain};
-  if (last_event_id_) fields.last_event_id = std::to_string(*last_event_id_);
-  const HttpRequest& request = request_.request;
-  return {.method = request.method,
-          .target = request.target,
-          .fields = BuildAttemptFields(request.fields, fields),
-          .body = request.body,
-          .keep_alive = request.keep_alive};
+  attempt_->set_call(HttpClientCall::Start(
+      context_.loop, target.endpoint,
+      BuildAttempt(request_, target, TimeLeft(), last_event_id_), limits,
+      [self = shared_from_this()](CallEvent event) {
+        self->HandleCall(std::move(event));
+      }));
 }
 
 void RelaySession::HandleCall(CallEvent event) {
@@ -271,12 +162,13 @@
   status_ = head_.status;
   const AnswerFields fields = ReadAnswerFields(head_);
   if (fields.leaving) {
-    RecordLeaving(context_, target_->upstream, target_->started_ms);
+    RecordLeaving(context_, attempt_->target().upstream,
+                  attempt_->target().started_ms);
   }
-  RecordHoldOff(fields);
+  attempt_->RecordHoldOff(fields, request_.fields.attempt_id);
   if (fields.not_run) {
-    const UpstreamName failed_upstream = FindFailedUpstream(fields);
-    if (!target_->chain.empty() || head_.status == kStatusMisdirected) {
+    const UpstreamName failed_upstream = attempt_->FindFailedUpstream(fields);
+    if (attempt_->on_chain() || head_.status == kStatusMisdirected) {
       context_.state.upstreams.RecordDecline(failed_upstream,
                                              context_.loop.Now());
     }
@@ -285,28 +177,7 @@
   const bool genuine = fields.has_receipt && !fields.has_content_encoding &&
                        fields.attempt_id == request_.fields.attempt_id;
   if (!genuine) return LoseAttempt(ResultCode::kUpstreamFailed, false);
-  event_stream_ = is_stream() && IsGood(head_.status);
-}
-
-/// Records that the upstream asked this daemon for no work. The stage that the
-/// answer names as failed is spared as well.
-void RelaySession::RecordHoldOff(const AnswerFields& fields) {
-  if (!fields.hold_off && fields.unreadable_hold_off.empty()) return;
-  const UpstreamName& upstream = target_->upstream;
-  const UpstreamName stage = FindFailedUpstream(fields);
-  const Duration asked = fields.hold_off.value_or(Duration::zero());
-  const TimePoint now = context_.loop.Now();
-  context_.state.upstreams.RecordHoldOff(upstream, asked, now);
-  if (stage != upstream) {
-    context_.state.upstreams.RecordHoldOff(stage, asked, now);
-  }
-  context_.state.timeline.Record(LogLevel::kInfo, EventKind::kUpstreamHeldOff,
-                                 ResultCode::kOk,
-                                 {{"upstream", upstream.text()},
-                                  {"stage", stage.text()},
-                                  {"request", request_.fields.attempt_id},
-                                  {"asked_us", std::to_string(asked.count())},
-                                  {"unreadable", fields.unreadable_hold_off}});
+  event_stream_ = request_.is_stream() && IsGood(head_.status);
 }
 
 void RelaySession::HandleBodyData(const CallBodyData& body) {
@@ -318,7 +189,7 @@
     return;
   }
   ForwardEvents(splitter_.Push(body.data));
-  if (splitter_.overflowed() && target_) {
+  if (splitter_.overflowed() && attempt_) {
     LoseAttempt(ResultCode::kMalformedHttp, false);
   }
 }
@@ -334,27 +205,20 @@
     text += event.text;
   }
   if (events.empty()) return;
-  EndPrefill();
+  attempt_->EndPrefill();
   last_progress_ = context_.loop.Now();
   stall_reported_at_.reset();
   Forward(text);
 }
 
 void RelaySession::Forward(std::string_view data) {
-  const TimePoint now = context_.loop.Now();
-  const TimePoint before = std::exchange(delivered_at_, now);
-  if (delivering_) {
-    longest_gap_ = std::max(longest_gap_, now - before);
-    gap_sum_ += now - before;
-    ++gap_count_;
-    context_.state.metrics.Observe(LatencyKind::kTimeBetweenTokens,
-                                   now - before);
-  } else {
-    delivering_ = true;
-    first_event_after_ = now - arrived_;
+  const bool first = !times_.begun();
+  const Duration time = times_.RecordEvent(context_.loop.Now());
+  context_.state.metrics.Observe(
+      first ? LatencyKind::kTimeToFirstToken : LatencyKind::kTimeBetweenTokens,
+      time);
+  if (first) {
     decider_.RecordDelivery();
-    context_.state.metrics.Observe(LatencyKind::kTimeToFirstToken,
-                                   *first_event_after_);
     request_.caller->StartStream(
         {head_.status, BuildForwardedFields(head_.fields)});
   }
@@ -365,7 +229,7 @@
 void RelaySession::PauseIfCallerIsSlow() {
   if (ended_ || paused_ || !request_.caller->ShouldPause()) return;
   paused_ = true;
-  if (call_) call_->Pause();
+  if (attempt_) attempt_->Pause();
 }
 
 void RelaySession::HandleEnd() {
@@ -376,7 +240,7 @@
 void RelaySession::FinishStream() {
   EndAttempt(UpstreamFeedback::kGood);
   const std::string rest = splitter_.rest();
-  if (!delivering_ || !rest.empty()) Forward(rest);
+  if (!times_.begun() || !rest.empty()) Forward(rest);
   if (ended_) return;
   request_.caller->EndStream();
   End(ResultCode::kOk);
@@ -389,7 +253,7 @@
     return LoseAttempt(ResultCode::kUpstreamFailed, false);
   }
   if (head_.status >= kStatusServerError) {
-    failed_.insert(target_->upstream);
+    search_.Exclude(attempt_->target().upstream);
     EndAttempt(UpstreamFeedback::kPoor);
     return Feed(AttemptFailed{});
   }
@@ -398,12 +262,12 @@
 }
 
 void RelaySession::HandleFailure(const CallFailure& failure) {
-  const UpstreamName upstream = target_->upstream;
+  const UpstreamName upstream = attempt_->target().upstream;
   if (!failure.sent) {
     context_.state.upstreams.Eject(upstream, context_.loop.Now());
     return RejectAttempt(failure.code, upstream);
   }
-  const bool on_chain = !target_->chain.empty();
+  const bool on_chain = attempt_->on_chain();
   guard_.HandleAttemptFailure(
       upstream, failure.code,
       static_cast<TokenIndex>(last_event_id_.value_or(0)));
@@ -414,15 +278,12 @@
 void RelaySession::CheckProgress() {
   if (ended_) return;
   if (waiting_) {
-    const bool may_search =
-        !delivering_ ||
-        context_.loop.Now() - searched_at_ >= kPathSearchInterval;
-    if (may_search) StartAttempt();
+    if (search_.IsDue(times_.begun())) StartAttempt();
     return;
   }
-  if (!target_ || paused_) return;
+  if (!attempt_ || paused_) return;
   const Duration silence = context_.loop.Now() - last_progress_;
-  if (!is_stream()) {
+  if (!request_.is_stream()) {
     const bool may_retry =
         request_.route.repeatable() && attempts_ < request_.route.max_attempts;
     const Duration attempt_timeout =
@@ -434,106 +295,55 @@
   if (silence >= kStallTimeout) return TryReroute();
   const TimePoint since = stall_reported_at_.value_or(last_progress_);
   const Duration threshold =
-      stall_reported_at_ ? kMaxStallThreshold : StallThreshold();
+      stall_reported_at_ ? kMaxStallThreshold : times_.StallThreshold();
   if (context_.loop.Now() - since < threshold) return;
   stall_reported_at_ = context_.loop.Now();
-  on_stall_(target_->ListUpstreams());
-}
-
-/// Returns the silence after which the stream is treated as stalled.
-Duration RelaySession::StallThreshold() const {
-  if (gap_count_ == 0) return kMaxStallThreshold;
-  return std::clamp(kStallGapFactor * gap_sum_ / gap_count_, kMinStallThreshold,
-                    kMaxStallThreshold);
+  on_stall_(attempt_->target().ListUpstreams());
 }
 
 /// Moves the stream to a path without any of the present stages, if there is
 /// one. If not, keeps the attempt, since another would only wait behind it.
 void RelaySession::TryReroute() {
-  const std::set<UpstreamName> before = stalled_;
-  for (const auto& name : target_->ListUpstreams()) stalled_.insert(name);
-  const RelayPool* pool = request_.tables->FindPool(request_.pool);
-  if (pool != nullptr &&
-      ChooseTarget(context_, *pool, ListAvoided(), 0).target) {
-    return LoseAttempt(ResultCode::kTimedOut, false);
-  }
-  stalled_ = before;
+  const auto names = attempt_->target().ListUpstreams();
+  if (!search_.HasTargetWithout({names.begin(), names.end()})) return;
+  for (const auto& name : names) search_.Avoid(name);
+  LoseAttempt(ResultCode::kTimedOut, false);
 }
 
 bool RelaySession::RunsOn(const UpstreamName& upstream) const {
-  if (ended_ || !target_ || target_->chain.empty()) return false;
-  const auto names = target_->ListUpstreams();
-  return std::find(names.begin(), names.end(), upstream) != names.end();
+  return !ended_ && attempt_ && attempt_->RunsOn(upstream);
 }
 
 void RelaySession::HandleUnresponsive(const UpstreamName& upstream) {
   if (!stall_reported_at_ || !RunsOn(upstream)) return;
-  stalled_.insert(upstream);
-  const RelayPool* pool = request_.tables->FindPool(request_.pool);
-  const bool has_other_path =
-      pool != nullptr &&
-      ChooseTarget(context_, *pool, ListAvoided(), 0).target.has_value();
-  if (has_other_path) LoseAttempt(ResultCode::kTimedOut, false);
+  search_.Avoid(upstream);
+  if (search_.HasTargetWithout({})) LoseAttempt(ResultCode::kTimedOut, false);
 }
 
 void RelaySession::HandleUpstreamDown(const UpstreamName& upstream) {
   if (!RunsOn(upstream)) return;
-  failed_.insert(upstream);
-  LoseAttempt(ResultCode::kUpstreamFailed, upstream == target_->upstream);
+  search_.Exclude(upstream);
+  LoseAttempt(ResultCode::kUpstreamFailed,
+              upstream == attempt_->target().upstream);
 }
 
 void RelaySession::LoseAttempt(ResultCode code, bool upstream_dead) {
-  if (target_->chain.empty()) failed_.insert(target_->upstream);
+  if (!attempt_->on_chain()) search_.Exclude(attempt_->target().upstream);
   EndAttempt(UpstreamFeedback::kPoor);
   Feed(AttemptLost{code, upstream_dead});
 }
 
-/// Returns the stage that the answer names as failed, or the upstream that
-/// answered if it names none.
-UpstreamName RelaySession::FindFailedUpstream(
-    const AnswerFields& fields) const {
-  for (const auto& stage : target_->chain) {
-    if (fields.failed_upstream == stage.endpoint) return stage.upstream;
-  }
-  return target_->upstream;
-}
-
 void RelaySession::RejectAttempt(ResultCode code,
                                  const UpstreamName& failed_upstream) {
-  failed_.insert(failed_upstream);
+  search_.Exclude(failed_upstream);
   EndAttempt(UpstreamFeedback::kNone);
   Feed(AttemptRejected{code});
 }
 
 void RelaySession::EndAttempt(UpstreamFeedback feedback) {
-  if (!target_) return;
-  EndPrefill();
-  for (const auto& name : target_->ListUpstreams()) Release(name, feedback);
-  target_.reset();
-  if (call_) call_->Cancel();
-  call_.reset();
-}
-
-void RelaySession::EndPrefill() {
-  if (!std::exchange(prefilling_, false)) return;
-  for (const auto& name : target_->ListUpstreams()) {
-    context_.state.upstreams.RecordPrefillEnd(name);
-  }
-}
-
-void RelaySession::Release(const UpstreamName& upstream,
-                           UpstreamFeedback feedback) {
-  UpstreamTracker& tracker = context_.state.upstreams;
-  const TimePoint now = context_.loop.Now();
-  switch (feedback) {
-    case UpstreamFeedback::kGood:
-      return tracker.RecordSuccess(upstream, now - sent_at_, now);
-    case UpstreamFeedback::kPoor:
-      // Not the time taken: an upstream that fails fast must not look fast.
-      return tracker.RecordPoorAnswer(upstream, request_.route.timeout);
-    case UpstreamFeedback::kNone:
-      return tracker.RecordEnd(upstream);
-  }
+  if (!attempt_) return;
+  attempt_->End(feedback, request_.route.timeout);
+  attempt_.reset();
 }
 
 void RelaySession::Feed(const RelayRequestEvent& event) {
@@ -545,7 +355,7 @@
 
 void RelaySession::Execute(const RetryElsewhere& /*action*/) {
   const auto kind =
-      delivering_ ? EventKind::kStreamResumed : EventKind::kRequestRetried;
+      times_.begun() ? EventKind::kStreamResumed : EventKind::kRequestRetried;
   Record(LogLevel::kInfo, kind, end_code_);
   StartAttempt();
 }
@@ -557,7 +367,8 @@
 }
 
 void RelaySession::Execute(const RefuseNotRun& action) {
-  RespondWithError(action.code, ComputeReturnTime(action.code));
+  RespondWithError(action.code, ComputeReturnTime(context_, request_.pool,
+                                                  action.code, TimeLeft()));
 }
 
 void RelaySession::Execute(const FailOutcomeUnknown& action) {
@@ -596,22 +407,17 @@
   const bool good = code == ResultCode::kOk || code == ResultCode::kCancelled;
   if (!good) return Record(LogLevel::kWarning, EventKind::kRequestFailed, code);
   if (code == ResultCode::kOk) guard_.HandleAnswered();
-  if (IsLate()) {
+  if (times_.IsLate(request_.route)) {
     return Record(LogLevel::kWarning, EventKind::kRequestLate, code);
   }
   if (state.requests_started % kLogEvery != 0) return;
   Record(LogLevel::kInfo, EventKind::kRequestAnswered, code);
 }
 
-bool RelaySession::IsLate() const {
-  return longest_gap_ > request_.route.max_event_gap ||
-         first_event_after_.value_or(Duration::zero()) >
-             request_.route.latency_objective;
-}
-
 void RelaySession::Record(LogLevel level, EventKind kind,
                           ResultCode code) const {
   const Duration age = context_.loop.Now() - arrived_;
+  const auto first_event = times_.first_event_after();
   context_.state.timeline.Record(
       level, kind, code,
       {{"request", request_.fields.attempt_id},
@@ -620,8 +426,8 @@
        {"attempts", std::to_string(attempts_)},
        {"age_us", std::to_string(age.count())},
        {"first_event_us",
-        first_event_after_ ? std::to_string(first_event_after_->count()) : ""},
-       {"longest_pause_us", std::to_string(longest_gap_.count())},
+        first_event ? std::to_string(first_event->count()) : ""},
+       {"longest_pause_us", std::to_string(times_.longest_gap().count())},
        {"last_event", last_event_id_ ? std::to_string(*last_event_id_) : ""},
        {"path", path_},
        {"status", status_ ? std::to_string(*status_) : ""},
--- /dev/null
+++ b/source/supervisor/relay/relayed_request.cc
@@ -0,0 +1,30 @@
+#include "supervisor/relay/relayed_request.h"
+
+#include "wire/digest.h"
+
+namespace wisteriayoke {
+
+std::string ComputeFingerprint(const RelayedRequest& relayed) {
+  const HttpRequest& request = relayed.request;
+  return ComputeDigest(request.method + "\n" + relayed.fields.host + "\n" +
+                       request.target + "\n" + relayed.workspace.text() + "\n" +
+                       request.body);
+}
+
+HttpRequest BuildAttempt(const RelayedRequest& relayed,
+                         const RelayTarget& target, Duration time_left,
+                         std::optional<std::uint64_t> last_event_id) {
+  AttemptFields fields{.upstream = target.upstream,
+                       .workspace = relayed.workspace,
+                       .time_left = time_left,
+                       .chain = target.chain};
+  if (last_event_id) fields.last_event_id = std::to_string(*last_event_id);
+  const HttpRequest& request = relayed.request;
+  return {.method = request.method,
+          .target = request.target,
+          .fields = BuildAttemptFields(request.fields, fields),
+          .body = request.body,
+          .keep_alive = request.keep_alive};
+}
+
+}  // namespace wisteriayoke
--- /dev/null
+++ b/source/supervisor/relay/relayed_request.h
@@ -0,0 +1,40 @@
+#ifndef WISTERIAYOKE_SUPERVISOR_RELAY_RELAYED_REQUEST_H_
+#define WISTERIAYOKE_SUPERVISOR_RELAY_RELAYED_REQUEST_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "decisions/relay_tables.h"
+#include "platform/relay_fields.h"
+#include "runtime/http_server_session.h"
+#include "supervisor/relay/relay_target.h"
+
+namespace wisteriayoke {
+
+/// One request that the front end accepted.
+struct RelayedRequest {
+  RelayTablesPtr tables;
+  RelayRoute route;
+  PoolName pool;
+  WorkspaceName workspace;  ///< Empty on routes without keys.
+  CallerFields fields;
+  HttpRequest request;
+  std::shared_ptr<HttpServerSession> caller;
+
+  bool is_stream() const { return route.kind == RelayKind::kStreaming; }
+};
+
+/// Returns a digest that requests of one workspace with the same content share.
+std::string ComputeFingerprint(const RelayedRequest& relayed);
+
+/// Returns the request to send to `target`, which has `time_left` for it and
+/// goes on after the event `last_event_id`, if there is one.
+HttpRequest BuildAttempt(const RelayedRequest& relayed,
+                         const RelayTarget& target, Duration time_left,
+                         std::optional<std::uint64_t> last_event_id);
+
+}  // namespace wisteriayoke
+
+#endif  // WISTERIAYOKE_SUPERVISOR_RELAY_RELAYED_REQUEST_H_
