--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -62,7 +62,7 @@
   }
 }
 
-RetryBudget& RelaySession::Budget() {
+RetryBudget& RelaySession::Budget() const {
   RelayState& relay = context_.state.relay;
   return relay.budgets.try_emplace(request_.pool, relay.retry_limits)
       .first->second;
@@ -424,6 +424,7 @@
        {"route", request_.route.name.text()},
        {"pool", request_.pool.text()},
        {"attempts", std::to_string(attempts_)},
+       {"retry_balance", std::to_string(Budget().balance())},
        {"age_us", std::to_string(age.count())},
        {"first_event_us",
         first_event ? std::to_string(first_event->count()) : ""},
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -46,7 +46,7 @@
   bool ended() const { return ended_; }
 
  private:
-  RetryBudget& Budget();
+  RetryBudget& Budget() const;
   Duration TimeLeft() const;
 
   void StartAttempt();
