relay: silence ends an attempt only if another may follow it

Callers saw their connection break without the end of the answer, although the upstream was sound and went on after a pause of a second.

Cause: a stream whose upstream left a report poll unanswered for 60 ms lost its attempt first; whether another may follow was decided afterwards. With the route's attempts (two) or the pool's retries used up, the answer was cut. The same held for an upstream without an entry in the store, which may serve on for seconds, and for calls that may be repeated, which got a 502.

A stall is now an event of its own for the decider: it moves the request if that is allowed, and else leaves the attempt as it is. Only a refused connection proves that an upstream is down; a report that names a stalled stage is a stall.

Ruled out: a second verdict after a longer silence, which would cut the same answers later.

--- a/source/decisions/relay_request_decider.cc
+++ b/source/decisions/relay_request_decider.cc
@@ -32,6 +32,7 @@
             return HandleRejection(rejected, budget);
           },
           [&](const AttemptLost& lost) { return HandleLoss(lost, budget); },
+          [&](const AttemptStalled&) { return HandleStall(budget); },
           [&](const AttemptFailed&) { return HandleFailure(budget); },
           [this](const TimeLimitPassed&) {
             return End(ResultCode::kDeadlineExceeded);
@@ -60,6 +61,14 @@
   return End(event.code);
 }
 
+RelayRequestAction RelayRequestDecider::HandleStall(RetryBudget& budget) {
+  const bool again = rules_.repeatable && runs_ + 1 < rules_.max_attempts;
+  if (!again || !Charge(budget)) return KeepAttempt{};
+  under_way_ = false;
+  ++runs_;
+  return RetryElsewhere{};
+}
+
 RelayRequestAction RelayRequestDecider::HandleFailure(RetryBudget& budget) {
   under_way_ = false;
   ++runs_;
--- a/source/decisions/relay_request_decider.h
+++ b/source/decisions/relay_request_decider.h
@@ -27,6 +27,12 @@
   bool upstream_dead = false;  ///< Whether the upstream is known to be dead.
 };
 
+/// The attempt makes no progress, but may still do so: its upstream may be
+/// sound.
+struct AttemptStalled {
+  ResultCode code = ResultCode::kTimedOut;
+};
+
 /// The upstream ran the request and answered that it failed.
 struct AttemptFailed {};
 
@@ -37,15 +43,20 @@
 struct StopDeadlinePassed {};
 
 using RelayRequestEvent =
-    std::variant<TargetUnavailable, AttemptRejected, AttemptLost, AttemptFailed,
-                 TimeLimitPassed, StopDeadlinePassed>;
+    std::variant<TargetUnavailable, AttemptRejected, AttemptLost,
+                 AttemptStalled, AttemptFailed, TimeLimitPassed,
+                 StopDeadlinePassed>;
 
 /// Returns the reason for which an attempt ended or could not start.
 ResultCode CodeOf(const RelayRequestEvent& event);
 
-/// Choose another upstream and send the request there.
+/// End the attempt, if it still runs, choose another upstream and send the
+/// request there.
 struct RetryElsewhere {};
 
+/// Leave the attempt as it is.
+struct KeepAttempt {};
+
 /// Forward the upstream's answer unchanged.
 struct ForwardAnswer {};
 
@@ -65,7 +76,7 @@
 };
 
 using RelayRequestAction =
-    std::variant<RetryElsewhere, ForwardAnswer, RefuseNotRun,
+    std::variant<RetryElsewhere, KeepAttempt, ForwardAnswer, RefuseNotRun,
                  FailOutcomeUnknown, AbortAnswer>;
 
 /// Limits that the route sets on attempts.
@@ -78,7 +89,7 @@
 ///
 /// The request is refused as not run only if no attempt may have run it. A
 /// request that isn't repeatable is sent again only if all attempts before have
-/// certainly not run.
+/// certainly not run. Silence ends an attempt only if another may follow it.
 class RelayRequestDecider {
  public:
   /// Most rejected attempts that are repeated, so that a caller is refused
@@ -108,6 +119,7 @@
   RelayRequestAction HandleRejection(const AttemptRejected& event,
                                      RetryBudget& budget);
   RelayRequestAction HandleLoss(const AttemptLost& event, RetryBudget& budget);
+  RelayRequestAction HandleStall(RetryBudget& budget);
   RelayRequestAction HandleFailure(RetryBudget& budget);
   RelayRequestAction HandleStop() const;
   RelayRequestAction End(ResultCode code) const;
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -37,6 +37,7 @@
 /// Polls without an answer, in a row, after which an upstream is treated as
 /// failed; a single one may be the loss of a packet.
 constexpr unsigned kMaxUnanswered = 2;
+constexpr auto kNoAnswer = "no answer to a report poll";
 /// Slowdown from which an upstream is treated as slow.
 constexpr double kSlowThreshold = 1.2;
 /// Time for which new connections are served after a stop began: the balancer
@@ -246,7 +247,9 @@
   PollReport(upstream, kStallPollInterval);
   const ReportPoll& poll = polls_[upstream];
   const Duration open = context_.loop.Now() - poll.sent_at;
-  if (poll.pending && open >= kUnresponsiveAfter) HandleUnresponsive(upstream);
+  if (poll.pending && open >= kUnresponsiveAfter) {
+    HandleUnresponsive(upstream, kNoAnswer);
+  }
 }
 
 /// Requests a report from `upstream`, unless a poll is open or the last one was
@@ -264,10 +267,14 @@
 
 void RelayFrontEnd::SendPoll(const UpstreamName& upstream) {
   const FleetEntry* entry = context_.state.relay.fleet.Find(upstream);
-  if (entry == nullptr) return HandleFailure(upstream, "no longer listed");
+  // Upstreams that leave serve on for a while after their entry is removed.
+  if (entry == nullptr) {
+    return HandleUnresponsive(upstream, "no longer listed");
+  }
   polls_[upstream].pending = true;
   polls_[upstream].unresponsive_timer = context_.loop.Schedule(
-      kUnresponsiveAfter, [this, upstream] { HandleUnresponsive(upstream); });
+      kUnresponsiveAfter,
+      [this, upstream] { HandleUnresponsive(upstream, kNoAnswer); });
   const HttpCallLimits limits{.message = {.body_bytes = kMaxReportBytes},
                               .connect_timeout = kReportTimeout,
                               .idle_timeout = kReportTimeout,
@@ -285,9 +292,11 @@
                 });
 }
 
-/// Handles that `upstream` left a poll unanswered for `kUnresponsiveAfter`.
-void RelayFrontEnd::HandleUnresponsive(const UpstreamName& upstream) {
-  EjectUpstream(upstream, "no answer to a report poll");
+/// Handles that it is unknown whether `upstream` works. Stalled streams go on
+/// elsewhere if they can.
+void RelayFrontEnd::HandleUnresponsive(const UpstreamName& upstream,
+                                       const std::string& why) {
+  EjectUpstream(upstream, why);
   for (const auto& weak : std::vector(sessions_)) {
     if (const auto session = weak.lock()) session->HandleUnresponsive(upstream);
   }
@@ -301,7 +310,7 @@
   LastReason reason;
   const auto report = ParseReport(result.response.body, reason);
   if (result.code != ResultCode::kOk || !report) {
-    return HandleReportFailure(upstream, result.message);
+    return HandleReportFailure(upstream, result);
   }
   poll.unanswered = 0;
   UpstreamTracker& tracker = context_.state.upstreams;
@@ -312,19 +321,23 @@
   for (const auto& endpoint : stalled) {
     for (const auto& [name, entry] : context_.state.relay.fleet.entries()) {
       if (entry.upstream.endpoint != endpoint) continue;
-      HandleFailure(UpstreamName(name),
-                    "reported as stalled by " + upstream.text());
+      HandleStalls(UpstreamName(name),
+                   "reported as stalled by " + upstream.text());
       break;
     }
   }
 }
 
 void RelayFrontEnd::HandleReportFailure(const UpstreamName& upstream,
-                                        const std::string& why) {
+                                        const FetchResult& result) {
   ReportPoll& poll = polls_[upstream];
   if (++poll.unanswered < kMaxUnanswered) return SendPoll(upstream);
   poll.unanswered = 0;
-  HandleFailure(upstream, why);
+  // Only a refused connection proves that nothing runs there any more.
+  if (result.code == ResultCode::kConnectFailed) {
+    return HandleFailure(upstream, result.message);
+  }
+  HandleUnresponsive(upstream, result.message);
 }
 
 void RelayFrontEnd::EjectUpstream(const UpstreamName& upstream,
@@ -336,6 +349,16 @@
                         {{"upstream", upstream.text()}, {"reason", why}});
 }
 
+void RelayFrontEnd::HandleStalls(const UpstreamName& upstream,
+                                 const std::string& why) {
+  EjectUpstream(upstream, why);
+  for (const auto& weak : std::vector(sessions_)) {
+    if (const auto session = weak.lock()) {
+      session->HandleUpstreamStalls(upstream);
+    }
+  }
+}
+
 void RelayFrontEnd::HandleFailure(const UpstreamName& upstream,
                                   const std::string& why) {
   EjectUpstream(upstream, why);
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -41,11 +41,12 @@
   void HandleStall(const UpstreamName& upstream);
   void PollReport(const UpstreamName& upstream, Duration interval);
   void SendPoll(const UpstreamName& upstream);
-  void HandleUnresponsive(const UpstreamName& upstream);
+  void HandleUnresponsive(const UpstreamName& upstream, const std::string& why);
   void HandleReport(const UpstreamName& upstream, const FetchResult& result);
   void HandleReportFailure(const UpstreamName& upstream,
-                           const std::string& why);
+                           const FetchResult& result);
   void EjectUpstream(const UpstreamName& upstream, const std::string& why);
+  void HandleStalls(const UpstreamName& upstream, const std::string& why);
   void HandleFailure(const UpstreamName& upstream, const std::string& why);
 
   DaemonContext context_;
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -130,6 +130,7 @@
   splitter_ = {};
   last_progress_ = attempt_->sent_at();
   stall_reported_at_.reset();
+  keep_recorded_ = false;
   ++attempts_;
   path_ = target.Describe();
   decider_.RecordSent();
@@ -284,15 +285,14 @@
   if (!attempt_ || paused_) return;
   const Duration silence = context_.loop.Now() - last_progress_;
   if (!request_.is_stream()) {
-    const bool may_retry =
-        request_.route.repeatable() && attempts_ < request_.route.max_attempts;
     const Duration attempt_timeout =
         request_.route.latency_objective * kAttemptTimeoutPerMille / 1000;
-    if (!may_retry || silence < attempt_timeout) return;
-    return LoseAttempt(ResultCode::kTimedOut, false);
+    if (silence >= attempt_timeout) LeaveStalledAttempt(ResultCode::kTimedOut);
+    return;
   }
   if (!request_.route.repeatable()) return;
-  if (silence >= kStallTimeout) return TryReroute();
+  if (silence >= kStallTimeout) TryReroute();
+  if (!attempt_) return;
   const TimePoint since = stall_reported_at_.value_or(last_progress_);
   const Duration threshold =
       stall_reported_at_ ? kMaxStallThreshold : times_.StallThreshold();
@@ -307,7 +307,7 @@
   const auto names = attempt_->target().ListUpstreams();
   if (!search_.HasTargetWithout({names.begin(), names.end()})) return;
   for (const auto& name : names) search_.Avoid(name);
-  LoseAttempt(ResultCode::kTimedOut, false);
+  LeaveStalledAttempt(ResultCode::kTimedOut);
 }
 
 bool RelaySession::RunsOn(const UpstreamName& upstream) const {
@@ -317,7 +317,14 @@
 void RelaySession::HandleUnresponsive(const UpstreamName& upstream) {
   if (!stall_reported_at_ || !RunsOn(upstream)) return;
   search_.Avoid(upstream);
-  if (search_.HasTargetWithout({})) LoseAttempt(ResultCode::kTimedOut, false);
+  if (!search_.HasTargetWithout({})) return;
+  LeaveStalledAttempt(ResultCode::kTimedOut);
+}
+
+void RelaySession::HandleUpstreamStalls(const UpstreamName& upstream) {
+  if (!RunsOn(upstream)) return;
+  search_.Avoid(upstream);
+  LeaveStalledAttempt(ResultCode::kUpstreamFailed);
 }
 
 void RelaySession::HandleUpstreamDown(const UpstreamName& upstream) {
@@ -327,6 +334,12 @@
               upstream == attempt_->target().upstream);
 }
 
+/// Ends the attempt if another may follow it.
+void RelaySession::LeaveStalledAttempt(ResultCode code) {
+  if (!attempt_->on_chain()) search_.Avoid(attempt_->target().upstream);
+  Feed(AttemptStalled{code});
+}
+
 void RelaySession::LoseAttempt(ResultCode code, bool upstream_dead) {
   if (!attempt_->on_chain()) search_.Exclude(attempt_->target().upstream);
   EndAttempt(UpstreamFeedback::kPoor);
@@ -357,9 +370,15 @@
   const auto kind =
       times_.begun() ? EventKind::kStreamResumed : EventKind::kRequestRetried;
   Record(LogLevel::kInfo, kind, end_code_);
+  EndAttempt(UpstreamFeedback::kPoor);
   StartAttempt();
 }
 
+void RelaySession::Execute(const KeepAttempt& /*action*/) {
+  if (std::exchange(keep_recorded_, true)) return;
+  Record(LogLevel::kInfo, EventKind::kAttemptKept, end_code_);
+}
+
 void RelaySession::Execute(const ForwardAnswer& /*action*/) {
   request_.caller->Respond(
       {{head_.status, BuildForwardedFields(head_.fields)}, std::move(body_)});
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -39,10 +39,12 @@
   /// without it, if there is another path.
   void HandleUnresponsive(const UpstreamName& upstream);
 
-  /// Handles that `upstream` is dead or unreachable: an attempt that runs on it
-  /// is lost.
+  /// Handles that `upstream` is dead: an attempt that runs on it is lost.
   void HandleUpstreamDown(const UpstreamName& upstream);
 
+  /// Handles that `upstream` is reported to stall the work that depends on it.
+  void HandleUpstreamStalls(const UpstreamName& upstream);
+
   bool ended() const { return ended_; }
 
  private:
@@ -66,11 +68,13 @@
 
   bool RunsOn(const UpstreamName& upstream) const;
   void TryReroute();
+  void LeaveStalledAttempt(ResultCode code);
   void LoseAttempt(ResultCode code, bool upstream_dead);
   void RejectAttempt(ResultCode code, const UpstreamName& failed_upstream);
   void EndAttempt(UpstreamFeedback feedback);
   void Feed(const RelayRequestEvent& event);
   void Execute(const RetryElsewhere& action);
+  void Execute(const KeepAttempt& action);
   void Execute(const ForwardAnswer& action);
   void Execute(const RefuseNotRun& action);
   void Execute(const FailOutcomeUnknown& action);
@@ -105,7 +109,8 @@
   bool paused_ = false;  ///< Whether the attempt is paused for a slow caller.
   TimePoint last_progress_;  ///< When the attempt last made progress.
   std::optional<TimePoint> stall_reported_at_;
-  std::string path_;  ///< Upstreams of the last attempt, for logs.
+  bool keep_recorded_ = false;  ///< Whether it is logged that it is kept.
+  std::string path_;            ///< Upstreams of the last attempt, for logs.
   unsigned attempts_ = 0;
   LoopTimerPtr timeout_timer_;
   bool ended_ = false;
--- a/tests/decisions/relay_request_decider_test.cc
+++ b/tests/decisions/relay_request_decider_test.cc
@@ -14,7 +14,7 @@
 }
 
 RelayRequestEvent DrawEvent() {
-  switch (*rc::gen::inRange(0, 6)) {
+  switch (*rc::gen::inRange(0, 7)) {
     case 0:
       return AttemptRejected{};
     case 1:
@@ -25,6 +25,8 @@
       return TargetUnavailable{};
     case 4:
       return StopDeadlinePassed{};
+    case 5:
+      return AttemptStalled{};
     default:
       return TimeLimitPassed{};
   }
@@ -55,8 +57,12 @@
       RelayRequestEvent event = DrawEvent();
       // An upstream that delivered a part of the answer has run the request.
       if (delivered && !MayHaveRun(event)) event = AttemptLost{};
-      if (MayHaveRun(event)) ++runs;
       const RelayRequestAction action = decider.Handle(event, budget);
+      if (std::holds_alternative<AttemptStalled>(event)) {
+        RC_ASSERT(Is<KeepAttempt>(action) || Is<RetryElsewhere>(action));
+      }
+      if (Is<KeepAttempt>(action)) continue;
+      if (MayHaveRun(event)) ++runs;
       if (Is<RetryElsewhere>(action)) {
         RC_ASSERT(rules.repeatable || runs == 0);
         continue;
@@ -131,6 +137,26 @@
   CHECK(Is<FailOutcomeUnknown>(decider.Handle(AttemptLost{}, budget)));
 }
 
+// Guards against answers cut because their sound upstream was silent.
+TEST_CASE("silence ends an attempt only if another may follow it") {
+  RetryBudget budget;
+  const auto stall = [](RelayRequestRules rules, RetryBudget& charged) {
+    RelayRequestDecider decider(rules);
+    decider.RecordSent();
+    decider.RecordDelivery();
+    return decider.Handle(AttemptStalled{}, charged);
+  };
+  CHECK(Is<RetryElsewhere>(
+      stall({.repeatable = true, .max_attempts = 2}, budget)));
+  CHECK(
+      Is<KeepAttempt>(stall({.repeatable = true, .max_attempts = 1}, budget)));
+  CHECK(
+      Is<KeepAttempt>(stall({.repeatable = false, .max_attempts = 2}, budget)));
+  RetryBudget spent;
+  spent.set_limits({.max_balance = 0});
+  CHECK(Is<KeepAttempt>(stall({.repeatable = true, .max_attempts = 2}, spent)));
+}
+
 TEST_CASE("nothing is repeated when the budget is spent") {
   RetryBudget budget;
   budget.set_limits({.max_balance = 0});
