--- a/source/base/ids.h
+++ b/source/base/ids.h
@@ -26,6 +26,8 @@
 };
 
 using RequestId = StringId<struct RequestIdTag>;
+/// A part of a prompt that several requests may share.
+using SegmentId = StringId<struct SegmentIdTag>;
 using RouteName = StringId<struct RouteNameTag>;
 using PoolName = StringId<struct PoolNameTag>;
 using UpstreamName = StringId<struct UpstreamNameTag>;
--- a/source/decisions/gossip_update.cc
+++ b/source/decisions/gossip_update.cc
@@ -14,25 +14,36 @@
 
 bool SameSubject(const GossipUpdate& a, const GossipUpdate& b) {
   if (a.index() != b.index()) return false;
-  return std::visit(Overloaded{
-                        [](const TableHeadUpdate&) { return true; },
-                        [&b](const LeavingUpdate& update) {
-                          return update.upstream ==
-                                 std::get<LeavingUpdate>(b).upstream;
-                        },
-                        [&b](const SuspectUpdate& update) {
-                          const auto& other = std::get<SuspectUpdate>(b);
-                          return update.fingerprint == other.fingerprint &&
-                                 update.upstream == other.upstream;
-                        },
-                        [&b](const IsolatedRunUpdate& update) {
-                          const auto& other = std::get<IsolatedRunUpdate>(b);
-                          return update.daemon == other.daemon &&
-                                 update.upstream == other.upstream &&
-                                 update.fingerprint == other.fingerprint;
-                        },
-                    },
-                    a);
+  return std::visit(
+      Overloaded{
+          [](const TableHeadUpdate&) { return true; },
+          [&b](const LeavingUpdate& update) {
+            return update.upstream == std::get<LeavingUpdate>(b).upstream;
+          },
+          [&b](const SuspectUpdate& update) {
+            const auto& other = std::get<SuspectUpdate>(b);
+            return update.fingerprint == other.fingerprint &&
+                   update.upstream == other.upstream;
+          },
+          [&b](const IsolatedRunUpdate& update) {
+            const auto& other = std::get<IsolatedRunUpdate>(b);
+            return update.daemon == other.daemon &&
+                   update.upstream == other.upstream &&
+                   update.fingerprint == other.fingerprint;
+          },
+          [&b](const SegmentCrashUpdate& update) {
+            const auto& other = std::get<SegmentCrashUpdate>(b);
+            return update.request == other.request &&
+                   update.upstream == other.upstream;
+          },
+          [&b](const SegmentClearedUpdate& update) {
+            return update.segment == std::get<SegmentClearedUpdate>(b).segment;
+          },
+          [&b](const SegmentBlockUpdate& update) {
+            return update.segment == std::get<SegmentBlockUpdate>(b).segment;
+          },
+      },
+      a);
 }
 
 bool IsNewer(const GossipUpdate& candidate, const GossipUpdate& known) {
@@ -60,18 +71,24 @@
             return update.ended != other.ended ||
                    update.age + kIsolatedRunRepeatWindow < other.age;
           },
+          [](const SegmentCrashUpdate&) { return false; },
+          [&known](const SegmentClearedUpdate& update) {
+            const auto& other = std::get<SegmentClearedUpdate>(known);
+            return update.age + kRepeatWindow < other.age;
+          },
+          [&known](const SegmentBlockUpdate& update) {
+            const auto& other = std::get<SegmentBlockUpdate>(known);
+            return update.length > other.length ||
+                   update.age + kRepeatWindow < other.age;
+          },
       },
       candidate);
 }
 
 GossipUpdate Aged(GossipUpdate update, Duration elapsed) {
-  if (auto* leaving = std::get_if<LeavingUpdate>(&update)) {
-    leaving->age += elapsed;
-  }
-  if (auto* suspect = std::get_if<SuspectUpdate>(&update)) {
-    suspect->age += elapsed;
-  }
-  if (auto* run = std::get_if<IsolatedRunUpdate>(&update)) run->age += elapsed;
+  std::visit(Overloaded{[](TableHeadUpdate&) {},
+                        [elapsed](auto& aging) { aging.age += elapsed; }},
+             update);
   return update;
 }
 
--- a/source/decisions/gossip_update.h
+++ b/source/decisions/gossip_update.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/time_types.h"
@@ -58,11 +59,46 @@
                          const IsolatedRunUpdate&) = default;
 };
 
+/// An upstream crashed before the answer to a request began.
+struct SegmentCrashUpdate {
+  RequestId request;
+  UpstreamName upstream;
+  std::vector<SegmentId> segments;  ///< Shared parts of the request's prompt.
+  Duration running{};  ///< Time between the sending of the request and the
+                       ///< crash.
+  Duration age{};      ///< Time since the crash.
+
+  friend bool operator==(const SegmentCrashUpdate&,
+                         const SegmentCrashUpdate&) = default;
+};
+
+/// The answer to a request that holds the segment began, so the segment crashes
+/// no upstream.
+struct SegmentClearedUpdate {
+  SegmentId segment;
+  Duration age{};  ///< Time since the answer began.
+
+  friend bool operator==(const SegmentClearedUpdate&,
+                         const SegmentClearedUpdate&) = default;
+};
+
+/// Requests that hold the segment crash upstreams and must not be sent.
+struct SegmentBlockUpdate {
+  SegmentId segment;
+  Duration length{};   ///< Length of the block.
+  Duration elapsed{};  ///< Age of the block when this update was made.
+  Duration age{};      ///< Time since this update was made.
+
+  friend bool operator==(const SegmentBlockUpdate&,
+                         const SegmentBlockUpdate&) = default;
+};
+
 /// An item that daemons pass on by gossip besides membership records. Updates
 /// carry ages instead of points in time, since daemons share no clock; the ages
 /// grow with each hop.
 using GossipUpdate = std::variant<TableHeadUpdate, LeavingUpdate, SuspectUpdate,
-                                  IsolatedRunUpdate>;
+                                  IsolatedRunUpdate, SegmentCrashUpdate,
+                                  SegmentClearedUpdate, SegmentBlockUpdate>;
 
 /// Returns whether both updates have the same subject, so that one of them
 /// replaces the other.
--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::uint16_t kMagic = 0x5759;
-constexpr std::uint8_t kVersion = 3;
+constexpr std::uint8_t kVersion = 4;
 /// Most bytes of a text and most items of a list.
 constexpr std::size_t kMaxLength = std::numeric_limits<std::uint8_t>::max();
 
@@ -121,6 +121,16 @@
     SerializeAll(update.fingerprint, update.upstream, update.daemon,
                  update.ended, update.age);
   }
+  void Serialize(SegmentCrashUpdate& update) {
+    SerializeAll(update.request, update.upstream, update.segments,
+                 update.running, update.age);
+  }
+  void Serialize(SegmentClearedUpdate& update) {
+    SerializeAll(update.segment, update.age);
+  }
+  void Serialize(SegmentBlockUpdate& update) {
+    SerializeAll(update.segment, update.length, update.elapsed, update.age);
+  }
 
   template <typename... Kinds>
   void Serialize(std::variant<Kinds...>& value) {
