relay: a stream that ends inside an event was broken off

Callers got a truncated event and a proper end: an answer that looked whole. Cause: what was left after the last whole event was forwarded and the stream ended, for answers without a length, with chunks or with one. It is now a broken connection: the stream is resumed after its last whole event, or its own connection breaks.

--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -239,8 +239,13 @@
 }
 
 void RelaySession::FinishStream() {
-  EndAttempt(UpstreamFeedback::kGood);
   const std::string rest = splitter_.rest();
+  if (rest.find_first_not_of("\r\n") != std::string::npos) {
+    return HandleFailure({.code = ResultCode::kConnectionBroken,
+                          .message = "the stream ended inside an event",
+                          .sent = true});
+  }
+  EndAttempt(UpstreamFeedback::kGood);
   if (!times_.begun() || !rest.empty()) Forward(rest);
   if (ended_) return;
   request_.caller->EndStream();
--- /dev/null
+++ b/tests/relay/started_stream_test.cc
@@ -0,0 +1,59 @@
+#include <doctest/doctest.h>
+
+#include "relay/relay_fixture.h"
+
+namespace wisteriayoke {
+
+/// A relay whose first engine begins a stream and breaks it after one event.
+struct StartedStreamFixture : RelayFixture {
+  StartedStreamFixture() {
+    AddUpstream("w-3", "w", {0, 8}, TestPorts::kPeers);
+    answers = {[](const HttpRequest& request, const CallerPtr& caller) {
+      caller->StartStream(MakeSealed(request, 200, "").head);
+      caller->WriteChunk(MakeEvent(1));
+      caller->BreakStream();
+    }};
+  }
+
+  void AnswerNext(const HttpResponse& response) {
+    answers.emplace_back(
+        [response](const HttpRequest&, const CallerPtr& caller) {
+          caller->Respond(response);
+        });
+  }
+
+  void FinishNext() {
+    answers.emplace_back(
+        [](const HttpRequest& request, const CallerPtr& caller) {
+          CHECK(FindField(request.fields, "Last-Event-Id") == "1");
+          caller->StartStream(MakeSealed(request, 200, "").head);
+          caller->WriteChunk(MakeEvent(2));
+          caller->EndStream();
+        });
+  }
+
+  void CheckWhole(const FetchResult& result) {
+    CHECK(result.code == ResultCode::kOk);
+    CHECK(result.response.body == MakeEvent(1) + MakeEvent(2));
+  }
+};
+
+// Guards against a truncated event passed off as the end of a whole answer.
+TEST_CASE_FIXTURE(StartedStreamFixture,
+                  "a stream that ends inside an event is resumed") {
+  answers = {[](const HttpRequest& request, const CallerPtr& caller) {
+    caller->StartStream(MakeSealed(request, 200, "").head);
+    caller->WriteChunk(MakeEvent(1) + "id: 2\nda");
+    caller->EndStream();
+  }};
+  SUBCASE("elsewhere") {
+    FinishNext();
+    CheckWhole(Call("/tale/1"));
+  }
+  SUBCASE("or broken off, if it can't be resumed") {
+    answers.push_back(answers.front());
+    CHECK(Call("/tale/1").code == ResultCode::kConnectionBroken);
+  }
+}
+
+}  // namespace wisteriayoke
