relay: an upstream's failure isn't forwarded into a started stream

Callers got the head of a second answer inside the chunks of the first, so bytes that are no answer, and never an end. Cause: the failure of the last attempt was the caller's answer also where the caller had a part of another. It now counts as the loss of the attempt.

The decider's property didn't assert that an answer is forwarded only to a caller without a part of one; it does now, one check more. Found by the review.

--- a/source/decisions/relay_request_decider.cc
+++ b/source/decisions/relay_request_decider.cc
@@ -70,10 +70,10 @@
 }
 
 RelayRequestAction RelayRequestDecider::HandleFailure(RetryBudget& budget) {
+  if (delivering_) return HandleLoss({}, budget);
   under_way_ = false;
   ++runs_;
-  const bool again =
-      rules_.repeatable && !delivering_ && runs_ < rules_.max_attempts;
+  const bool again = rules_.repeatable && runs_ < rules_.max_attempts;
   if (again && Charge(budget)) return RetryElsewhere{};
   return ForwardAnswer{};
 }
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -258,7 +258,8 @@
     // reach the caller.
     return LoseAttempt(ResultCode::kUpstreamFailed, false);
   }
-  if (head_.status >= kStatusServerError) {
+  // Whatever it says, it can't continue a stream that the caller has a part of.
+  if (head_.status >= kStatusServerError || times_.begun()) {
     search_.Exclude(attempt_->target().upstream);
     EndAttempt(UpstreamFeedback::kPoor);
     return Feed(AttemptFailed{});
--- a/tests/decisions/relay_request_decider_test.cc
+++ b/tests/decisions/relay_request_decider_test.cc
@@ -68,7 +68,8 @@
         continue;
       }
       if (Is<RefuseNotRun>(action)) RC_ASSERT(runs == 0);
-      if (Is<RefuseNotRun>(action) || Is<FailOutcomeUnknown>(action)) {
+      if (Is<RefuseNotRun>(action) || Is<FailOutcomeUnknown>(action) ||
+          Is<ForwardAnswer>(action)) {
         RC_ASSERT(!delivered);
       }
       RC_ASSERT(runs <=
--- a/tests/relay/started_stream_test.cc
+++ b/tests/relay/started_stream_test.cc
@@ -56,4 +56,24 @@
   }
 }
 
+// Guards against a second answer written into a stream that the caller has a
+// part of.
+TEST_CASE_FIXTURE(
+    StartedStreamFixture,
+    "an upstream's failure isn't forwarded into a started stream") {
+  for (const int status : {404, 500, 504}) {
+    CAPTURE(status);
+    answers.resize(1);
+    AnswerNext(MakeSealed({.fields = {{"Attempt-Id", "a1"}}}, status, "no"));
+    const auto result = Call("/tale/1");
+    CHECK(result.code == ResultCode::kConnectionBroken);
+    CHECK(result.response.body == MakeEvent(1));
+    answers = {[](const HttpRequest& request, const CallerPtr& caller) {
+      caller->StartStream(MakeSealed(request, 200, "").head);
+      caller->WriteChunk(MakeEvent(1));
+      caller->BreakStream();
+    }};
+  }
+}
+
 }  // namespace wisteriayoke
