relay: rejections don't end a started stream

Callers saw the connection of a started stream break within milliseconds while sound upstreams were full or got other layers: after the third rejection, or the first with the pool's retries spent, the answer was cut. That bound is for requests that can still be refused. A started stream now tries again after a pause, each repeat paid for, for as long as its caller stays; upstreams that rejected it may be tried again.

--- a/source/decisions/relay_request_decider.cc
+++ b/source/decisions/relay_request_decider.cc
@@ -47,7 +47,14 @@
   under_way_ = false;
   const bool again = ++rejections_ <= kMaxRepeatedRejections && Charge(budget);
   if (again) return RetryElsewhere{};
-  return End(event.code);
+  if (!delivering_) return End(event.code);
+  owes_retry_ = true;
+  return RetryLater{};
+}
+
+bool RelayRequestDecider::PayForRetry(RetryBudget& budget) {
+  if (owes_retry_ && Charge(budget)) owes_retry_ = false;
+  return !owes_retry_;
 }
 
 RelayRequestAction RelayRequestDecider::HandleLoss(const AttemptLost& event,
--- a/source/decisions/relay_request_decider.h
+++ b/source/decisions/relay_request_decider.h
@@ -57,6 +57,9 @@
 /// Leave the attempt as it is.
 struct KeepAttempt {};
 
+/// Choose another upstream after a pause, once `PayForRetry` allows it.
+struct RetryLater {};
+
 /// Forward the upstream's answer unchanged.
 struct ForwardAnswer {};
 
@@ -76,8 +79,8 @@
 };
 
 using RelayRequestAction =
-    std::variant<RetryElsewhere, KeepAttempt, ForwardAnswer, RefuseNotRun,
-                 FailOutcomeUnknown, AbortAnswer>;
+    std::variant<RetryElsewhere, KeepAttempt, RetryLater, ForwardAnswer,
+                 RefuseNotRun, FailOutcomeUnknown, AbortAnswer>;
 
 /// Limits that the route sets on attempts.
 struct RelayRequestRules {
@@ -89,7 +92,8 @@
 ///
 /// The request is refused as not run only if no attempt may have run it. A
 /// request that isn't repeatable is sent again only if all attempts before have
-/// certainly not run. Silence ends an attempt only if another may follow it.
+/// certainly not run. Silence ends an attempt only if another may follow it,
+/// and rejections never end an answer that the caller has a part of.
 class RelayRequestDecider {
  public:
   /// Most rejected attempts that are repeated, so that a caller is refused
@@ -111,6 +115,10 @@
   RelayRequestAction Handle(const RelayRequestEvent& event,
                             RetryBudget& budget);
 
+  /// Charges to `budget` the repetition that follows `RetryLater`. Returns
+  /// false while the budget is spent.
+  bool PayForRetry(RetryBudget& budget);
+
   bool may_have_run() const {
     return under_way_ || runs_ + lost_with_upstream_ > 0;
   }
@@ -127,6 +135,7 @@
   RelayRequestRules rules_;
   bool under_way_ = false;
   bool delivering_ = false;
+  bool owes_retry_ = false;  ///< Whether the next attempt isn't paid for yet.
   std::uint32_t runs_ = 0;
   std::uint32_t lost_with_upstream_ = 0;  ///< Runs that don't count.
   std::uint32_t rejections_ = 0;
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -103,6 +103,7 @@
     return Feed(TargetUnavailable{ResultCode::kNotReady});
   }
   if (guard_.Blocks()) return Feed(TargetUnavailable{ResultCode::kQuarantined});
+  if (!decider_.PayForRetry(Budget())) return;
   const TargetChoice choice = search_.Search(times_.begun());
   if (!choice.target) return HandleTargetUnavailable(choice.code);
   waiting_ = false;
@@ -354,7 +355,12 @@
 
 void RelaySession::RejectAttempt(ResultCode code,
                                  const UpstreamName& failed_upstream) {
-  search_.Exclude(failed_upstream);
+  if (times_.begun()) {
+    // It may have room again while the stream waits.
+    search_.Avoid(failed_upstream);
+  } else {
+    search_.Exclude(failed_upstream);
+  }
   EndAttempt(UpstreamFeedback::kNone);
   Feed(AttemptRejected{code});
 }
@@ -385,6 +391,8 @@
   Record(LogLevel::kInfo, EventKind::kAttemptKept, end_code_);
 }
 
+void RelaySession::Execute(const RetryLater& /*action*/) { waiting_ = true; }
+
 void RelaySession::Execute(const ForwardAnswer& /*action*/) {
   request_.caller->Respond(
       {{head_.status, BuildForwardedFields(head_.fields)}, std::move(body_)});
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -75,6 +75,7 @@
   void Feed(const RelayRequestEvent& event);
   void Execute(const RetryElsewhere& action);
   void Execute(const KeepAttempt& action);
+  void Execute(const RetryLater& action);
   void Execute(const ForwardAnswer& action);
   void Execute(const RefuseNotRun& action);
   void Execute(const FailOutcomeUnknown& action);
--- a/tests/decisions/relay_request_decider_test.cc
+++ b/tests/decisions/relay_request_decider_test.cc
@@ -158,6 +158,30 @@
   CHECK(Is<KeepAttempt>(stall({.repeatable = true, .max_attempts = 2}, spent)));
 }
 
+// Guards against started streams cut because the other upstreams are full.
+TEST_CASE(
+    "rejections never end a started answer, and each repeat is paid for") {
+  constexpr int kRejections = 10;
+  RetryBudget budget;
+  const double before = budget.balance();
+  RelayRequestDecider decider({.repeatable = true, .max_attempts = 2});
+  decider.RecordDelivery();
+  for (int i = 0; i < kRejections; ++i) {
+    decider.RecordSent();
+    const auto action = decider.Handle(AttemptRejected{}, budget);
+    CHECK((Is<RetryElsewhere>(action) || Is<RetryLater>(action)));
+    CHECK(decider.PayForRetry(budget));
+  }
+  CHECK(budget.balance() == before - kRejections);
+  budget.set_limits({.share = 0.5, .max_balance = 0});
+  CHECK(Is<RetryLater>(decider.Handle(AttemptRejected{}, budget)));
+  CHECK_FALSE(decider.PayForRetry(budget));
+  budget.set_limits({.share = 1, .max_balance = 1});
+  budget.RecordRequest();
+  CHECK(decider.PayForRetry(budget));
+  CHECK(decider.PayForRetry(budget));
+}
+
 TEST_CASE("nothing is repeated when the budget is spent") {
   RetryBudget budget;
   budget.set_limits({.max_balance = 0});
--- a/tests/relay/started_stream_test.cc
+++ b/tests/relay/started_stream_test.cc
@@ -76,4 +76,13 @@
   }
 }
 
+// Guards against started streams being cut because upstreams are full, which
+// only delays them.
+TEST_CASE_FIXTURE(StartedStreamFixture,
+                  "a started stream outlives rejections by all upstreams") {
+  for (int i = 0; i < 5; ++i) AnswerNext(MakeDeclined());
+  FinishNext();
+  CheckWhole(Call("/tale/1"));
+}
+
 }  // namespace wisteriayoke
