relay: a started stream waits for fresh tables

Callers whose key had been accepted saw their stream break when it had to go on elsewhere while no proof of the tables was fresh. It now waits like one without a path; no attempt is sent on stale tables.

Evidence: 'a started stream waits for fresh tables to go on' failed before with 703.

--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -100,7 +100,7 @@
   // in between.
   if (!request_.workspace.empty() &&
       !state.relay.freshness.AllowsKeys(context_.loop.BootNow())) {
-    return Feed(TargetUnavailable{ResultCode::kNotReady});
+    return HandleTargetUnavailable(ResultCode::kNotReady);
   }
   if (guard_.Blocks()) return Feed(TargetUnavailable{ResultCode::kQuarantined});
   if (!decider_.PayForRetry(Budget())) return;
--- a/tests/relay/started_stream_test.cc
+++ b/tests/relay/started_stream_test.cc
@@ -85,4 +85,23 @@
   CheckWhole(Call("/tale/1"));
 }
 
+// Guards against started streams being cut while no proof of the tables is
+// fresh; their caller's key was accepted.
+TEST_CASE_FIXTURE(StartedStreamFixture,
+                  "a started stream waits for fresh tables to go on") {
+  LoopTimerPtr proof;
+  const auto first = answers.front();
+  answers = {[&](const HttpRequest& request, const CallerPtr& caller) {
+    state.relay.freshness =
+        Freshness({.revocation = std::chrono::milliseconds(1)});
+    proof = loop.Schedule(std::chrono::milliseconds(300), [this] {
+      state.relay.freshness = Freshness();
+      state.relay.freshness.RecordProof(loop.BootNow());
+    });
+    first(request, caller);
+  }};
+  FinishNext();
+  CheckWhole(Call("/tale/1"));
+}
+
 }  // namespace wisteriayoke
