relay: a stalled attempt is left only for another target

Callers of a call that may be repeated got 502, or its work was sent twice to the same upstream, when their only upstream was slow: the attempt was given up before it was known whether there is another. An answer whose body was arriving was given up as well. A request that had left a stalled upstream queued anew behind others and was refused as busy.

Evidence: 'a slow call without another upstream keeps its attempt' failed before: two attempts at one upstream.

--- a/source/supervisor/relay/path_search.cc
+++ b/source/supervisor/relay/path_search.cc
@@ -1,5 +1,6 @@
 #include "supervisor/relay/path_search.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wisteriayoke {
@@ -17,11 +18,11 @@
   return context_.state.relay.places[request_.pool];
 }
 
-TargetChoice PathSearch::Search(bool begun) {
+TargetChoice PathSearch::Search(bool first) {
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
   if (pool == nullptr) return {};
   const TimePoint now = context_.loop.Now();
-  const bool queues = pool->model && !begun;
+  const bool queues = pool->model && first;
   if (queues && !Places().MaySearch(queued_, now)) {
     return {.code = ResultCode::kOverloaded};
   }
@@ -58,7 +59,13 @@
   std::set<UpstreamName> avoided = failed_;
   avoided.insert(stalled_.begin(), stalled_.end());
   avoided.insert(others.begin(), others.end());
-  return ChooseTarget(context_, *pool, avoided, 0).target.has_value();
+  const auto target = ChooseTarget(context_, *pool, avoided, 0).target;
+  if (!target) return false;
+  // A plain service falls back to an upstream that is to be avoided.
+  const auto names = target->ListUpstreams();
+  return std::none_of(names.begin(), names.end(), [&avoided](const auto& name) {
+    return avoided.contains(name);
+  });
 }
 
 bool PathSearch::MayWait(ResultCode code, bool begun) {
--- a/source/supervisor/relay/path_search.h
+++ b/source/supervisor/relay/path_search.h
@@ -24,11 +24,11 @@
   /// stalled this request.
   void Avoid(const UpstreamName& upstream) { stalled_.insert(upstream); }
 
-  /// Searches a target. Requests whose answer has begun don't queue.
-  TargetChoice Search(bool begun);
+  /// Searches a target. A request that had one before doesn't queue for it.
+  TargetChoice Search(bool first);
 
   /// Returns whether there is a target without the excluded upstreams, those to
-  /// avoid and `others`.
+  /// avoid and `others`, so that a stalled attempt may be left.
   bool HasTargetWithout(const std::set<UpstreamName>& others) const;
 
   /// Returns whether a request that found no target for `code` waits. A caller
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -104,7 +104,7 @@
   }
   if (guard_.Blocks()) return Feed(TargetUnavailable{ResultCode::kQuarantined});
   if (!decider_.PayForRetry(Budget())) return;
-  const TargetChoice choice = search_.Search(times_.begun());
+  const TargetChoice choice = search_.Search(attempts_ == 0);
   if (!choice.target) return HandleTargetUnavailable(choice.code);
   waiting_ = false;
   Send(*choice.target);
@@ -162,6 +162,7 @@
 void RelaySession::HandleHead(const CallHead& event) {
   head_ = event.head;
   status_ = head_.status;
+  if (!request_.is_stream()) last_progress_ = context_.loop.Now();
   const AnswerFields fields = ReadAnswerFields(head_);
   if (fields.leaving) {
     RecordLeaving(context_, attempt_->target().upstream,
@@ -184,6 +185,7 @@
 
 void RelaySession::HandleBodyData(const CallBodyData& body) {
   if (!event_stream_) {
+    last_progress_ = context_.loop.Now();
     body_ += body.data;
     if (body_.size() > kMaxAnswerBytes) {
       LoseAttempt(ResultCode::kMalformedHttp, false);
@@ -294,7 +296,10 @@
   if (!request_.is_stream()) {
     const Duration attempt_timeout =
         request_.route.latency_objective * kAttemptTimeoutPerMille / 1000;
-    if (silence >= attempt_timeout) LeaveStalledAttempt(ResultCode::kTimedOut);
+    const UpstreamName& upstream = attempt_->target().upstream;
+    if (silence >= attempt_timeout && search_.HasTargetWithout({upstream})) {
+      LeaveStalledAttempt(ResultCode::kTimedOut);
+    }
     return;
   }
   if (!request_.route.repeatable()) return;
@@ -331,6 +336,8 @@
 void RelaySession::HandleUpstreamStalls(const UpstreamName& upstream) {
   if (!RunsOn(upstream)) return;
   search_.Avoid(upstream);
+  // A started stream waits for a path, any other request would be refused.
+  if (!times_.begun() && !search_.HasTargetWithout({})) return;
   LeaveStalledAttempt(ResultCode::kUpstreamFailed);
 }
 
--- a/tests/relay/silent_upstream_test.cc
+++ b/tests/relay/silent_upstream_test.cc
@@ -74,4 +74,21 @@
   CheckWhole(Call("/tale/1"), 4);
 }
 
+// Guards against a call that is given up at its only upstream, or while its
+// answer arrives, and told that it failed.
+TEST_CASE_FIXTURE(SilentUpstreamFixture,
+                  "a slow call without another upstream keeps its attempt") {
+  constexpr Duration kSlow = std::chrono::milliseconds(400);
+  const auto answer_late = [this, kSlow](const HttpRequest& request,
+                                         const CallerPtr& caller) {
+    pauses.push_back(loop.Schedule(kSlow, [request, caller] {
+      caller->Respond(MakeSealed(request, 200, "late"));
+    }));
+  };
+  state.relay.fleet.Remove(UpstreamName("s-2"), loop.Now());
+  answers = {answer_late};
+  CHECK(Call("/read/1").response.body == "late");
+  CHECK(seen.size() == 1);
+}
+
 }  // namespace wisteriayoke
