relay: log streams that were silent until their caller left

Callers that leave after a silence looked like any caller that leaves: one line in 16. The silence before an answer's end now counts as a gap, so that it is logged as late. The test failed before: no such line.

--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -447,7 +447,7 @@
   const bool good = code == ResultCode::kOk || code == ResultCode::kCancelled;
   if (!good) return Record(LogLevel::kWarning, EventKind::kRequestFailed, code);
   if (code == ResultCode::kOk) guard_.HandleAnswered();
-  if (times_.IsLate(request_.route)) {
+  if (times_.IsLate(request_.route, context_.loop.Now())) {
     return Record(LogLevel::kWarning, EventKind::kRequestLate, code);
   }
   if (state.requests_started % kLogEvery != 0) return;
--- a/source/supervisor/relay/stream_times.cc
+++ b/source/supervisor/relay/stream_times.cc
@@ -34,10 +34,10 @@
                     kMaxStallThreshold);
 }
 
-bool StreamTimes::IsLate(const RelayRoute& route) const {
-  return longest_gap_ > route.max_event_gap ||
-         first_event_after_.value_or(Duration::zero()) >
-             route.latency_objective;
+bool StreamTimes::IsLate(const RelayRoute& route, TimePoint now) const {
+  if (!begun()) return now - arrived_ > route.latency_objective;
+  return std::max(longest_gap_, now - last_event_at_) > route.max_event_gap ||
+         *first_event_after_ > route.latency_objective;
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/stream_times.h
+++ b/source/supervisor/relay/stream_times.h
@@ -31,8 +31,9 @@
   /// Returns the silence after which the stream is treated as stalled.
   Duration StallThreshold() const;
 
-  /// Returns whether the answer was later than the objective of `route`.
-  bool IsLate(const RelayRoute& route) const;
+  /// Returns whether the answer, which ended at `now`, was later than the
+  /// objective of `route`. The silence before its end counts as a gap.
+  bool IsLate(const RelayRoute& route, TimePoint now) const;
 
  private:
   TimePoint arrived_;
--- a/tests/relay/relay_log_test.cc
+++ b/tests/relay/relay_log_test.cc
@@ -48,6 +48,30 @@
   CHECK((*fields)["code"] == "303");
 }
 
+// Guards against streams that fall silent until their caller leaves without a
+// line in the log.
+TEST_CASE_FIXTURE(RelayFixture,
+                  "a stream that was silent when its caller left is recorded") {
+  std::vector<CallerPtr> held;
+  answers = {[&held](const HttpRequest& request, const CallerPtr& caller) {
+    held.push_back(caller);
+    caller->StartStream(MakeSealed(request, 200, "").head);
+    caller->WriteChunk(MakeEvent(1));
+  }};
+  answers_polls = false;
+  state.relay.fleet.Remove(UpstreamName("w-2"), loop.Now());
+  const auto call = HttpClientCall::Start(
+      loop, LocalEndpoint(TestPorts::kFront), MakeRequest("/tale/1", "k1"), {},
+      [](const CallEvent&) {});
+  const TimePoint leaves = loop.Now() + std::chrono::milliseconds(300);
+  RunUntil([&] { return loop.Now() >= leaves; });
+  call->Cancel();
+  RunUntil(
+      [&] { return FindEvent(state, EventKind::kRequestLate).has_value(); });
+  auto fields = FindEvent(state, EventKind::kRequestLate);
+  CHECK((*fields)["last_event"] == "1");
+}
+
 TEST_CASE_FIXTURE(RelayFixture, "a refused request is recorded") {
   CHECK(StatusOf("/read/1", "k9") == 401);
   auto fields = FindEvent(state, EventKind::kRequestFailed);
