--- a/source/decisions/relay_request_decider.cc
+++ b/source/decisions/relay_request_decider.cc
@@ -47,7 +47,14 @@
   under_way_ = false;
   const bool again = ++rejections_ <= kMaxRepeatedRejections && Charge(budget);
   if (again) return RetryElsewhere{};
-  return End(event.code);
+  if (!delivering_) return End(event.code);
+  owes_retry_ = true;
+  return RetryLater{};
+}
+
+bool RelayRequestDecider::PayForRetry(RetryBudget& budget) {
+  if (owes_retry_ && Charge(budget)) owes_retry_ = false;
+  return !owes_retry_;
 }
 
 RelayRequestAction RelayRequestDecider::HandleLoss(const AttemptLost& event,
@@ -70,10 +77,10 @@
 }
 
 RelayRequestAction RelayRequestDecider::HandleFailure(RetryBudget& budget) {
+  if (delivering_) return HandleLoss({}, budget);
   under_way_ = false;
   ++runs_;
-  const bool again =
-      rules_.repeatable && !delivering_ && runs_ < rules_.max_attempts;
+  const bool again = rules_.repeatable && runs_ < rules_.max_attempts;
   if (again && Charge(budget)) return RetryElsewhere{};
   return ForwardAnswer{};
 }
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -101,12 +101,13 @@
   // in between.
   if (!request_.workspace.empty() &&
       !state.relay.freshness.AllowsKeys(context_.loop.BootNow())) {
-    return Feed(TargetUnavailable{ResultCode::kNotReady});
+    return HandleTargetUnavailable(ResultCode::kNotReady);
   }
   if (guard_.Blocks() || segment_guard_.Blocks()) {
     return Feed(TargetUnavailable{ResultCode::kQuarantined});
   }
-  const TargetChoice choice = search_.Search(times_.begun());
+  if (!decider_.PayForRetry(Budget())) return;
+  const TargetChoice choice = search_.Search(attempts_ == 0);
   if (!choice.target) return HandleTargetUnavailable(choice.code);
   waiting_ = false;
   Send(*choice.target);
@@ -164,6 +165,7 @@
 void RelaySession::HandleHead(const CallHead& event) {
   head_ = event.head;
   status_ = head_.status;
+  if (!request_.is_stream()) last_progress_ = context_.loop.Now();
   const AnswerFields fields = ReadAnswerFields(head_);
   if (fields.leaving) {
     RecordLeaving(context_, attempt_->target().upstream,
@@ -186,6 +188,7 @@
 
 void RelaySession::HandleBodyData(const CallBodyData& body) {
   if (!event_stream_) {
+    last_progress_ = context_.loop.Now();
     body_ += body.data;
     if (body_.size() > kMaxAnswerBytes) {
       LoseAttempt(ResultCode::kMalformedHttp, false);
@@ -242,8 +245,13 @@
 }
 
 void RelaySession::FinishStream() {
-  EndAttempt(UpstreamFeedback::kGood);
   const std::string rest = splitter_.rest();
+  if (rest.find_first_not_of("\r\n") != std::string::npos) {
+    return HandleFailure({.code = ResultCode::kConnectionBroken,
+                          .message = "the stream ended inside an event",
+                          .sent = true});
+  }
+  EndAttempt(UpstreamFeedback::kGood);
   if (!times_.begun() || !rest.empty()) Forward(rest);
   if (ended_) return;
   request_.caller->EndStream();
@@ -256,7 +264,8 @@
     // reach the caller.
     return LoseAttempt(ResultCode::kUpstreamFailed, false);
   }
-  if (head_.status >= kStatusServerError) {
+  // Whatever it says, it can't continue a stream that the caller has a part of.
+  if (head_.status >= kStatusServerError || times_.begun()) {
     search_.Exclude(attempt_->target().upstream);
     EndAttempt(UpstreamFeedback::kPoor);
     return Feed(AttemptFailed{});
@@ -294,7 +303,10 @@
   if (!request_.is_stream()) {
     const Duration attempt_timeout =
         request_.route.latency_objective * kAttemptTimeoutPerMille / 1000;
-    if (silence >= attempt_timeout) LeaveStalledAttempt(ResultCode::kTimedOut);
+    const UpstreamName& upstream = attempt_->target().upstream;
+    if (silence >= attempt_timeout && search_.HasTargetWithout({upstream})) {
+      LeaveStalledAttempt(ResultCode::kTimedOut);
+    }
     return;
   }
   if (!request_.route.repeatable()) return;
@@ -331,6 +343,8 @@
 void RelaySession::HandleUpstreamStalls(const UpstreamName& upstream) {
   if (!RunsOn(upstream)) return;
   search_.Avoid(upstream);
+  // A started stream waits for a path, any other request would be refused.
+  if (!times_.begun() && !search_.HasTargetWithout({})) return;
   LeaveStalledAttempt(ResultCode::kUpstreamFailed);
 }
 
@@ -366,7 +380,12 @@
 
 void RelaySession::RejectAttempt(ResultCode code,
                                  const UpstreamName& failed_upstream) {
-  search_.Exclude(failed_upstream);
+  if (times_.begun()) {
+    // It may have room again while the stream waits.
+    search_.Avoid(failed_upstream);
+  } else {
+    search_.Exclude(failed_upstream);
+  }
   EndAttempt(UpstreamFeedback::kNone);
   Feed(AttemptRejected{code});
 }
@@ -397,6 +416,8 @@
   Record(LogLevel::kInfo, EventKind::kAttemptKept, end_code_);
 }
 
+void RelaySession::Execute(const RetryLater& /*action*/) { waiting_ = true; }
+
 void RelaySession::Execute(const ForwardAnswer& /*action*/) {
   request_.caller->Respond(
       {{head_.status, BuildForwardedFields(head_.fields)}, std::move(body_)});
@@ -445,7 +466,7 @@
   const bool good = code == ResultCode::kOk || code == ResultCode::kCancelled;
   if (!good) return Record(LogLevel::kWarning, EventKind::kRequestFailed, code);
   if (code == ResultCode::kOk) guard_.HandleAnswered();
-  if (times_.IsLate(request_.route)) {
+  if (times_.IsLate(request_.route, context_.loop.Now())) {
     return Record(LogLevel::kWarning, EventKind::kRequestLate, code);
   }
   if (state.requests_started % kLogEvery != 0) return;
