relay: split the answer of an attempt from the session

No change of behaviour, but one: a block that is only repeated isn't logged again. relay_test: 45 of 45.

--- a/source/supervisor/relay/path_search.h
+++ b/source/supervisor/relay/path_search.h
@@ -24,6 +24,12 @@
   /// stalled this request.
   void Avoid(const UpstreamName& upstream) { stalled_.insert(upstream); }
 
+  /// Handles that `upstream` had no room for the request. While a request whose
+  /// answer has begun waits, it may have room again.
+  void HandleRejection(const UpstreamName& upstream, bool begun) {
+    (begun ? stalled_ : failed_).insert(upstream);
+  }
+
   /// Searches a target. A request that had one before doesn't queue for it.
   TargetChoice Search(bool first);
 
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "base/overloaded.h"
-#include "supervisor/context/fleet_leaving.h"
 #include "supervisor/relay/relay_refusal.h"
 #include "supervisor/relay/return_time.h"
 
@@ -20,28 +19,9 @@
 /// Part of the latency objective, in thousandths, after which an attempt of an
 /// idempotent call is given up and another upstream is tried.
 constexpr int kAttemptTimeoutPerMille = 600;
-/// Most bytes of an answer that isn't a stream; it is held until it is whole.
-constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
-constexpr int kStatusOk = 200;
-constexpr int kStatusMultipleChoices = 300;
-constexpr int kStatusRequestTimeout = 408;
-constexpr int kStatusMisdirected = 421;
-constexpr int kStatusTooManyRequests = 429;
-constexpr int kStatusServerError = 500;
-constexpr int kStatusUnavailable = 503;
 /// One in this many successful answers is logged.
 constexpr std::uint64_t kLogEvery = 16;
 
-bool IsGood(int status) {
-  return status >= kStatusOk && status < kStatusMultipleChoices;
-}
-
-/// Returns whether callers take `status` for a promise that nothing has run.
-bool ImpliesNotRun(int status) {
-  return status == kStatusRequestTimeout || status == kStatusMisdirected ||
-         status == kStatusTooManyRequests || status == kStatusUnavailable;
-}
-
 }  // namespace
 
 RelaySession::RelaySession(DaemonContext context, RelayedRequest request,
@@ -55,13 +35,9 @@
              RequestId(request_.fields.attempt_id)),
       segment_guard_(context, request_),
       arrived_(context.loop.Now()),
+      timeout_(request_.TimeLimit()),
       search_(context, request_, arrived_),
-      times_(arrived_) {
-  timeout_ = request_.route.timeout;
-  if (request_.fields.deadline) {
-    timeout_ = std::min(timeout_, *request_.fields.deadline);
-  }
-}
+      times_(arrived_) {}
 
 RetryBudget& RelaySession::Budget() const {
   RelayState& relay = context_.state.relay;
@@ -127,11 +103,7 @@
 
 void RelaySession::Send(const RelayTarget& target) {
   attempt_.emplace(context_, target);
-  head_ = {};
-  status_.reset();
-  event_stream_ = false;
-  body_.clear();
-  splitter_ = {};
+  answer_.reset();
   last_progress_ = attempt_->sent_at();
   stall_reported_at_.reset();
   keep_recorded_ = false;
@@ -163,18 +135,13 @@
 }
 
 void RelaySession::HandleHead(const CallHead& event) {
-  head_ = event.head;
-  status_ = head_.status;
+  answer_.emplace(event.head, request_.is_stream());
   if (!request_.is_stream()) last_progress_ = context_.loop.Now();
-  const AnswerFields fields = ReadAnswerFields(head_);
-  if (fields.leaving) {
-    RecordLeaving(context_, attempt_->target().upstream,
-                  attempt_->target().started_ms);
-  }
-  attempt_->RecordHoldOff(fields, request_.fields.attempt_id);
+  const AnswerFields fields = ReadAnswerFields(event.head);
+  attempt_->RecordSigns(fields, request_.fields.attempt_id);
   if (fields.not_run) {
     const UpstreamName failed_upstream = attempt_->FindFailedUpstream(fields);
-    if (attempt_->on_chain() || head_.status == kStatusMisdirected) {
+    if (attempt_->on_chain() || answer_->IsMisdirected()) {
       context_.state.upstreams.RecordDecline(failed_upstream,
                                              context_.loop.Now());
     }
@@ -182,40 +149,28 @@
   }
   const bool genuine = fields.has_receipt && !fields.has_content_encoding &&
                        fields.attempt_id == request_.fields.attempt_id;
-  if (!genuine) return LoseAttempt(ResultCode::kUpstreamFailed, false);
-  event_stream_ = request_.is_stream() && IsGood(head_.status);
+  if (!genuine) LoseAttempt(ResultCode::kUpstreamFailed, false);
 }
 
 void RelaySession::HandleBodyData(const CallBodyData& body) {
-  if (!event_stream_) {
+  if (answer_->is_stream()) {
+    ForwardEvents(body.data);
+  } else {
     last_progress_ = context_.loop.Now();
-    body_ += body.data;
-    if (body_.size() > kMaxAnswerBytes) {
-      LoseAttempt(ResultCode::kMalformedHttp, false);
-    }
-    return;
+    answer_->PushBody(body.data);
   }
-  ForwardEvents(splitter_.Push(body.data));
-  if (splitter_.overflowed() && attempt_) {
+  if (attempt_ && answer_->overflowed()) {
     LoseAttempt(ResultCode::kMalformedHttp, false);
   }
 }
 
-void RelaySession::ForwardEvents(std::vector<StreamEvent> events) {
-  std::string text;
-  for (auto& event : events) {
-    // A resumed run may repeat events that the caller has.
-    const bool known =
-        event.id && last_event_id_ && *event.id <= *last_event_id_;
-    if (known) continue;
-    if (event.id) last_event_id_ = event.id;
-    text += event.text;
-  }
-  if (events.empty()) return;
+void RelaySession::ForwardEvents(std::string_view data) {
+  const auto text = answer_->PushEvents(data, last_event_id_);
+  if (!text) return;
   if (attempt_->BeginAnswer()) segment_guard_.HandleBegun();
   last_progress_ = context_.loop.Now();
   stall_reported_at_.reset();
-  Forward(text);
+  Forward(*text);
 }
 
 void RelaySession::Forward(std::string_view data) {
@@ -226,8 +181,9 @@
       time);
   if (first) {
     decider_.RecordDelivery();
+    const HttpResponseHead& head = answer_->head();
     request_.caller->StartStream(
-        {head_.status, BuildForwardedFields(head_.fields)});
+        {head.status, BuildForwardedFields(head.fields)});
   }
   request_.caller->WriteChunk(data);
   PauseIfCallerIsSlow();
@@ -240,32 +196,31 @@
 }
 
 void RelaySession::HandleEnd() {
-  if (event_stream_) return FinishStream();
+  if (answer_->is_stream()) return FinishStream();
   FinishResponse();
 }
 
 void RelaySession::FinishStream() {
-  const std::string rest = splitter_.rest();
-  if (rest.find_first_not_of("\r\n") != std::string::npos) {
+  if (answer_->IsTruncated()) {
     return HandleFailure({.code = ResultCode::kConnectionBroken,
                           .message = "the stream ended inside an event",
                           .sent = true});
   }
   EndAttempt(UpstreamFeedback::kGood);
-  if (!times_.begun() || !rest.empty()) Forward(rest);
+  if (!times_.begun() || !answer_->rest().empty()) Forward(answer_->rest());
   if (ended_) return;
   request_.caller->EndStream();
   End(ResultCode::kOk);
 }
 
 void RelaySession::FinishResponse() {
-  if (ImpliesNotRun(head_.status)) {
+  if (answer_->ImpliesNotRun()) {
     // The upstream didn't confirm that nothing ran, so this status must not
     // reach the caller.
     return LoseAttempt(ResultCode::kUpstreamFailed, false);
   }
   // Whatever it says, it can't continue a stream that the caller has a part of.
-  if (head_.status >= kStatusServerError || times_.begun()) {
+  if (answer_->IsServerError() || times_.begun()) {
     search_.Exclude(attempt_->target().upstream);
     EndAttempt(UpstreamFeedback::kPoor);
     return Feed(AttemptFailed{});
@@ -380,12 +335,7 @@
 
 void RelaySession::RejectAttempt(ResultCode code,
                                  const UpstreamName& failed_upstream) {
-  if (times_.begun()) {
-    // It may have room again while the stream waits.
-    search_.Avoid(failed_upstream);
-  } else {
-    search_.Exclude(failed_upstream);
-  }
+  search_.HandleRejection(failed_upstream, times_.begun());
   EndAttempt(UpstreamFeedback::kNone);
   Feed(AttemptRejected{code});
 }
@@ -419,9 +369,10 @@
 void RelaySession::Execute(const RetryLater& /*action*/) { waiting_ = true; }
 
 void RelaySession::Execute(const ForwardAnswer& /*action*/) {
+  const HttpResponseHead& head = answer_->head();
   request_.caller->Respond(
-      {{head_.status, BuildForwardedFields(head_.fields)}, std::move(body_)});
-  End(IsGood(head_.status) ? ResultCode::kOk : ResultCode::kUpstreamFailed);
+      {{head.status, BuildForwardedFields(head.fields)}, answer_->TakeBody()});
+  End(answer_->IsGood() ? ResultCode::kOk : ResultCode::kUpstreamFailed);
 }
 
 void RelaySession::Execute(const RefuseNotRun& action) {
@@ -490,7 +441,7 @@
        {"longest_pause_us", std::to_string(times_.longest_gap().count())},
        {"last_event", last_event_id_ ? std::to_string(*last_event_id_) : ""},
        {"path", path_},
-       {"status", status_ ? std::to_string(*status_) : ""},
+       {"status", answer_ ? std::to_string(answer_->head().status) : ""},
        {"tables", std::to_string(request_.tables->spec().version)}});
 }
 
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -10,12 +10,12 @@
 #include "decisions/relay_request_decider.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/context/suspect_guard.h"
+#include "supervisor/relay/attempt_answer.h"
 #include "supervisor/relay/path_search.h"
 #include "supervisor/relay/relayed_request.h"
 #include "supervisor/relay/running_attempt.h"
 #include "supervisor/relay/segment_guard.h"
 #include "supervisor/relay/stream_times.h"
-#include "wire/event_splitter.h"
 
 namespace wisteriayoke {
 
@@ -61,7 +61,7 @@
   void HandleBodyData(const CallBodyData& body);
   void HandleEnd();
   void HandleFailure(const CallFailure& failure);
-  void ForwardEvents(std::vector<StreamEvent> events);
+  void ForwardEvents(std::string_view data);
   void Forward(std::string_view data);
   void PauseIfCallerIsSlow();
   void FinishStream();
@@ -94,16 +94,11 @@
   SuspectGuard guard_;
   SegmentGuard segment_guard_;
   TimePoint arrived_;
-  Duration timeout_{};
+  Duration timeout_;
   PathSearch search_;
   std::optional<RunningAttempt> attempt_;  ///< Empty between attempts.
-  HttpResponseHead head_;                  ///< Head of the attempt's answer.
-  std::optional<int> status_;  ///< Status of that answer, once it has arrived.
+  std::optional<AttemptAnswer> answer_;    ///< Once its head has arrived.
   ResultCode end_code_ = ResultCode::kOk;  ///< Why the last attempt ended.
-  /// Whether the answer is a stream with a successful status.
-  bool event_stream_ = false;
-  std::string body_;  ///< Body of an answer that isn't a stream.
-  EventSplitter splitter_;
   /// Last event that the caller has.
   std::optional<std::uint64_t> last_event_id_;
   StreamTimes times_;
--- a/source/supervisor/relay/relayed_request.h
+++ b/source/supervisor/relay/relayed_request.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_SUPERVISOR_RELAY_RELAYED_REQUEST_H_
 #define WISTERIAYOKE_SUPERVISOR_RELAY_RELAYED_REQUEST_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -24,6 +25,11 @@
   std::shared_ptr<HttpServerSession> caller;
 
   bool is_stream() const { return route.kind == RelayKind::kStreaming; }
+
+  /// Time that the caller and the route allow from the request's arrival.
+  Duration TimeLimit() const {
+    return std::min(route.timeout, fields.deadline.value_or(route.timeout));
+  }
 };
 
 /// Returns a digest that requests of one workspace with the same content share.
--- a/source/supervisor/relay/running_attempt.cc
+++ b/source/supervisor/relay/running_attempt.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "supervisor/context/fleet_leaving.h"
+
 namespace wisteriayoke {
 
 RunningAttempt::RunningAttempt(DaemonContext context, RelayTarget target)
@@ -29,8 +31,11 @@
   return target_.upstream;
 }
 
-void RunningAttempt::RecordHoldOff(const AnswerFields& fields,
-                                   const std::string& attempt_id) {
+void RunningAttempt::RecordSigns(const AnswerFields& fields,
+                                 const std::string& attempt_id) {
+  if (fields.leaving) {
+    RecordLeaving(context_, target_.upstream, target_.started_ms);
+  }
   if (!fields.hold_off && fields.unreadable_hold_off.empty()) return;
   const UpstreamName stage = FindFailedUpstream(fields);
   const Duration asked = fields.hold_off.value_or(Duration::zero());
--- a/source/supervisor/relay/running_attempt.h
+++ b/source/supervisor/relay/running_attempt.h
@@ -36,10 +36,10 @@
   /// answered if it names none.
   UpstreamName FindFailedUpstream(const AnswerFields& fields) const;
 
-  /// Records that the upstream asked this daemon for no work in its answer to
-  /// the send `attempt_id`, if it did. The stage that the answer names as
-  /// failed is spared as well.
-  void RecordHoldOff(const AnswerFields& fields, const std::string& attempt_id);
+  /// Records what the answer to the send `attempt_id` tells of the upstream:
+  /// that it is leaving, or asks this daemon for no work. Then the stage that
+  /// the answer names as failed is spared as well.
+  void RecordSigns(const AnswerFields& fields, const std::string& attempt_id);
 
   void Pause();
   void Resume();
--- a/source/supervisor/relay/segment_guard.cc
+++ b/source/supervisor/relay/segment_guard.cc
@@ -29,11 +29,17 @@
       update);
 }
 
+/// Returns whether `update` only repeats a block.
+bool IsRepeat(const GossipUpdate& update) {
+  const auto* block = std::get_if<SegmentBlockUpdate>(&update);
+  return block != nullptr && block->elapsed > Duration::zero();
+}
+
 /// Sends and records what this daemon found out.
 void Publish(const DaemonContext& context,
              const std::vector<GossipUpdate>& updates) {
   for (const auto& update : updates) {
-    RecordUpdate(context, update, "own");
+    if (!IsRepeat(update)) RecordUpdate(context, update, "own");
     context.state.gossip.Post(update);
   }
 }
