tests: encode the updates on prompt segments

Seen to fail with SegmentCrashUpdate::running, SegmentClearedUpdate::age or SegmentBlockUpdate::elapsed left out of the codec: each time two tests fail. The test with the greatest number of in-flight counts clears the updates, so it is unaffected; a crash update with the most segments, of 64 bytes each, fits.

--- a/tests/wire/datagram_codec_test.cc
+++ b/tests/wire/datagram_codec_test.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "decisions/membership.h"
+#include "decisions/segment_quarantine.h"
 
 namespace wisteriayoke {
 namespace {
@@ -21,7 +22,15 @@
       LeavingUpdate{UpstreamName("engine1"), Duration(5), 77, 8},
       SuspectUpdate{"print", UpstreamName("e"), Duration(6), 9, true},
       IsolatedRunUpdate{"print", UpstreamName("e"), DaemonName("d"), true,
-                        Duration(8)}};
+                        Duration(8)},
+      SegmentCrashUpdate{RequestId("r"),
+                         UpstreamName("e"),
+                         {SegmentId("s1"), SegmentId("s2")},
+                         Duration(13),
+                         Duration(14)},
+      SegmentClearedUpdate{SegmentId("s3"), Duration(15)},
+      SegmentBlockUpdate{SegmentId("s4"), Duration(16), Duration(17),
+                         Duration(18)}};
   message.clock_us = 11;
   return message;
 }
@@ -96,4 +105,18 @@
   CHECK_FALSE(ParseDatagram(*data, reason)->updates.empty());
 }
 
+TEST_CASE("a crash update with the most segments fits beside other updates") {
+  LastReason reason;
+  PeerMessage message = MakeMessage();
+  const std::vector<SegmentId> segments(SegmentQuarantine::kMaxSegments,
+                                        SegmentId(std::string(64, 'a')));
+  message.updates.push_back(
+      SegmentCrashUpdate{RequestId(std::string(64, 'r')),
+                         UpstreamName(std::string(64, 'u')), segments});
+  const auto data = EncodeDatagram(message, reason);
+  REQUIRE(data.has_value());
+  CHECK(data->size() <= kMaxDatagramBytes);
+  CHECK(ParseDatagram(*data, reason)->updates == message.updates);
+}
+
 }  // namespace wisteriayoke
