quarantine: what a segment explains counts against no other

A crash that a blocked segment explains now speaks against none of its witnesses; the segment in most crashes is judged first, by how likely the other requests were lost, over all daemons; late news of a crash no longer counts against a segment that an answer has cleared since. Requests have an id of the daemon's own here, as callers may send none; a started answer is no longer ended by a block; blocks that nothing tried for long are dropped.

--- a/source/decisions/gossip_update.cc
+++ b/source/decisions/gossip_update.cc
@@ -9,6 +9,8 @@
 constexpr Duration kRepeatWindow = std::chrono::milliseconds(500);
 /// The same for updates on isolated runs, which are renewed more often.
 constexpr Duration kIsolatedRunRepeatWindow = std::chrono::milliseconds(100);
+/// The same for cleared segments, which may crash and begin often.
+constexpr Duration kClearedRepeatWindow = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -74,7 +76,7 @@
           [](const SegmentCrashUpdate&) { return false; },
           [&known](const SegmentClearedUpdate& update) {
             const auto& other = std::get<SegmentClearedUpdate>(known);
-            return update.age + kRepeatWindow < other.age;
+            return update.age + kClearedRepeatWindow < other.age;
           },
           [&known](const SegmentBlockUpdate& update) {
             const auto& other = std::get<SegmentBlockUpdate>(known);
--- a/source/decisions/segment_quarantine.cc
+++ b/source/decisions/segment_quarantine.cc
@@ -1,6 +1,7 @@
 #include "decisions/segment_quarantine.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <string>
 #include <utility>
@@ -8,6 +9,14 @@
 namespace wisteriayoke {
 namespace {
 
+/// Reports of one upstream's crash that are closer than this are one crash.
+constexpr Duration kSameCrashWindow = std::chrono::milliseconds(500);
+/// A block that begins later by at most this much is the same block.
+constexpr Duration kRenewalWindow = std::chrono::seconds(2);
+/// Time after its end for which a block that nothing tried is kept, as a
+/// multiple of its length.
+constexpr int kKeptFactor = 4;
+
 std::set<SegmentId> TakeFirst(const std::vector<SegmentId>& segments) {
   const std::size_t count =
       std::min(segments.size(), SegmentQuarantine::kMaxSegments);
@@ -70,18 +79,54 @@
                      });
 }
 
-SegmentQuarantine::GossipUpdates SegmentQuarantine::AddWitness(Witness witness,
-                                                               TimePoint now) {
-  DropExpired(now);
-  if (auto explained = ExplainByBlocks(witness, now)) return *explained;
-  witness.answers_before = answers_;
+std::size_t SegmentQuarantine::CountWitnesses() const {
+  return static_cast<std::size_t>(std::count_if(
+      witnesses_.begin(), witnesses_.end(),
+      [](const Witness& witness) { return !witness.segments.empty(); }));
+}
+
+bool SegmentQuarantine::SameCrash(const Witness& a, const Witness& b) {
+  return a.upstream == b.upstream &&
+         std::max(a.crashed_at, b.crashed_at) -
+                 std::min(a.crashed_at, b.crashed_at) <
+             kSameCrashWindow;
+}
+
+void SegmentQuarantine::InsertWitness(Witness witness) {
   const auto later = std::find_if(
       witnesses_.begin(), witnesses_.end(), [&witness](const Witness& other) {
         return other.crashed_at > witness.crashed_at;
       });
   witnesses_.insert(later, std::move(witness));
   if (witnesses_.size() > kMaxWitnesses) witnesses_.erase(witnesses_.begin());
-  return BlockGuilty(now);
+}
+
+/// Records that a blocked segment caused the crash that `witness` saw.
+void SegmentQuarantine::ExplainCrash(const Witness& witness) {
+  for (auto& other : witnesses_) {
+    if (!SameCrash(other, witness)) continue;
+    other.explained = true;
+    other.segments.clear();
+  }
+}
+
+SegmentQuarantine::GossipUpdates SegmentQuarantine::AddWitness(Witness witness,
+                                                               TimePoint now) {
+  DropExpired(now);
+  auto explaining = ExplainByBlocks(witness, now);
+  if (explaining) ExplainCrash(witness);
+  witness.explained =
+      explaining ||
+      std::any_of(witnesses_.begin(), witnesses_.end(),
+                  [&witness](const Witness& other) {
+                    return other.explained && SameCrash(other, witness);
+                  });
+  std::erase_if(witness.segments, [this, &witness](const SegmentId& segment) {
+    return witness.explained || WasClearedSince(segment, witness.crashed_at);
+  });
+  witness.answers_before = answers_;
+  InsertWitness(std::move(witness));
+  return explaining ? *explaining : BlockGuilty(now);
 }
 
 /// Returns the blocks that explain a crash, to tell the daemon that may not
@@ -105,21 +150,48 @@
 SegmentQuarantine::Suspicion SegmentQuarantine::AssessSegment(
     const SegmentId& segment) const {
   Suspicion suspicion;
+  std::vector<const Witness*> holders;
   for (const auto& witness : witnesses_) {
     if (!witness.segments.contains(segment)) continue;
-    ++suspicion.witnesses;
+    const bool counted = std::any_of(holders.begin(), holders.end(),
+                                     [&witness](const Witness* holder) {
+                                       return SameCrash(*holder, witness);
+                                     });
+    if (!counted) ++suspicion.crashes;
+    holders.push_back(&witness);
     suspicion.requests.insert(witness.request);
     suspicion.other_answers =
-        std::max(suspicion.other_answers, answers_ - witness.answers_before);
+        std::max(suspicion.other_answers,
+                 group_size_ * (answers_ - witness.answers_before));
     if (suspicion.rounds > 0 && witness.sent_at < suspicion.last_crash) {
       continue;
     }
     ++suspicion.rounds;
     suspicion.last_crash = witness.crashed_at;
   }
+  for (const auto& witness : witnesses_) {
+    if (holders.empty() || witness.explained) continue;
+    if (witness.crashed_at < holders.front()->crashed_at) continue;
+    const bool by_segment = std::any_of(holders.begin(), holders.end(),
+                                        [&witness](const Witness* holder) {
+                                          return SameCrash(*holder, witness);
+                                        });
+    if (!by_segment) ++suspicion.other_losses;
+  }
   return suspicion;
 }
 
+/// Estimates by other requests how likely one is lost in a crash; each request
+/// with a harmless segment is lost with that probability. The repeats of one
+/// request aren't independent of each other.
+bool SegmentQuarantine::Suspicion::IsSufficient() const {
+  if (rounds < kRounds || requests.size() < kRequests) return false;
+  const auto lost = static_cast<double>(other_losses + 1);
+  const double share = lost / (lost + static_cast<double>(other_answers));
+  const auto trials = static_cast<double>(std::min(rounds, requests.size()));
+  return std::pow(share, trials) <= kMaxChance;
+}
+
 /// Returns the segments with enough witnesses to be assessed.
 std::vector<SegmentId> SegmentQuarantine::ListOftenSeen() const {
   std::map<SegmentId, std::size_t> counts;
@@ -133,21 +205,21 @@
   return often;
 }
 
-/// Returns the segment against which most requests witness, if that suffices.
-/// Returns several only if they can't be told apart.
+/// Returns the segment that was in most crashes, if that suffices;
+/// others may only have been beside it. Returns several only if they can't be
+/// told apart.
 std::vector<SegmentId> SegmentQuarantine::FindGuilty() const {
   std::vector<SegmentId> guilty;
-  std::size_t most = 0;
-  std::size_t rounds = 0;
+  Suspicion worst;
   for (const auto& segment : ListOftenSeen()) {
-    const Suspicion suspicion = AssessSegment(segment);
-    if (!suspicion.IsSufficient() || suspicion.witnesses < most) continue;
-    if (suspicion.witnesses > most) guilty.clear();
-    most = suspicion.witnesses;
-    rounds = suspicion.rounds;
+    Suspicion suspicion = AssessSegment(segment);
+    if (suspicion.crashes < worst.crashes) continue;
+    if (suspicion.crashes > worst.crashes) guilty.clear();
     guilty.push_back(segment);
+    worst = std::move(suspicion);
   }
-  if (guilty.size() > 1 && rounds < kMostRounds) return {};
+  const bool tied = guilty.size() > 1 && worst.requests.size() < kTiedRequests;
+  if (tied || !worst.IsSufficient()) return {};
   return guilty;
 }
 
@@ -163,7 +235,7 @@
 }
 
 /// Blocks `segment`. It explains the crashes of the requests that hold it, so
-/// they speak against no other segment.
+/// none of the requests that were lost in them speaks against another segment.
 void SegmentQuarantine::AddBlock(const SegmentId& segment, Duration length,
                                  TimePoint since) {
   if (!blocks_.contains(segment) && blocks_.size() >= kMaxBlocks) {
@@ -174,9 +246,10 @@
   }
   blocks_[segment] = {.since = since,
                       .length = std::min(length, kLongestBlock)};
-  std::erase_if(witnesses_, [&segment](const Witness& witness) {
-    return witness.segments.contains(segment);
-  });
+  const std::vector<Witness> witnesses = witnesses_;
+  for (const auto& witness : witnesses) {
+    if (witness.segments.contains(segment)) ExplainCrash(witness);
+  }
 }
 
 GossipUpdate SegmentQuarantine::MakeUpdate(const SegmentId& segment,
@@ -189,10 +262,10 @@
 std::vector<GossipUpdate> SegmentQuarantine::RecordBegun(
     const std::vector<SegmentId>& segments, TimePoint now) {
   ++answers_;
-  if (witnesses_.empty() && blocks_.empty()) return {};
   DropExpired(now);
   GossipUpdates updates;
   for (const auto& segment : TakeFirst(segments)) {
+    RememberCleared(segment, now);
     if (Clear(segment, now)) {
       updates.emplace_back(SegmentClearedUpdate{.segment = segment});
     }
@@ -208,19 +281,31 @@
   const auto block = blocks_.find(segment);
   if (block != blocks_.end() && block->second.since <= begun_at) {
     blocks_.erase(block);
-    lifted_[segment] = begun_at;
     cleared = true;
   }
   for (auto& witness : witnesses_) {
     if (witness.crashed_at > begun_at) continue;
     cleared = witness.segments.erase(segment) > 0 || cleared;
   }
-  std::erase_if(witnesses_, [](const Witness& witness) {
-    return witness.segments.empty();
-  });
   return cleared;
 }
 
+void SegmentQuarantine::RememberCleared(const SegmentId& segment,
+                                        TimePoint begun_at) {
+  TimePoint& latest = cleared_[segment];
+  latest = std::max(latest, begun_at);
+  if (cleared_.size() <= kMaxCleared) return;
+  cleared_.erase(std::min_element(
+      cleared_.begin(), cleared_.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; }));
+}
+
+bool SegmentQuarantine::WasClearedSince(const SegmentId& segment,
+                                        TimePoint time) const {
+  const auto found = cleared_.find(segment);
+  return found != cleared_.end() && found->second >= time;
+}
+
 void SegmentQuarantine::RecordEnd(const RequestId& request) {
   for (auto& [segment, block] : blocks_) {
     if (block.probe == request) block.probe.reset();
@@ -254,24 +339,27 @@
 
 void SegmentQuarantine::Apply(const SegmentClearedUpdate& update,
                               TimePoint now) {
+  RememberCleared(update.segment, now - update.age);
   Clear(update.segment, now - update.age);
 }
 
 void SegmentQuarantine::Apply(const SegmentBlockUpdate& update, TimePoint now) {
   const TimePoint since = now - update.age - update.elapsed;
-  const auto lifted = lifted_.find(update.segment);
-  if (lifted != lifted_.end() && since <= lifted->second) return;
+  if (WasClearedSince(update.segment, since)) return;
   const auto found = blocks_.find(update.segment);
-  if (found != blocks_.end() && found->second.length >= update.length) return;
-  AddBlock(update.segment, update.length, since);
+  const bool known = found != blocks_.end() &&
+                     (found->second.length > update.length ||
+                      (found->second.length == update.length &&
+                       found->second.since + kRenewalWindow >= since));
+  if (!known) AddBlock(update.segment, update.length, since);
 }
 
 void SegmentQuarantine::DropExpired(TimePoint now) {
   std::erase_if(witnesses_, [now](const Witness& witness) {
     return witness.crashed_at + kWitnessLifetime <= now;
   });
-  std::erase_if(lifted_, [now](const auto& item) {
-    return item.second + kWitnessLifetime <= now;
+  std::erase_if(blocks_, [now](const auto& item) {
+    return item.second.since + kKeptFactor * item.second.length <= now;
   });
 }
 
--- a/source/decisions/segment_quarantine.h
+++ b/source/decisions/segment_quarantine.h
@@ -21,8 +21,10 @@
 /// request, since a segment that crashes upstreams lets no answer begin. A
 /// segment is blocked after crashes in several rounds, each of a request that
 /// was sent after the crash of the round before: the loss of many upstreams at
-/// once is a single round. While other segments are as suspect, none is
-/// blocked; once one is, its crashes count against no other.
+/// once is a single round. The more requests are lost in crashes that the
+/// segment doesn't explain, the more rounds are needed. While other segments
+/// are as suspect, none is blocked; once one is, the crashes that it explains
+/// count against no other.
 ///
 /// A block expires on each daemon at another time. Then one request at a time
 /// is let through: an answer that begins lifts the block everywhere, a crash
@@ -31,22 +33,23 @@
 /// posts the updates that the functions return.
 class SegmentQuarantine {
  public:
-  /// Rounds of crashes after which a segment is blocked.
+  /// Least rounds of crashes after which a segment is blocked.
   static constexpr std::size_t kRounds = 3;
-  /// Rounds after which equally suspect segments are blocked together.
-  static constexpr std::size_t kMostRounds = 5;
   /// Requests that must be among the witnesses against a segment.
   static constexpr std::size_t kRequests = 2;
-  /// Answers without the segment that must have begun since its first crash;
-  /// without any, the upstreams are to blame.
-  static constexpr std::size_t kOtherAnswers = 5;
+  /// The same for segments that are equally suspect, to block them together.
+  static constexpr std::size_t kTiedRequests = 5;
+  /// Most probability with which chance may have lost a harmless segment's
+  /// requests in all rounds.
+  static constexpr double kMaxChance = 0.0002;
   /// Time for which a witness counts.
   static constexpr Duration kWitnessLifetime = std::chrono::minutes(5);
   static constexpr Duration kFirstBlock = std::chrono::minutes(1);
   static constexpr Duration kLongestBlock = std::chrono::hours(1);
   /// Bounds on memory; beyond them the oldest entry is dropped.
-  static constexpr std::size_t kMaxWitnesses = 128;
+  static constexpr std::size_t kMaxWitnesses = 256;
   static constexpr std::size_t kMaxBlocks = 256;
+  static constexpr std::size_t kMaxCleared = 1024;
   /// Blocks in one repeat, so that their number doesn't set the traffic.
   static constexpr std::size_t kRepeatedBlocks = 4;
   /// Segments of one request that are looked at.
@@ -54,6 +57,9 @@
 
   explicit SegmentQuarantine(DaemonName self = {}) : self_(std::move(self)) {}
 
+  /// Sets the number of daemons, which see about as many answers each.
+  void set_group_size(std::size_t size) { group_size_ = size; }
+
   /// Returns the first of `segments` that a request must not hold to be sent
   /// now. A segment whose block has expired is reserved for `request`.
   std::optional<SegmentId> FindBlocked(const std::vector<SegmentId>& segments,
@@ -91,18 +97,22 @@
   bool IsBlocked(const SegmentId& segment) const {
     return blocks_.contains(segment);
   }
-  std::size_t CountWitnesses() const { return witnesses_.size(); }
+
+  /// Returns how many requests speak against any segment.
+  std::size_t CountWitnesses() const;
 
  private:
   /// A request that waited for its answer on an upstream that crashed.
   struct Witness {
     RequestId request;
     UpstreamName upstream;
-    std::set<SegmentId> segments;  ///< Those not cleared since.
+    /// Those not cleared since; empty once a block explains the crash.
+    std::set<SegmentId> segments;
     TimePoint sent_at;
     TimePoint crashed_at;
     /// Answers that had begun on this daemon when it learnt of the crash.
     std::size_t answers_before = 0;
+    bool explained = false;  ///< Whether a blocked segment caused the crash.
   };
 
   struct Block {
@@ -115,21 +125,25 @@
   /// What speaks against one segment.
   struct Suspicion {
     std::size_t rounds = 0;
-    std::size_t witnesses = 0;
+    std::size_t crashes = 0;
     std::set<RequestId> requests;
     TimePoint last_crash;
-    /// Answers that have begun since the first crash; all lack the segment.
+    /// Estimate of the answers of all daemons that have begun since the first
+    /// crash; all lack the segment.
     std::size_t other_answers = 0;
+    /// Requests lost since then in crashes that neither this segment nor a
+    /// blocked one explains.
+    std::size_t other_losses = 0;
 
-    bool IsSufficient() const {
-      return rounds >= kRounds && requests.size() >= kRequests &&
-             other_answers >= kOtherAnswers;
-    }
+    bool IsSufficient() const;
   };
 
   using GossipUpdates = std::vector<GossipUpdate>;
 
+  static bool SameCrash(const Witness& a, const Witness& b);
   bool IsKnown(const Witness& witness) const;
+  void InsertWitness(Witness witness);
+  void ExplainCrash(const Witness& witness);
   GossipUpdates AddWitness(Witness witness, TimePoint now);
   std::optional<GossipUpdates> ExplainByBlocks(const Witness& witness,
                                                TimePoint now);
@@ -141,14 +155,18 @@
   GossipUpdate MakeUpdate(const SegmentId& segment, const Block& block,
                           TimePoint now) const;
   bool Clear(const SegmentId& segment, TimePoint begun_at);
+  void RememberCleared(const SegmentId& segment, TimePoint begun_at);
+  bool WasClearedSince(const SegmentId& segment, TimePoint time) const;
   void DropExpired(TimePoint now);
   TimePoint EndOf(const SegmentId& segment, const Block& block) const;
 
   DaemonName self_;
+  std::size_t group_size_ = 1;
   std::vector<Witness> witnesses_;  ///< In the order of their crashes.
   std::map<SegmentId, Block> blocks_;
-  /// When blocks were lifted, so that old updates don't bring them back.
-  std::map<SegmentId, TimePoint> lifted_;
+  /// When an answer last proved a segment harmless, by this daemon or a peer,
+  /// so that late updates about earlier crashes count no more.
+  std::map<SegmentId, TimePoint> cleared_;
   std::size_t answers_ = 0;  ///< Answers that have begun on this daemon.
   SegmentId last_repeated_;
 };
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -208,6 +208,7 @@
 /// shares never grow back.
 void RelayFrontEnd::UpdateMemberCount() {
   DaemonState& state = context_.state;
+  state.relay.segments.set_group_size(state.relay.group_size);
   const auto daemons = static_cast<double>(1 + state.peer_loads.CountPeers());
   if (daemons <= state.relay.max_members_seen) return;
   state.relay.max_members_seen = daemons;
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -79,7 +79,8 @@
       !state.relay.freshness.AllowsKeys(context_.loop.BootNow())) {
     return HandleTargetUnavailable(ResultCode::kNotReady);
   }
-  if (guard_.Blocks() || segment_guard_.Blocks()) {
+  // An answer that has begun shows that its segments crash no upstream.
+  if (guard_.Blocks() || (!times_.begun() && segment_guard_.Blocks())) {
     return Feed(TargetUnavailable{ResultCode::kQuarantined});
   }
   if (!decider_.PayForRetry(Budget())) return;
@@ -251,7 +252,7 @@
     return;
   }
   if (!attempt_ || paused_) return;
-  if (!attempt_->answer_begun() && segment_guard_.MustStop()) {
+  if (!times_.begun() && segment_guard_.MustStop()) {
     return Feed(TargetUnavailable{ResultCode::kQuarantined});
   }
   const Duration silence = context_.loop.Now() - last_progress_;
--- a/source/supervisor/relay/running_attempt.h
+++ b/source/supervisor/relay/running_attempt.h
@@ -47,8 +47,6 @@
   /// Records that the answer has begun. Returns whether that is new.
   bool BeginAnswer();
 
-  bool answer_begun() const { return answer_begun_; }
-
   /// Ends the call and frees the upstreams. A poor answer counts as one that
   /// took `poor_time`.
   void End(UpstreamFeedback feedback, Duration poor_time);
--- a/source/supervisor/relay/segment_guard.cc
+++ b/source/supervisor/relay/segment_guard.cc
@@ -75,9 +75,13 @@
 }
 
 SegmentGuard::SegmentGuard(DaemonContext context, const RelayedRequest& request)
-    : context_(context), request_(request.fields.attempt_id) {
+    : context_(context),
+      // Callers may send no id, or the same one twice.
+      request_(std::to_string(context.state.random())),
+      attempt_id_(request.fields.attempt_id) {
   // Another pool's upstreams may take the same segment.
   for (const auto& segment : request.fields.prompt_segments) {
+    if (segments_.size() == SegmentQuarantine::kMaxSegments) break;
     segments_.emplace_back(request.pool.text() + "/" + segment.text());
   }
 }
@@ -88,7 +92,7 @@
   if (!blocked) return false;
   context_.state.timeline.Record(
       LogLevel::kInfo, EventKind::kRequestQuarantined, ResultCode::kQuarantined,
-      {{"request", request_.text()}, {"segment", blocked->text()}});
+      {{"request", attempt_id_}, {"segment", blocked->text()}});
   return true;
 }
 
--- a/source/supervisor/relay/segment_guard.h
+++ b/source/supervisor/relay/segment_guard.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_SUPERVISOR_RELAY_SEGMENT_GUARD_H_
 #define WISTERIAYOKE_SUPERVISOR_RELAY_SEGMENT_GUARD_H_
 
+#include <string>
 #include <vector>
 
 #include "supervisor/context/daemon_context.h"
@@ -44,6 +45,7 @@
 
   DaemonContext context_;
   RequestId request_;
+  std::string attempt_id_;  ///< The caller's id, for logs.
   std::vector<SegmentId> segments_;
 };
 
