--- a/source/decisions/segment_quarantine.cc
+++ b/source/decisions/segment_quarantine.cc
@@ -218,7 +218,9 @@
     guilty.push_back(segment);
     worst = std::move(suspicion);
   }
-  const bool tied = guilty.size() > 1 && worst.requests.size() < kTiedRequests;
+  const bool tied =
+      guilty.size() > 1 &&
+      std::min(worst.rounds, worst.requests.size()) < kTiedRequests;
   if (tied || !worst.IsSufficient()) return {};
   return guilty;
 }
