--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -37,7 +37,7 @@
   RetryLimits retry_limits;  ///< This daemon's share of each pool's limits.
   std::map<PoolName, RetryBudget> budgets;
   std::map<PoolName, PlaceQueue> places;  ///< Requests without a place.
-  LinkBudget links;             ///< Budget of the links between data centres.
+  LinkBudget links;  ///< Budget of the links between data centres.
   SegmentQuarantine segments;
   double max_members_seen = 1;  ///< Most members that were seen at a time.
   RelayMetrics metrics;
--- a/tests/decisions/segment_quarantine_simulation.h
+++ b/tests/decisions/segment_quarantine_simulation.h
@@ -150,7 +150,8 @@
       for (std::size_t to = 0; to < kDaemons; ++to) {
         const int delay = DrawBetween(2, 14);
         if (to == from || tick_ + delay >= scenario_.last_tick) continue;
-        messages_[static_cast<std::size_t>(tick_ + delay)].push_back(
+        const int arrival = tick_ + delay;
+        messages_[static_cast<std::size_t>(arrival)].push_back(
             {to, Aged(update, kTick * delay)});
       }
     }
