relay: the time limit counts from the request's arrival

Suspected from reading, not reproduced: the timer of the request began a moment after its arrival and that of its call was reckoned from the arrival, so that on a busy machine the call's may end first and the caller be told 502. Both now end no earlier than the limit, the request's first. relay_test passes.

--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -66,7 +66,8 @@
     if (self->attempt_) self->attempt_->Resume();
   });
   timeout_timer_ = context_.loop.Schedule(
-      timeout_, [self = shared_from_this()] { self->Feed(TimeLimitPassed{}); });
+      TimeLeft(),
+      [self = shared_from_this()] { self->Feed(TimeLimitPassed{}); });
   StartAttempt();
 }
 
@@ -209,7 +210,6 @@
   }
   EndAttempt(UpstreamFeedback::kGood);
   if (!times_.begun() || !answer_->rest().empty()) Forward(answer_->rest());
-  if (ended_) return;
   request_.caller->EndStream();
   End(ResultCode::kOk);
 }
