--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -313,9 +313,7 @@
 void RelayFrontEnd::HandleUnresponsive(const UpstreamName& upstream,
                                        const std::string& why) {
   EjectUpstream(upstream, why);
-  for (const auto& weak : std::vector(sessions_)) {
-    if (const auto session = weak.lock()) session->HandleUnresponsive(upstream);
-  }
+  NotifySessions(&RelaySession::HandleUnresponsive, upstream);
 }
 
 void RelayFrontEnd::HandleReport(const UpstreamName& upstream,
@@ -356,6 +354,13 @@
   HandleUnresponsive(upstream, result.message);
 }
 
+void RelayFrontEnd::NotifySessions(UpstreamHandler handler,
+                                   const UpstreamName& upstream) {
+  for (const auto& weak : std::vector(sessions_)) {
+    if (const auto session = weak.lock()) ((*session).*handler)(upstream);
+  }
+}
+
 void RelayFrontEnd::EjectUpstream(const UpstreamName& upstream,
                                   const std::string& why) {
   DaemonState& state = context_.state;
@@ -368,19 +373,13 @@
 void RelayFrontEnd::HandleStalls(const UpstreamName& upstream,
                                  const std::string& why) {
   EjectUpstream(upstream, why);
-  for (const auto& weak : std::vector(sessions_)) {
-    if (const auto session = weak.lock()) {
-      session->HandleUpstreamStalls(upstream);
-    }
-  }
+  NotifySessions(&RelaySession::HandleUpstreamStalls, upstream);
 }
 
 void RelayFrontEnd::HandleFailure(const UpstreamName& upstream,
                                   const std::string& why) {
   EjectUpstream(upstream, why);
-  for (const auto& weak : std::vector(sessions_)) {
-    if (const auto session = weak.lock()) session->HandleUpstreamDown(upstream);
-  }
+  NotifySessions(&RelaySession::HandleUpstreamDown, upstream);
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -46,6 +46,8 @@
   void HandleReport(const UpstreamName& upstream, const FetchResult& result);
   void HandleReportFailure(const UpstreamName& upstream,
                            const FetchResult& result);
+  using UpstreamHandler = void (RelaySession::*)(const UpstreamName&);
+  void NotifySessions(UpstreamHandler handler, const UpstreamName& upstream);
   void EjectUpstream(const UpstreamName& upstream, const std::string& why);
   void HandleStalls(const UpstreamName& upstream, const std::string& why);
   void HandleFailure(const UpstreamName& upstream, const std::string& why);
