--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -11,6 +11,7 @@
 #include "decisions/place_queue.h"
 #include "decisions/relay_tables.h"
 #include "decisions/retry_budget.h"
+#include "decisions/segment_quarantine.h"
 #include "decisions/store_view.h"
 #include "supervisor/context/peer_view_exchange.h"
 #include "supervisor/context/relay_metrics.h"
@@ -37,6 +38,7 @@
   std::map<PoolName, RetryBudget> budgets;
   std::map<PoolName, PlaceQueue> places;  ///< Requests without a place.
   LinkBudget links;             ///< Budget of the links between data centres.
+  SegmentQuarantine segments;
   double max_members_seen = 1;  ///< Most members that were seen at a time.
   RelayMetrics metrics;
 };
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -36,6 +36,7 @@
   void CheckSessions();
   void CheckUpstreamsAndMembers();
   void UpdateMemberCount();
+  void RepeatBlocks();
   void ApplyRetryLimits();
   void PollDegraded();
   void HandleStall(const UpstreamName& upstream);
@@ -53,6 +54,7 @@
   std::shared_ptr<HttpServer> server_;
   GossipExchange::Subscription suspect_updates_;
   GossipExchange::Subscription leaving_updates_;
+  GossipExchange::Subscription segment_updates_;
   std::vector<std::weak_ptr<RelaySession>> sessions_;
   /// Latest request for an upstream's report.
   struct ReportPoll {
@@ -64,6 +66,7 @@
   std::map<UpstreamName, ReportPoll> polls_;
   LoopTimerPtr check_timer_;
   LoopTimerPtr poll_timer_;
+  LoopTimerPtr repeat_timer_;
   LoopTimerPtr stop_timer_;
   bool refusing_ = false;  ///< Whether new requests are refused.
 };
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -53,6 +53,7 @@
                 .max_attempts = request_.route.max_attempts}),
       guard_(context, ComputeFingerprint(request_),
              RequestId(request_.fields.attempt_id)),
+      segment_guard_(context, request_),
       arrived_(context.loop.Now()),
       search_(context, request_, arrived_),
       times_(arrived_) {
@@ -102,7 +103,9 @@
       !state.relay.freshness.AllowsKeys(context_.loop.BootNow())) {
     return Feed(TargetUnavailable{ResultCode::kNotReady});
   }
-  if (guard_.Blocks()) return Feed(TargetUnavailable{ResultCode::kQuarantined});
+  if (guard_.Blocks() || segment_guard_.Blocks()) {
+    return Feed(TargetUnavailable{ResultCode::kQuarantined});
+  }
   const TargetChoice choice = search_.Search(times_.begun());
   if (!choice.target) return HandleTargetUnavailable(choice.code);
   waiting_ = false;
@@ -206,7 +209,7 @@
     text += event.text;
   }
   if (events.empty()) return;
-  attempt_->EndPrefill();
+  if (attempt_->BeginAnswer()) segment_guard_.HandleBegun();
   last_progress_ = context_.loop.Now();
   stall_reported_at_.reset();
   Forward(text);
@@ -269,6 +272,7 @@
     return RejectAttempt(failure.code, upstream);
   }
   const bool on_chain = attempt_->on_chain();
+  if (failure.code == ResultCode::kConnectionBroken) RecordCrash(upstream);
   guard_.HandleAttemptFailure(
       upstream, failure.code,
       static_cast<TokenIndex>(last_event_id_.value_or(0)));
@@ -283,6 +287,9 @@
     return;
   }
   if (!attempt_ || paused_) return;
+  if (!attempt_->answer_begun() && segment_guard_.MustStop()) {
+    return Feed(TargetUnavailable{ResultCode::kQuarantined});
+  }
   const Duration silence = context_.loop.Now() - last_progress_;
   if (!request_.is_stream()) {
     const Duration attempt_timeout =
@@ -329,6 +336,7 @@
 
 void RelaySession::HandleUpstreamDown(const UpstreamName& upstream) {
   if (!RunsOn(upstream)) return;
+  RecordCrash(upstream);
   search_.Exclude(upstream);
   LoseAttempt(ResultCode::kUpstreamFailed,
               upstream == attempt_->target().upstream);
@@ -346,6 +354,16 @@
   Feed(AttemptLost{code, upstream_dead});
 }
 
+/// Records the crash of a stage. A request whose answer has begun is no
+/// suspect, so that few are among the many on one upstream.
+void RelaySession::RecordCrash(const UpstreamName& upstream) {
+  const UpstreamHealth health =
+      context_.state.upstreams.HealthOf(upstream, context_.loop.Now());
+  const bool suspect = attempt_->on_chain() && !times_.begun() &&
+                       health != UpstreamHealth::kLeaving;
+  if (suspect) segment_guard_.HandleCrash(upstream, attempt_->sent_at());
+}
+
 void RelaySession::RejectAttempt(ResultCode code,
                                  const UpstreamName& failed_upstream) {
   search_.Exclude(failed_upstream);
@@ -417,6 +435,7 @@
   if (ended_) return;
   ended_ = true;
   StopWaiting();
+  segment_guard_.HandleEnd();
   timeout_timer_.reset();
   DaemonState& state = context_.state;
   state.metrics.CountAnswer(code);
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -13,6 +13,7 @@
 #include "supervisor/relay/path_search.h"
 #include "supervisor/relay/relayed_request.h"
 #include "supervisor/relay/running_attempt.h"
+#include "supervisor/relay/segment_guard.h"
 #include "supervisor/relay/stream_times.h"
 #include "wire/event_splitter.h"
 
@@ -70,6 +71,7 @@
   void TryReroute();
   void LeaveStalledAttempt(ResultCode code);
   void LoseAttempt(ResultCode code, bool upstream_dead);
+  void RecordCrash(const UpstreamName& upstream);
   void RejectAttempt(ResultCode code, const UpstreamName& failed_upstream);
   void EndAttempt(UpstreamFeedback feedback);
   void Feed(const RelayRequestEvent& event);
@@ -89,6 +91,7 @@
   StallHandler on_stall_;
   RelayRequestDecider decider_;
   SuspectGuard guard_;
+  SegmentGuard segment_guard_;
   TimePoint arrived_;
   Duration timeout_{};
   PathSearch search_;
--- a/source/supervisor/relay/running_attempt.cc
+++ b/source/supervisor/relay/running_attempt.cc
@@ -55,6 +55,11 @@
   if (call_) call_->Resume();
 }
 
+bool RunningAttempt::BeginAnswer() {
+  EndPrefill();
+  return !std::exchange(answer_begun_, true);
+}
+
 void RunningAttempt::EndPrefill() {
   if (!std::exchange(prefilling_, false)) return;
   for (const auto& name : target_.ListUpstreams()) {
--- a/source/supervisor/relay/running_attempt.h
+++ b/source/supervisor/relay/running_attempt.h
@@ -44,14 +44,17 @@
   void Pause();
   void Resume();
 
-  /// Records that the prompt was read; does nothing the second time.
-  void EndPrefill();
+  /// Records that the answer has begun. Returns whether that is new.
+  bool BeginAnswer();
+
+  bool answer_begun() const { return answer_begun_; }
 
   /// Ends the call and frees the upstreams. A poor answer counts as one that
   /// took `poor_time`.
   void End(UpstreamFeedback feedback, Duration poor_time);
 
  private:
+  void EndPrefill();
   void Release(const UpstreamName& upstream, UpstreamFeedback feedback,
                Duration poor_time);
 
@@ -60,6 +63,7 @@
   std::shared_ptr<HttpClientCall> call_;
   TimePoint sent_at_;
   bool prefilling_ = true;  ///< Whether the prompt may still be in prefill.
+  bool answer_begun_ = false;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -36,6 +36,8 @@
   }
   state_.quarantine =
       Quarantine(DaemonName(settings.Text(SettingKey::kDaemonName)), suspects);
+  state_.relay.segments =
+      SegmentQuarantine(DaemonName(settings.Text(SettingKey::kDaemonName)));
   state_.relay.freshness = Freshness(
       {.revocation = settings.Milliseconds(SettingKey::kRevocationTime)});
 }
