--- a/review/common.sh
+++ b/review/common.sh
@@ -57,6 +57,7 @@
   done
 }
 
+seeds="$net.1:18229,$net.2:18229"
 front_of() { echo "$net.$1:18227"; }
 ready_of() { echo "$net.$1:18220"; }
 operators_of() { echo "$net.$1:9464"; }
@@ -67,7 +68,7 @@
   sed -e "s/{{NodeName}}/edge-a-$1/; s/{{Zone}}/accra-a/" \
     -e "s/{{Listen.Front}}/$ip:18227/; s/{{Listen.Ready}}/$ip:18220/" \
     -e "s/{{Ip}}/$ip/; s/{{Listen.Control}}/$ip:18229/" \
-    -e "s/{{Seeds}}/$net.1:18229,$net.2:18229/" \
+    -e "s/{{Seeds}}/$seeds/" \
     -e "s/{{Platform.Address}}/$store/; s/{{Bounds.RevokeMs}}/5000/" \
     -e "s/{{Bounds.GraceS}}/8/; s/{{Bounds.RetryBudgetRatio}}/0.2/" \
     -e "s/{{Bounds.RetrySlack}}/200/" "$root/deploy/daemon.ini" >"$work/daemon$1.ini"
@@ -78,6 +79,8 @@
 # Writes the operator's configuration, with the routes in $routes_extra:
 # put_config VERSION [KEY]
 routes_extra=
+layers=8 layer_mb=10.0
+kinds='{"Name":"l4","Mb":400.0,"pace":1.0,"ReadX":1.0}'
 put_config() {
   curl -sf -m 2 -X PUT "http://$store/rows/op/config" -d "{\"Version\":$1,
     \"Routes\":[$routes_extra
@@ -89,10 +92,10 @@
        \"Kind\":\"non_idempotent\",\"Service\":\"booking-app\",
        \"TimeoutMs\":1500,\"TargetLatencyMs\":300,\"MaxAttempts\":1}],
     \"Services\":[
-      {\"Name\":\"yoke-writers\",\"Engine\":{\"Layers\":8,\"LayerMb\":10.0,
-       \"KvTokenBytes\":1000,\"usual\":{\"prompt\":100,\"answer\":100},
+      {\"Name\":\"yoke-writers\",\"Engine\":{\"Layers\":$layers,
+       \"LayerMb\":$layer_mb,\"KvTokenBytes\":1000,\"usual\":{\"prompt\":100,\"answer\":100},
        \"Models\":[{\"Name\":\"m0\"}],
-       \"Kinds\":[{\"Name\":\"l4\",\"Mb\":400.0,\"pace\":1.0,\"ReadX\":1.0}]}},
+       \"Kinds\":[$kinds]}},
       {\"Name\":\"booking-app\"}],
     \"Tenants\":[{\"Name\":\"volta\",\"ApiKeys\":[\"${2:-k1}\"]}]}"
 }
