--- a/review/common.sh
+++ b/review/common.sh
@@ -26,7 +26,7 @@
 start() {
   local name="$1"
   shift
-  "$@" >"$work/$name.log" 2>&1 &
+  "$@" <&0 >"$work/$name.log" 2>&1 &
   printf -v "pid_$name" '%s' "$!"
   started+=("$!")
 }
