--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,7 @@
 # another service whose worker is sound, must be answered by their route's
 # TimeoutMs.
 source "$(dirname "$0")/../common.sh"
-streams="${STREAMS:-330}"
+streams="${STREAMS:-400}"
 [ -x "$daemon_program" ] || give_up "no daemon: run the build of the deploy file"
 [ -x "$root/build/review/model_fleet" ] || give_up "run review/build.sh first"
 : >"$record"
@@ -48,7 +48,7 @@
 wait_until is_served 1 /hold/warm warmhold 0 || give_up "the daemon serves no hold"
 wait_until is_served 1 /notes/warm warmnote 1 || give_up "the daemon serves no stream"
 note "store, ${#workers[@]} model workers, booking worker and daemon serve; TROUBLE=$trouble"
-sleep 3.5
+sleep 4.2
 # The platform asks once a second whether the daemon is ready.
 ask_ready() {
   while true; do
@@ -59,10 +59,10 @@
 }
 ask_ready &
 started+=("$!")
-start callers "$root/build/review/stream_callers" "$net.1" 18227 "$streams" 160 3500 32
+start callers "$root/build/review/stream_callers" "$net.1" 18227 "$streams" 160 4200 32
 callers_at="$(date +%s%3N)"
-note "callers: $streams streams of 160 events at 40 ms within 3.5 s, then a hold each 125 ms"
-sleep 3.5
+note "callers: $streams streams of 160 events at 40 ms within 4.2 s, then a hold each 125 ms"
+sleep 4.2
 if [ "$trouble" != 0 ]; then
   echo "silent 0" >&5
   note "worker 0 (layers 0-30, the first of many paths) falls silent"
--- a/review/common.sh
+++ b/review/common.sh
@@ -32,10 +32,13 @@
 }
 lives() { kill -0 "$1" 2>/dev/null; }
 
-# Ends all processes that were started.
+# Ends all processes that were started, and their children.
 clean_up() {
   local pid
-  for pid in "${started[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+  for pid in "${started[@]}"; do
+    # shellcheck disable=SC2046
+    kill -KILL "$pid" $(cat "/proc/$pid/task/$pid/children" 2>/dev/null) 2>/dev/null
+  done
   wait 2>/dev/null
   rm -rf "$work"
 }
