--- a/source/supervisor/context/metrics.h
+++ b/source/supervisor/context/metrics.h
@@ -18,6 +18,7 @@
   kTimeBetweenTokens,
   kRequestTime,
   kQueueWait,
+  kLoopDelay,
 };
 
 inline constexpr auto kLatencyKindNames = MakeNamesTable<LatencyKind>({
@@ -25,6 +26,7 @@
     {LatencyKind::kTimeBetweenTokens, "time_between_tokens"},
     {LatencyKind::kRequestTime, "request_time"},
     {LatencyKind::kQueueWait, "queue_wait"},
+    {LatencyKind::kLoopDelay, "loop_delay"},
 });
 
 /// Counts and distributions of one daemon since its start, for monitoring. No
--- a/source/supervisor/context/relay_metrics.cc
+++ b/source/supervisor/context/relay_metrics.cc
@@ -30,6 +30,11 @@
   ++store_calls_[{kind, code}];
 }
 
+std::uint64_t RelayMetrics::CountOf(TargetSearchKind kind) const {
+  const auto found = target_searches_.find(kind);
+  return found == target_searches_.end() ? 0 : found->second;
+}
+
 std::string RelayMetrics::Render() const {
   std::string text = MetricType("relay_answers_total", "counter");
   for (const auto& [pair, codes] : answers_) {
@@ -47,6 +52,12 @@
                        MetricLabel("kind", kind) + "," + LabelsOf(call.second),
                        std::to_string(count));
   }
+  text += MetricType("target_searches_total", "counter");
+  for (const auto& [kind, count] : target_searches_) {
+    text += MetricLine("target_searches_total",
+                       MetricLabel("kind", kTargetSearchKindNames.NameOf(kind)),
+                       std::to_string(count));
+  }
   return text;
 }
 
--- a/source/supervisor/context/relay_metrics.h
+++ b/source/supervisor/context/relay_metrics.h
@@ -23,7 +23,18 @@
     {StoreCallKind::kWrite, "write"},
 });
 
-/// Counts the relay's answers by route and pool, and its calls to the store.
+/// Why a target is searched among the upstreams of a pool.
+enum class TargetSearchKind {
+  kAttempt,  ///< For an attempt that is to be sent.
+  kStall,    ///< For a stalled attempt, to know whether it may be left.
+};
+
+inline constexpr auto kTargetSearchKindNames =
+    MakeNamesTable<TargetSearchKind>({{TargetSearchKind::kAttempt, "attempt"},
+                                      {TargetSearchKind::kStall, "stall"}});
+
+/// Counts the relay's answers by route and pool, its searches and its calls to
+/// the store.
 /// Names come from the operator's tables, which may hold thousands of routes,
 /// so the number of series is bounded. No decision depends on the counts.
 class RelayMetrics {
@@ -39,6 +50,13 @@
   /// Counts a call to the store that ended with `code`.
   void CountStoreCall(StoreCallKind kind, ResultCode code);
 
+  /// Counts a search of a target for `kind`; each goes over all upstreams of a
+  /// pool.
+  void CountTargetSearch(TargetSearchKind kind) { ++target_searches_[kind]; }
+
+  /// Returns the number of searches for `kind`.
+  std::uint64_t CountOf(TargetSearchKind kind) const;
+
   /// Returns all counts in the Prometheus text format.
   std::string Render() const;
 
@@ -48,6 +66,7 @@
 
   std::map<RouteAndPool, std::map<ResultCode, std::uint64_t>> answers_;
   std::map<std::pair<StoreCallKind, ResultCode>, std::uint64_t> store_calls_;
+  std::map<TargetSearchKind, std::uint64_t> target_searches_;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/path_search.cc
+++ b/source/supervisor/relay/path_search.cc
@@ -47,10 +47,19 @@
   if (!stalled_.empty()) {
     std::set<UpstreamName> avoided = failed_;
     avoided.insert(stalled_.begin(), stalled_.end());
-    TargetChoice choice = ChooseTarget(context_, pool, avoided, tokens);
+    TargetChoice choice =
+        ChooseWithout(pool, avoided, tokens, TargetSearchKind::kAttempt);
     if (choice.target) return choice;
   }
-  return ChooseTarget(context_, pool, failed_, tokens);
+  return ChooseWithout(pool, failed_, tokens, TargetSearchKind::kAttempt);
+}
+
+TargetChoice PathSearch::ChooseWithout(const RelayPool& pool,
+                                       const std::set<UpstreamName>& excluded,
+                                       double tokens,
+                                       TargetSearchKind kind) const {
+  context_.state.relay.metrics.CountTargetSearch(kind);
+  return ChooseTarget(context_, pool, excluded, tokens);
 }
 
 bool PathSearch::HasTargetWithout(const std::set<UpstreamName>& others) const {
@@ -59,7 +68,8 @@
   std::set<UpstreamName> avoided = failed_;
   avoided.insert(stalled_.begin(), stalled_.end());
   avoided.insert(others.begin(), others.end());
-  const auto target = ChooseTarget(context_, *pool, avoided, 0).target;
+  const auto target =
+      ChooseWithout(*pool, avoided, 0, TargetSearchKind::kStall).target;
   if (!target) return false;
   // A plain service falls back to an upstream that is to be avoided.
   const auto names = target->ListUpstreams();
--- a/source/supervisor/relay/path_search.h
+++ b/source/supervisor/relay/path_search.h
@@ -52,6 +52,9 @@
  private:
   PlaceQueue& Places() const;
   TargetChoice Choose(const RelayPool& pool) const;
+  TargetChoice ChooseWithout(const RelayPool& pool,
+                             const std::set<UpstreamName>& excluded,
+                             double tokens, TargetSearchKind kind) const;
 
   DaemonContext context_;
   const RelayedRequest& request_;
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -185,6 +185,12 @@
 }
 
 void RelayFrontEnd::CheckSessions() {
+  const TimePoint now = context_.loop.Now();
+  if (next_check_at_) {
+    context_.state.metrics.Observe(LatencyKind::kLoopDelay,
+                                   now - *next_check_at_);
+  }
+  next_check_at_ = now + kProgressCheckInterval;
   check_timer_ = context_.loop.Schedule(kProgressCheckInterval,
                                         [this] { CheckSessions(); });
   std::erase_if(sessions_, [](const auto& weak) {
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "runtime/http_server.h"
@@ -67,6 +68,7 @@
   };
   std::map<UpstreamName, ReportPoll> polls_;
   LoopTimerPtr check_timer_;
+  std::optional<TimePoint> next_check_at_;  ///< When `check_timer_` is due.
   LoopTimerPtr poll_timer_;
   LoopTimerPtr repeat_timer_;
   LoopTimerPtr stop_timer_;
