relay: the silence of one upstream costs its streams few searches

Cause: each stream that reported its stall while a poll of the upstream was open suspected the upstream anew and notified all sessions; each stalled one searched a path. That is the square of the streams, repeated every 200 ms, and in vain: the retry budget was spent after 40 moves, which was asked only after the search.

Now an unanswered poll notifies sessions once, a stream that stalls later is told alone, a move that attempts or budget forbid isn't searched for, and a search in vain holds for 200 ms.

The silence of an attempt is in a class of its own, StallDetector.

--- a/source/decisions/relay_request_decider.cc
+++ b/source/decisions/relay_request_decider.cc
@@ -68,9 +68,13 @@
   return End(event.code);
 }
 
+bool RelayRequestDecider::MayLeaveStalled(const RetryBudget& budget) const {
+  return rules_.repeatable && runs_ + 1 < rules_.max_attempts &&
+         budget.CoversRetry();
+}
+
 RelayRequestAction RelayRequestDecider::HandleStall(RetryBudget& budget) {
-  const bool again = rules_.repeatable && runs_ + 1 < rules_.max_attempts;
-  if (!again || !Charge(budget)) return KeepAttempt{};
+  if (!MayLeaveStalled(budget) || !Charge(budget)) return KeepAttempt{};
   under_way_ = false;
   ++runs_;
   return RetryElsewhere{};
--- a/source/decisions/relay_request_decider.h
+++ b/source/decisions/relay_request_decider.h
@@ -115,6 +115,9 @@
   RelayRequestAction Handle(const RelayRequestEvent& event,
                             RetryBudget& budget);
 
+  /// Returns whether another attempt may follow one that is stalled.
+  bool MayLeaveStalled(const RetryBudget& budget) const;
+
   /// Charges to `budget` the repetition that follows `RetryLater`. Returns
   /// false while the budget is spent.
   bool PayForRetry(RetryBudget& budget);
--- a/source/decisions/retry_budget.cc
+++ b/source/decisions/retry_budget.cc
@@ -10,7 +10,7 @@
   if (request.may_have_run && !request.idempotent) {
     return RetryDecision::kMayHaveRun;
   }
-  if (balance_ < 1.0) return RetryDecision::kBudgetSpent;
+  if (!CoversRetry()) return RetryDecision::kBudgetSpent;
   balance_ -= 1.0;
   return RetryDecision::kAllowed;
 }
--- a/source/decisions/retry_budget.h
+++ b/source/decisions/retry_budget.h
@@ -46,6 +46,9 @@
   /// Records a first attempt, which adds `share` to the balance.
   void RecordRequest();
 
+  /// Returns whether the balance covers one more retry.
+  bool CoversRetry() const { return balance_ >= 1.0; }
+
   /// Decides whether a retry is allowed and, if so, charges it.
   RetryDecision TakeRetry(const RetryRequest& request);
 
--- a/source/decisions/upstream_tracker.cc
+++ b/source/decisions/upstream_tracker.cc
@@ -136,12 +136,13 @@
   Eject(name, now);
 }
 
-void UpstreamTracker::Eject(const UpstreamName& name, TimePoint now) {
+bool UpstreamTracker::Eject(const UpstreamName& name, TimePoint now) {
   UpstreamState& state = states_[name];
-  if (IsEjected(state, now)) return;
-  if (++state.consecutive_failures < kFailuresBeforeEjection) return;
+  if (IsEjected(state, now)) return false;
+  if (++state.consecutive_failures < kFailuresBeforeEjection) return false;
   state.ejected_until = now + BackoffTime(kFirstEjection, ++state.ejections);
   state.slow_start_from.reset();
+  return true;
 }
 
 void UpstreamTracker::SetLeaving(const UpstreamName& name, bool leaving) {
--- a/source/decisions/upstream_tracker.h
+++ b/source/decisions/upstream_tracker.h
@@ -87,8 +87,9 @@
   void RecordPoorAnswer(const UpstreamName& name, Duration latency);
   void SetLeaving(const UpstreamName& name, bool leaving);
 
-  /// Takes `name` out of use until a probe succeeds.
-  void Eject(const UpstreamName& name, TimePoint now);
+  /// Takes `name` out of use until a probe succeeds. Returns whether it was in
+  /// use.
+  bool Eject(const UpstreamName& name, TimePoint now);
 
   /// Takes `name` out of use for a while, since it declined a request. An
   /// answer to a poll (`Restore`) doesn't end this.
--- a/source/supervisor/relay/path_search.cc
+++ b/source/supervisor/relay/path_search.cc
@@ -8,6 +8,9 @@
 
 /// Time between two searches of a started stream for another path.
 constexpr Duration kPathSearchInterval = std::chrono::milliseconds(30);
+/// Time for which a search in vain for a stalled attempt isn't repeated. Each
+/// goes over all upstreams, and all streams of one upstream stall at once.
+constexpr Duration kVainSearchLifetime = std::chrono::milliseconds(200);
 /// Part of the latency objective, in thousandths, for which a request waits for
 /// a place; the rest is for its first event.
 constexpr int kPlaceWaitPerMille = 300;
@@ -62,20 +65,30 @@
   return ChooseTarget(context_, pool, excluded, tokens);
 }
 
-bool PathSearch::HasTargetWithout(const std::set<UpstreamName>& others) const {
+bool PathSearch::IsKnownVain(const std::set<UpstreamName>& avoided) const {
+  return vain_ && context_.loop.Now() - vain_->at < kVainSearchLifetime &&
+         std::includes(avoided.begin(), avoided.end(), vain_->avoided.begin(),
+                       vain_->avoided.end());
+}
+
+bool PathSearch::HasTargetWithout(const std::set<UpstreamName>& others) {
   const RelayPool* pool = request_.tables->FindPool(request_.pool);
   if (pool == nullptr) return false;
   std::set<UpstreamName> avoided = failed_;
   avoided.insert(stalled_.begin(), stalled_.end());
   avoided.insert(others.begin(), others.end());
+  if (IsKnownVain(avoided)) return false;
   const auto target =
       ChooseWithout(*pool, avoided, 0, TargetSearchKind::kStall).target;
-  if (!target) return false;
   // A plain service falls back to an upstream that is to be avoided.
-  const auto names = target->ListUpstreams();
-  return std::none_of(names.begin(), names.end(), [&avoided](const auto& name) {
-    return avoided.contains(name);
-  });
+  const auto names =
+      target ? target->ListUpstreams() : std::vector<UpstreamName>{};
+  const bool found = target && std::none_of(names.begin(), names.end(),
+                                            [&avoided](const auto& name) {
+                                              return avoided.contains(name);
+                                            });
+  if (!found) vain_ = {std::move(avoided), context_.loop.Now()};
+  return found;
 }
 
 bool PathSearch::MayWait(ResultCode code, bool begun) {
--- a/source/supervisor/relay/path_search.h
+++ b/source/supervisor/relay/path_search.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_SUPERVISOR_RELAY_PATH_SEARCH_H_
 #define WISTERIAYOKE_SUPERVISOR_RELAY_PATH_SEARCH_H_
 
+#include <optional>
 #include <set>
 
 #include "supervisor/context/daemon_context.h"
@@ -34,8 +35,10 @@
   TargetChoice Search(bool first);
 
   /// Returns whether there is a target without the excluded upstreams, those to
-  /// avoid and `others`, so that a stalled attempt may be left.
-  bool HasTargetWithout(const std::set<UpstreamName>& others) const;
+  /// avoid and `others`, so that a stalled attempt may be left. A search in
+  /// vain holds for a while for larger sets as well, so that frequent calls are
+  /// cheap.
+  bool HasTargetWithout(const std::set<UpstreamName>& others);
 
   /// Returns whether a request that found no target for `code` waits. A caller
   /// that has a part of its answer loses more by the end of the stream than by
@@ -50,7 +53,14 @@
   void StopWaiting();
 
  private:
+  /// A search that found no target without `avoided`.
+  struct VainSearch {
+    std::set<UpstreamName> avoided;
+    TimePoint at;
+  };
+
   PlaceQueue& Places() const;
+  bool IsKnownVain(const std::set<UpstreamName>& avoided) const;
   TargetChoice Choose(const RelayPool& pool) const;
   TargetChoice ChooseWithout(const RelayPool& pool,
                              const std::set<UpstreamName>& excluded,
@@ -61,8 +71,9 @@
   TimePoint arrived_;
   std::set<UpstreamName> failed_;
   std::set<UpstreamName> stalled_;
-  TimePoint searched_at_;  ///< When the last search took place.
-  bool queued_ = false;    ///< Whether it is counted in the pool's queue.
+  std::optional<VainSearch> vain_;  ///< The last search in vain for a stall.
+  TimePoint searched_at_;           ///< When the last search took place.
+  bool queued_ = false;  ///< Whether it is counted in the pool's queue.
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -124,8 +124,8 @@
       context_, std::move(relayed),
       [weak = weak_from_this()](const std::vector<UpstreamName>& upstreams) {
         const auto self = weak.lock();
-        if (!self) return;
-        for (const auto& name : upstreams) self->HandleStall(name);
+        return self ? self->HandleStall(upstreams)
+                    : std::vector<UpstreamName>{};
       });
   sessions_.push_back(session);
   session->Start();
@@ -263,15 +263,20 @@
   }
 }
 
-/// Polls an upstream that may stall a stream. If a poll has been open for
-/// `kUnresponsiveAfter`, lets stalled streams go on elsewhere.
-void RelayFrontEnd::HandleStall(const UpstreamName& upstream) {
-  PollReport(upstream, kStallPollInterval);
-  const ReportPoll& poll = polls_[upstream];
-  const Duration open = context_.loop.Now() - poll.sent_at;
-  if (poll.pending && open >= kUnresponsiveAfter) {
-    HandleUnresponsive(upstream, kNoAnswer);
+/// Polls upstreams that may stall a stream. Returns those whose poll has been
+/// open for `kUnresponsiveAfter`; streams that had stalled before were notified
+/// then.
+std::vector<UpstreamName> RelayFrontEnd::HandleStall(
+    const std::vector<UpstreamName>& upstreams) {
+  std::vector<UpstreamName> unresponsive;
+  for (const auto& name : upstreams) {
+    PollReport(name, kStallPollInterval);
+    const ReportPoll& poll = polls_[name];
+    const Duration open = context_.loop.Now() - poll.sent_at;
+    if (poll.pending && open >= kUnresponsiveAfter)
+      unresponsive.push_back(name);
   }
+  return unresponsive;
 }
 
 /// Requests a report from `upstream`, unless a poll is open or the last one was
@@ -370,7 +375,7 @@
 void RelayFrontEnd::EjectUpstream(const UpstreamName& upstream,
                                   const std::string& why) {
   DaemonState& state = context_.state;
-  state.upstreams.Eject(upstream, context_.loop.Now());
+  if (!state.upstreams.Eject(upstream, context_.loop.Now())) return;
   state.timeline.Record(LogLevel::kWarning, EventKind::kUpstreamSuspected,
                         ResultCode::kUpstreamFailed,
                         {{"upstream", upstream.text()}, {"reason", why}});
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -40,7 +40,8 @@
   void RepeatBlocks();
   void ApplyRetryLimits();
   void PollDegraded();
-  void HandleStall(const UpstreamName& upstream);
+  std::vector<UpstreamName> HandleStall(
+      const std::vector<UpstreamName>& upstreams);
   void PollReport(const UpstreamName& upstream, Duration interval);
   void SendPoll(const UpstreamName& upstream);
   void HandleUnresponsive(const UpstreamName& upstream, const std::string& why);
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -13,12 +13,6 @@
 /// Longest time to connect to an upstream; upstreams are a few milliseconds
 /// away, and one that is down never answers.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-/// Silence after which a stalled stream is moved although no stage is known to
-/// be at fault; callers leave after two seconds.
-constexpr Duration kStallTimeout = std::chrono::milliseconds(1100);
-/// Part of the latency objective, in thousandths, after which an attempt of an
-/// idempotent call is given up and another upstream is tried.
-constexpr int kAttemptTimeoutPerMille = 600;
 /// One in this many successful answers is logged.
 constexpr std::uint64_t kLogEvery = 16;
 
@@ -62,7 +56,7 @@
     const auto self = weak.lock();
     if (!self || !self->paused_) return;
     self->paused_ = false;
-    self->last_progress_ = self->context_.loop.Now();
+    self->RecordProgress();
     if (self->attempt_) self->attempt_->Resume();
   });
   timeout_timer_ = context_.loop.Schedule(
@@ -106,8 +100,7 @@
 void RelaySession::Send(const RelayTarget& target) {
   attempt_.emplace(context_, target);
   answer_.reset();
-  last_progress_ = attempt_->sent_at();
-  stall_reported_at_.reset();
+  stall_.RecordProgress(attempt_->sent_at());
   keep_recorded_ = false;
   ++attempts_;
   path_ = target.Describe();
@@ -138,7 +131,7 @@
 
 void RelaySession::HandleHead(const CallHead& event) {
   answer_.emplace(event.head, request_.is_stream());
-  if (!request_.is_stream()) last_progress_ = context_.loop.Now();
+  if (!request_.is_stream()) RecordProgress();
   const AnswerFields fields = ReadAnswerFields(event.head);
   attempt_->RecordSigns(fields, request_.fields.attempt_id);
   if (fields.not_run) {
@@ -158,7 +151,7 @@
   if (answer_->is_stream()) {
     ForwardEvents(body.data);
   } else {
-    last_progress_ = context_.loop.Now();
+    RecordProgress();
     answer_->PushBody(body.data);
   }
   if (attempt_ && answer_->overflowed()) {
@@ -170,8 +163,7 @@
   const auto text = answer_->PushEvents(data, last_event_id_);
   if (!text) return;
   if (attempt_->BeginAnswer()) segment_guard_.HandleBegun();
-  last_progress_ = context_.loop.Now();
-  stall_reported_at_.reset();
+  RecordProgress();
   Forward(*text);
 }
 
@@ -255,34 +247,27 @@
   if (!times_.begun() && segment_guard_.MustStop()) {
     return Feed(TargetUnavailable{ResultCode::kQuarantined});
   }
-  const Duration silence = context_.loop.Now() - last_progress_;
-  if (!request_.is_stream()) {
-    const Duration attempt_timeout =
-        request_.route.latency_objective * kAttemptTimeoutPerMille / 1000;
-    const UpstreamName& upstream = attempt_->target().upstream;
-    if (silence >= attempt_timeout && search_.HasTargetWithout({upstream})) {
-      LeaveStalledAttempt(ResultCode::kTimedOut);
-    }
-    return;
-  }
+  if (request_.is_stream()) return CheckStream();
+  if (stall_.SilenceAt(context_.loop.Now()) < request_.StallTimeout()) return;
+  LeaveStalledAttempt(ResultCode::kTimedOut, {attempt_->target().upstream});
+}
+
+/// Moves a stream that is silent for long. One that is silent for a while has
+/// its upstreams polled, and is moved away from those that don't answer.
+void RelaySession::CheckStream() {
   if (!request_.route.repeatable()) return;
-  if (silence >= kStallTimeout) TryReroute();
+  const TimePoint now = context_.loop.Now();
+  if (stall_.TakeReroute(now)) {
+    LeaveStalledAttempt(ResultCode::kTimedOut,
+                        attempt_->target().ListUpstreams());
+  }
   if (!attempt_) return;
-  const TimePoint since = stall_reported_at_.value_or(last_progress_);
-  const Duration threshold =
-      stall_reported_at_ ? kMaxStallThreshold : times_.StallThreshold();
-  if (context_.loop.Now() - since < threshold) return;
-  stall_reported_at_ = context_.loop.Now();
-  on_stall_(attempt_->target().ListUpstreams());
+  if (!stall_.TakeReport(times_.StallThreshold(), now)) return;
+  LeaveUnresponsive(on_stall_(attempt_->target().ListUpstreams()));
 }
 
-/// Moves the stream to a path without any of the present stages, if there is
-/// one. If not, keeps the attempt, since another would only wait behind it.
-void RelaySession::TryReroute() {
-  const auto names = attempt_->target().ListUpstreams();
-  if (!search_.HasTargetWithout({names.begin(), names.end()})) return;
-  for (const auto& name : names) search_.Avoid(name);
-  LeaveStalledAttempt(ResultCode::kTimedOut);
+void RelaySession::RecordProgress() {
+  stall_.RecordProgress(context_.loop.Now());
 }
 
 bool RelaySession::RunsOn(const UpstreamName& upstream) const {
@@ -290,18 +275,26 @@
 }
 
 void RelaySession::HandleUnresponsive(const UpstreamName& upstream) {
-  if (!stall_reported_at_ || !RunsOn(upstream)) return;
-  search_.Avoid(upstream);
-  if (!search_.HasTargetWithout({})) return;
-  LeaveStalledAttempt(ResultCode::kTimedOut);
+  if (stall_.reported()) LeaveUnresponsive({upstream});
+}
+
+void RelaySession::LeaveUnresponsive(
+    const std::vector<UpstreamName>& upstreams) {
+  bool concerned = false;
+  for (const auto& name : upstreams) {
+    if (!RunsOn(name)) continue;
+    search_.Avoid(name);
+    concerned = true;
+  }
+  if (concerned) LeaveStalledAttempt(ResultCode::kTimedOut, {});
 }
 
 void RelaySession::HandleUpstreamStalls(const UpstreamName& upstream) {
   if (!RunsOn(upstream)) return;
   search_.Avoid(upstream);
   // A started stream waits for a path, any other request would be refused.
-  if (!times_.begun() && !search_.HasTargetWithout({})) return;
-  LeaveStalledAttempt(ResultCode::kUpstreamFailed);
+  if (times_.begun()) return Feed(AttemptStalled{ResultCode::kUpstreamFailed});
+  LeaveStalledAttempt(ResultCode::kUpstreamFailed, {});
 }
 
 void RelaySession::HandleUpstreamDown(const UpstreamName& upstream) {
@@ -312,9 +305,15 @@
               upstream == attempt_->target().upstream);
 }
 
-/// Ends the attempt if another may follow it.
-void RelaySession::LeaveStalledAttempt(ResultCode code) {
-  if (!attempt_->on_chain()) search_.Avoid(attempt_->target().upstream);
+/// Leaves the attempt for a target without the upstreams to avoid and `others`.
+/// Keeps it if there is none, since another attempt would only wait behind it.
+void RelaySession::LeaveStalledAttempt(
+    ResultCode code, const std::vector<UpstreamName>& others) {
+  // A search is expensive, and in vain where no attempt may follow.
+  if (decider_.MayLeaveStalled(Budget())) {
+    if (!search_.HasTargetWithout({others.begin(), others.end()})) return;
+    for (const auto& name : others) search_.Avoid(name);
+  }
   Feed(AttemptStalled{code});
 }
 
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -15,13 +15,16 @@
 #include "supervisor/relay/relayed_request.h"
 #include "supervisor/relay/running_attempt.h"
 #include "supervisor/relay/segment_guard.h"
+#include "supervisor/relay/stall_detector.h"
 #include "supervisor/relay/stream_times.h"
 
 namespace wisteriayoke {
 
-/// Called with upstreams that may stall an attempt; polls them and notifies the
-/// sessions on those that don't answer or have failed.
-using StallHandler = std::function<void(const std::vector<UpstreamName>&)>;
+/// Called with upstreams that may stall an attempt; polls them, and returns
+/// those that already leave a poll unanswered. Sessions are notified later of
+/// those that don't answer or have failed.
+using StallHandler =
+    std::function<std::vector<UpstreamName>(const std::vector<UpstreamName>&)>;
 
 /// Relays one request from its arrival to the end of its answer, over as many
 /// attempts as its decider allows. It keeps itself alive until then.
@@ -68,8 +71,11 @@
   void FinishResponse();
 
   bool RunsOn(const UpstreamName& upstream) const;
-  void TryReroute();
-  void LeaveStalledAttempt(ResultCode code);
+  void CheckStream();
+  void RecordProgress();
+  void LeaveUnresponsive(const std::vector<UpstreamName>& upstreams);
+  void LeaveStalledAttempt(ResultCode code,
+                           const std::vector<UpstreamName>& others);
   void LoseAttempt(ResultCode code, bool upstream_dead);
   void RecordCrash(const UpstreamName& upstream);
   void RejectAttempt(ResultCode code, const UpstreamName& failed_upstream);
@@ -106,8 +112,7 @@
   /// with, another request for its first place.
   bool waiting_ = false;
   bool paused_ = false;  ///< Whether the attempt is paused for a slow caller.
-  TimePoint last_progress_;  ///< When the attempt last made progress.
-  std::optional<TimePoint> stall_reported_at_;
+  StallDetector stall_;  ///< Silence of the attempt.
   bool keep_recorded_ = false;  ///< Whether it is logged that it is kept.
   std::string path_;            ///< Upstreams of the last attempt, for logs.
   unsigned attempts_ = 0;
--- a/source/supervisor/relay/relayed_request.cc
+++ b/source/supervisor/relay/relayed_request.cc
@@ -3,6 +3,17 @@
 #include "wire/digest.h"
 
 namespace wisteriayoke {
+namespace {
+
+/// Part of the latency objective, in thousandths, that an attempt may be
+/// silent.
+constexpr int kStallTimeoutPerMille = 600;
+
+}  // namespace
+
+Duration RelayedRequest::StallTimeout() const {
+  return route.latency_objective * kStallTimeoutPerMille / 1000;
+}
 
 std::string ComputeFingerprint(const RelayedRequest& relayed) {
   const HttpRequest& request = relayed.request;
--- a/source/supervisor/relay/relayed_request.h
+++ b/source/supervisor/relay/relayed_request.h
@@ -30,6 +30,10 @@
   Duration TimeLimit() const {
     return std::min(route.timeout, fields.deadline.value_or(route.timeout));
   }
+
+  /// Silence after which an attempt of a request that isn't a stream is given
+  /// up, if another upstream can be tried.
+  Duration StallTimeout() const;
 };
 
 /// Returns a digest that requests of one workspace with the same content share.
--- a/source/supervisor/relay/running_attempt.cc
+++ b/source/supervisor/relay/running_attempt.cc
@@ -18,9 +18,9 @@
 }
 
 bool RunningAttempt::RunsOn(const UpstreamName& upstream) const {
-  if (!on_chain()) return false;
-  const auto names = target_.ListUpstreams();
-  return std::find(names.begin(), names.end(), upstream) != names.end();
+  return std::any_of(
+      target_.chain.begin(), target_.chain.end(),
+      [&upstream](const Stage& stage) { return stage.upstream == upstream; });
 }
 
 UpstreamName RunningAttempt::FindFailedUpstream(
