--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -273,8 +273,8 @@
     PollReport(name, kStallPollInterval);
     const ReportPoll& poll = polls_[name];
     const Duration open = context_.loop.Now() - poll.sent_at;
-    if (poll.pending && open >= kUnresponsiveAfter)
-      unresponsive.push_back(name);
+    if (!poll.pending || open < kUnresponsiveAfter) continue;
+    unresponsive.push_back(name);
   }
   return unresponsive;
 }
