relay: a key is checked on anonymous routes as well

Cause: ResolveRequest returned for such a route before it looked at the key, so neither the key nor the age of the tables was checked, and the upstream of a valid key got no workspace. Ruled out: tables that weren't in force, or not fresh, since the same daemon refused the key on the other route at the same moment.

Now a key that is sent is checked on each route; only requests without one are anonymous.

--- a/source/decisions/relay_tables.h
+++ b/source/decisions/relay_tables.h
@@ -47,7 +47,7 @@
   /// Longest time between events of a stream that still meets the objective.
   Duration max_event_gap = std::chrono::milliseconds(200);
   std::uint32_t max_attempts = 1;
-  bool anonymous = false;  ///< Whether no key is required.
+  bool anonymous = false;  ///< Whether requests without a key are taken.
   bool resumable = false;  ///< Whether another upstream may continue a stream.
   std::vector<RouteShare> pools;
 
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -153,9 +153,9 @@
   relayed.tables = relay.tables;
   relayed.route = *route;
   relayed.pool = ChoosePool(*route, context_.state.random());
-  if (route->anonymous || relay.tables->spec().workspaces.empty()) {
-    return ResultCode::kOk;
-  }
+  if (relay.tables->spec().workspaces.empty()) return ResultCode::kOk;
+  // A key is checked where none is required as well: it may have been revoked.
+  if (route->anonymous && relayed.fields.key.empty()) return ResultCode::kOk;
   if (!relay.freshness.AllowsKeys(now)) return ResultCode::kNotReady;
   const KeyedWorkspace* workspace =
       relay.tables->FindWorkspaceOfKey(relayed.fields.key);
--- a/source/supervisor/relay/relayed_request.h
+++ b/source/supervisor/relay/relayed_request.h
@@ -19,7 +19,7 @@
   RelayTablesPtr tables;
   RelayRoute route;
   PoolName pool;
-  WorkspaceName workspace;  ///< Empty on routes without keys.
+  WorkspaceName workspace;  ///< Empty if the caller sent no key.
   CallerFields fields;
   HttpRequest request;
   std::shared_ptr<HttpServerSession> caller;
--- a/tests/platform/relay_fields_test.cc
+++ b/tests/platform/relay_fields_test.cc
@@ -45,6 +45,19 @@
   CHECK(fields.key.empty());
 }
 
+TEST_CASE("a key is read whatever the case of its scheme and its field") {
+  const auto key_of = [](HttpFields fields) {
+    return ReadCallerFields({.fields = std::move(fields)}).key;
+  };
+  CHECK(key_of({{"authorization", "bearer key1"}}) == "key1");
+  CHECK(key_of({{"Authorization", "BEARER   key1"}}) == "key1");
+  CHECK(key_of({{"Authorization", "Basic x"},
+                {"Authorization", "Bearer key1"}}) == "key1");
+  CHECK(key_of({{"Authorization", "Bearer"}}).empty());
+  CHECK(key_of({{"Authorization", "Bearer "}}).empty());
+  CHECK(key_of({{"Authorization", "Bearerkey1"}}).empty());
+}
+
 TEST_CASE("an attempt has the router's fields and not the caller's key") {
   const HttpRequest request = MakeRequest();
   AttemptFields attempt{.upstream = UpstreamName("i-1"),
