wire: a message whose end can't be told is refused

Cause: Boost.Beast takes the body of a request for empty if the last transfer coding isn't 'chunked', and that of an answer for one that ends with its connection; nothing looked at the framing afterwards. Ruled out: two lengths, or a length beside chunks, which Beast refuses.

HasClearFraming now holds for both directions, by RFC 9112, 6.1 and 6.3: 'chunked' alone, in HTTP/1.1, without a length, or no coding at all. Such a request gets 400 and its connection is closed; such an answer ends its attempt as malformed.

--- a/source/wire/http_request_parser.cc
+++ b/source/wire/http_request_parser.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "wire/http_framing.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -101,6 +103,12 @@
     SetReason(error, reason);
     return false;
   }
+  // Beast takes the body for empty if the last coding isn't "chunked".
+  const auto& head = state_->parser.get();
+  if (!HasClearFraming(head, head.version())) {
+    SetReason(http::error::bad_transfer_encoding, reason);
+    return false;
+  }
   return true;
 }
 
--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <utility>
 
+#include "wire/http_framing.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -14,6 +16,11 @@
 }  // namespace
 
 struct HttpResponseParser::State {
+  bool HasClearFraming() const {
+    const auto& head = parser.get();
+    return wisteriayoke::HasClearFraming(head, head.version());
+  }
+
   http::response_parser<http::string_body> parser;
 };
 
@@ -31,9 +38,13 @@
   input_.append(data);
   while (!input_.empty() && !done()) {
     boost::system::error_code error;
+    const bool head_was_done = head_done();
     const std::size_t used = state_->parser.put(
         boost::asio::const_buffer(input_.data(), input_.size()), error);
     input_.erase(0, used);
+    if (!head_was_done && head_done() && !state_->HasClearFraming()) {
+      error = http::error::bad_transfer_encoding;
+    }
     if (error == http::error::need_more || (!error && used == 0)) {
       if (input_.size() <= limits_.header_bytes) return true;
       error = http::error::header_limit;
--- a/tests/relay/tables_change_test.cc
+++ b/tests/relay/tables_change_test.cc
@@ -1,14 +1,13 @@
 #include <doctest/doctest.h>
 
-#include <array>
-#include <asio/buffer.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
+#include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "relay/relay_fixture.h"
+#include "support/raw_caller.h"
 
 namespace wisteriayoke {
 namespace {
@@ -18,32 +17,6 @@
 /// When the tables change, from the start of the requests.
 constexpr Duration kChangeAt = std::chrono::milliseconds(300);
 
-/// A caller that sends its request's body in two parts.
-struct SlowCaller {
-  explicit SlowCaller(EventLoop& loop) : socket(loop.context()) {
-    const Endpoint front = LocalEndpoint(TestPorts::kFront);
-    socket.connect({asio::ip::make_address(front.host), front.port});
-  }
-
-  void Send(const std::string& data) {
-    asio::write(socket, asio::buffer(data));
-  }
-
-  void Read() {
-    socket.async_read_some(
-        asio::buffer(input),
-        [this](const asio::error_code& error, std::size_t size) {
-          if (error) return;
-          answer.append(input.data(), size);
-          Read();
-        });
-  }
-
-  asio::ip::tcp::socket socket;
-  std::array<char, 4096> input{};
-  std::string answer;
-};
-
 }  // namespace
 
 /// A relay whose upstreams are silent for a while in the middle of an answer,
@@ -179,11 +152,10 @@
   std::vector<std::optional<FetchResult>> results(targets.size());
   for (std::size_t i = 0; i < targets.size(); ++i)
     Fetch(targets[i], results[i]);
-  SlowCaller slow(loop);
+  RawCaller slow(loop, LocalEndpoint(TestPorts::kFront));
   slow.Send(
       "POST /hold/slow HTTP/1.1\r\nHost: h\r\nAttempt-Id: a2\r\n"
       "Authorization: Bearer k1\r\nContent-Length: 4\r\n\r\nbo");
-  slow.Read();
   After(kChangeAt, [&] {
     change();
     slow.Send("dy");
@@ -191,7 +163,7 @@
   RunUntil([&] {
     return std::all_of(results.begin(), results.end(),
                        [](const auto& result) { return result.has_value(); }) &&
-           slow.answer.find("\r\n\r\n") != std::string::npos;
+           slow.received().find("\r\n\r\n") != std::string::npos;
   });
   for (std::size_t i = 0; i < targets.size(); ++i) {
     CAPTURE(targets[i]);
@@ -201,7 +173,7 @@
     CHECK(results[i]->response.body ==
           (stream ? MakeEvent(1) + MakeEvent(2) : "whole"));
   }
-  CHECK(slow.answer.starts_with("HTTP/1.1 "));
+  CHECK(slow.received().starts_with("HTTP/1.1 "));
 }
 
 }  // namespace wisteriayoke
