--- a/source/daemon/wisteriayoked_main.cc
+++ b/source/daemon/wisteriayoked_main.cc
@@ -100,7 +100,8 @@
                            {{"state", state}});
   });
   if (!root.Start(end)) return ReportError(end);
-  loop.WatchStopSignals([&root](int) { root.RequestStop(StopSource::kSignal); });
+  loop.WatchStopSignals(
+      [&root](int) { root.RequestStop(StopSource::kSignal); });
   loop.WatchReloadSignal([&root, &path](int) { ReloadSettings(path, root); });
   root.timeline().Record(LogLevel::kInfo, EventKind::kStarted, ResultCode::kOk,
                          {{"front", settings.Text(SettingKey::kFrontAddress)}});
