platform: a row value of padding alone doesn't end the daemons

What would be seen: a row whose Value is '====' ends each daemon that reads it (found by the review by reading; not seen).

Cause: DecodeBase64 subtracted any number of padding characters from the length.

--- a/tests/platform/store_codecs_test.cc
+++ b/tests/platform/store_codecs_test.cc
@@ -153,6 +153,32 @@
   }));
 }
 
+// Guards against a row that ends every daemon that reads it.
+TEST_CASE("a row whose value isn't base64 spoils no other row") {
+  const auto parse = [](const std::string& value) {
+    LastReason reason;
+    return ParseRowPage(
+        R"({"Ver":2,"Rows":[{"Table":"t","Key":"a","Value":")" + value +
+            R"(","Ver":1},{"Table":"t","Key":"b","Value":"b2s=","Ver":2}]})",
+        reason);
+  };
+  for (const char* value : {"====", "A===", "===", "=", "AA=A", "A", "!!!!"}) {
+    CAPTURE(std::string(value));
+    const auto page = parse(value);
+    REQUIRE(page.has_value());
+    REQUIRE(page->rows.size() == 2);
+    CHECK(page->rows[0].value.empty());
+    CHECK(page->rows[1].value == "ok");
+  }
+  CHECK(rc::check("no value crashes the codec", [&parse] {
+    const auto value = *rc::gen::container<std::string>(
+        rc::gen::element('A', 'b', '=', '/', '+', '0', '-'));
+    const auto page = parse(value);
+    RC_ASSERT(page.has_value());
+    RC_ASSERT(page->rows.back().value == "ok");
+  }));
+}
+
 TEST_CASE("no input crashes the codecs") {
   CHECK(rc::check("random texts", [] {
     const std::string text = DrawText();
