--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -374,11 +374,17 @@
 
 void RelayFrontEnd::EjectUpstream(const UpstreamName& upstream,
                                   const std::string& why) {
-  DaemonState& state = context_.state;
-  if (!state.upstreams.Eject(upstream, context_.loop.Now())) return;
-  state.timeline.Record(LogLevel::kWarning, EventKind::kUpstreamSuspected,
-                        ResultCode::kUpstreamFailed,
-                        {{"upstream", upstream.text()}, {"reason", why}});
+  const bool was_in_use =
+      context_.state.upstreams.Eject(upstream, context_.loop.Now());
+  if (was_in_use) RecordSuspicion(upstream, why);
+}
+
+void RelayFrontEnd::RecordSuspicion(const UpstreamName& upstream,
+                                    const std::string& why) {
+  context_.state.timeline.Record(
+      LogLevel::kWarning, EventKind::kUpstreamSuspected,
+      ResultCode::kUpstreamFailed,
+      {{"upstream", upstream.text()}, {"reason", why}});
 }
 
 void RelayFrontEnd::HandleStalls(const UpstreamName& upstream,
@@ -389,7 +395,9 @@
 
 void RelayFrontEnd::HandleFailure(const UpstreamName& upstream,
                                   const std::string& why) {
-  EjectUpstream(upstream, why);
+  context_.state.upstreams.Eject(upstream, context_.loop.Now());
+  // Its death is news even if it was suspected before.
+  RecordSuspicion(upstream, why);
   NotifySessions(&RelaySession::HandleUpstreamDown, upstream);
 }
 
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -51,6 +51,7 @@
   using UpstreamHandler = void (RelaySession::*)(const UpstreamName&);
   void NotifySessions(UpstreamHandler handler, const UpstreamName& upstream);
   void EjectUpstream(const UpstreamName& upstream, const std::string& why);
+  void RecordSuspicion(const UpstreamName& upstream, const std::string& why);
   void HandleStalls(const UpstreamName& upstream, const std::string& why);
   void HandleFailure(const UpstreamName& upstream, const std::string& why);
 
