--- a/tests/decisions/stop_sequence_test.cc
+++ b/tests/decisions/stop_sequence_test.cc
@@ -29,6 +29,7 @@
   for (const auto& [requests, steps] : cases) {
     StopSequence sequence;
     std::vector<StopStep> taken;
+    taken.reserve(requests.size());
     for (const auto source : requests) taken.push_back(sequence.Handle(source));
     CHECK(taken == steps);
   }
--- a/tests/relay/tables_change_test.cc
+++ b/tests/relay/tables_change_test.cc
@@ -150,8 +150,9 @@
   const std::vector<std::string> targets = {"/hold/1", "/read/1", "/tale/1",
                                             "/hold/parts", "/read/parts"};
   std::vector<std::optional<FetchResult>> results(targets.size());
-  for (std::size_t i = 0; i < targets.size(); ++i)
+  for (std::size_t i = 0; i < targets.size(); ++i) {
     Fetch(targets[i], results[i]);
+  }
   RawCaller slow(loop, LocalEndpoint(TestPorts::kFront));
   slow.Send(
       "POST /hold/slow HTTP/1.1\r\nHost: h\r\nAttempt-Id: a2\r\n"
