--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -16,11 +16,6 @@
 }  // namespace
 
 struct HttpResponseParser::State {
-  bool HasClearFraming() const {
-    const auto& head = parser.get();
-    return wisteriayoke::HasClearFraming(head, head.version());
-  }
-
   http::response_parser<http::string_body> parser;
 };
 
@@ -36,13 +31,15 @@
 
 bool HttpResponseParser::Push(std::string_view data, LastReason& reason) {
   input_.append(data);
+  const auto& head = state_->parser.get();
   while (!input_.empty() && !done()) {
     boost::system::error_code error;
     const bool head_was_done = head_done();
     const std::size_t used = state_->parser.put(
         boost::asio::const_buffer(input_.data(), input_.size()), error);
     input_.erase(0, used);
-    if (!head_was_done && head_done() && !state_->HasClearFraming()) {
+    if (!head_was_done && head_done() &&
+        !HasClearFraming(head, head.version())) {
       error = http::error::bad_transfer_encoding;
     }
     if (error == http::error::need_more || (!error && used == 0)) {
--- a/tests/relay/caller_key_test.cc
+++ b/tests/relay/caller_key_test.cc
@@ -21,9 +21,7 @@
 
   /// Puts tables in force in which the workspace has another key.
   void ReplaceKey(const std::string& key) {
-    RelaySpec spec = state.relay.tables->spec();
-    spec.workspaces.at(0).keys = {key};
-    state.relay.tables = std::make_shared<const RelayTables>(spec);
+    ChangeSpec([&key](RelaySpec& spec) { spec.workspaces.at(0).keys = {key}; });
   }
 
   std::string WorkspaceSeen() const {
--- a/tests/relay/endless_answer_test.cc
+++ b/tests/relay/endless_answer_test.cc
@@ -18,9 +18,9 @@
       loop, LocalEndpoint(TestPorts::kPlatform), answer, reason);
   REQUIRE_MESSAGE(server != nullptr, reason.message());
   // The bound on memory must end the answer, not the time limit of a slow run.
-  RelaySpec spec = state.relay.tables->spec();
-  for (auto& route : spec.routes) route.timeout = std::chrono::seconds(4);
-  state.relay.tables = std::make_shared<const RelayTables>(spec);
+  ChangeSpec([](RelaySpec& spec) {
+    for (auto& route : spec.routes) route.timeout = std::chrono::seconds(4);
+  });
   state.relay.fleet = Fleet();
   AddUpstream("s-9", "s", {}, TestPorts::kPlatform);
   AddUpstream("w-9", "w", {0, 8}, TestPorts::kPlatform);
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -111,6 +111,14 @@
                              .pool = PoolName(pool)});
   }
 
+  /// Puts a new version of the tables in force, changed by `change`.
+  void ChangeSpec(const std::function<void(RelaySpec&)>& change) {
+    RelaySpec spec = state.relay.tables->spec();
+    ++spec.version;
+    change(spec);
+    state.relay.tables = std::make_shared<const RelayTables>(spec);
+  }
+
   HttpRequest MakeRequest(const std::string& target, const std::string& key) {
     HttpRequest request{
         .method = "POST",
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -29,9 +29,7 @@
 }
 
 TEST_CASE_FIXTURE(RelayFixture, "a body over the tables' limit is refused") {
-  RelaySpec spec = state.relay.tables->spec();
-  spec.max_body_bytes = 10;
-  state.relay.tables = std::make_shared<const RelayTables>(spec);
+  ChangeSpec([](RelaySpec& spec) { spec.max_body_bytes = 10; });
   HttpRequest request = MakeRequest("/read/1", "k1");
   request.body = "0123456789";
   CHECK(Fetch(TestPorts::kFront, request).response.head.status == 200);
--- a/tests/relay/silent_upstream_test.cc
+++ b/tests/relay/silent_upstream_test.cc
@@ -40,11 +40,11 @@
 
   /// Sets whether the streams of the route "tale" may be resumed.
   void SetResumable(bool resumable) {
-    RelaySpec spec = state.relay.tables->spec();
-    for (auto& route : spec.routes) {
-      if (route.name == RouteName("tale")) route.resumable = resumable;
-    }
-    state.relay.tables = std::make_shared<const RelayTables>(spec);
+    ChangeSpec([resumable](RelaySpec& spec) {
+      for (auto& route : spec.routes) {
+        if (route.name == RouteName("tale")) route.resumable = resumable;
+      }
+    });
   }
 
   void CheckWhole(const FetchResult& result, int last) {
--- a/tests/relay/tables_change_test.cc
+++ b/tests/relay/tables_change_test.cc
@@ -31,13 +31,6 @@
     answers_polls = false;
   }
 
-  void ChangeSpec(const std::function<void(RelaySpec&)>& change) {
-    RelaySpec spec = state.relay.tables->spec();
-    ++spec.version;
-    change(spec);
-    state.relay.tables = std::make_shared<const RelayTables>(spec);
-  }
-
   void After(Duration delay, std::function<void()> call) {
     timers.push_back(loop.Schedule(delay, std::move(call)));
   }
