--- a/source/supervisor/operators/operators_server.cc
+++ b/source/supervisor/operators/operators_server.cc
@@ -100,8 +100,7 @@
 
 HttpResponse OperatorsServer::HandlePost(std::string_view path) {
   if (path == "/drain") {
-    // Posted, so that the answer is sent first. A repeated drain is ignored, as
-    // a second stop request would terminate the requests in flight.
+    // Posted, so that the answer is sent first. A repeated drain is ignored.
     if (!context_.state.draining) context_.loop.Post(hooks_.request_stop);
     return BuildJson(kStatusAccepted, R"({"draining":true})");
   }
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -60,7 +60,7 @@
 
 OperatorsHooks RootSupervisor::MakeOperatorsHooks() {
   return {.describe = [this] { return DescribeStatus(); },
-          .request_stop = [this] { RequestStop(); },
+          .request_stop = [this] { RequestStop(StopSource::kOperator); },
           .restart_child =
               [this](const std::string& path, LastReason& reason) {
                 return RestartChild(path, reason);
@@ -195,14 +195,29 @@
   }
 }
 
-void RootSupervisor::RequestStop() {
-  if (state_.draining) return TerminateRequests();
-  state_.draining = true;
-  state_.timeline.Record(LogLevel::kInfo, EventKind::kStopRequested,
-                         ResultCode::kOk, {});
+void RootSupervisor::RequestStop(StopSource source) {
+  const StopStep step = stop_sequence_.Handle(source);
+  state_.timeline.Record(
+      LogLevel::kInfo, EventKind::kStopRequested, ResultCode::kOk,
+      {{"source", std::string(kStopSourceNames.NameOf(source))},
+       {"step", std::string(kStopStepNames.NameOf(step))}});
+  switch (step) {
+    case StopStep::kBegin:
+      state_.draining = true;
+      StartDrainTimer();
+      return children_.Stop([this] { EndStop(); });
+    case StopStep::kExtend:
+      return StartDrainTimer();
+    case StopStep::kTerminate:
+      return TerminateRequests();
+    case StopStep::kIgnore:
+      return;
+  }
+}
+
+void RootSupervisor::StartDrainTimer() {
   drain_timer_ =
       loop_.Schedule(DrainDeadline(), [this] { TerminateRequests(); });
-  children_.Stop([this] { EndStop(); });
 }
 
 /// Returns how long a stop waits for requests in flight: the grace period less
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "decisions/stop_sequence.h"
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/front/front_end.h"
@@ -37,10 +38,10 @@
   /// that fails to start.
   bool Start(LastReason& reason);
 
-  /// Begins a planned stop: requests in flight finish. A second call or the
+  /// Begins a planned stop: requests in flight finish. A second signal or the
   /// drain deadline terminates the remaining ones; the stop then ends with
-  /// kShutdownCut.
-  void RequestStop();
+  /// kShutdownCut. The deadline counts from the signal, if there is one.
+  void RequestStop(StopSource source);
 
   /// Applies the settings that may change while the daemon runs: the addresses
   /// of other daemons.
@@ -77,6 +78,7 @@
   void HandleTablesChanged();
   void TerminateRequests();
   Duration DrainDeadline() const;
+  void StartDrainTimer();
   void EndStop();
   void End(const LastReason& reason);
 
@@ -85,6 +87,7 @@
   EndHandler on_end_;
   DaemonState state_;
   Supervisor<Child> children_;
+  StopSequence stop_sequence_;
   LoopTimerPtr drain_timer_;
 };
 
