store_follower: the entries' part in a class of its own

FleetUpdater applies the changed rows of the entries and forgets those that didn't return; StoreFollower keeps the calls and fetches.

--- /dev/null
+++ b/source/supervisor/store_follower/fleet_updater.cc
@@ -0,0 +1,76 @@
+#include "supervisor/store_follower/fleet_updater.h"
+
+#include "platform/fleet_codec.h"
+
+namespace wisteriayoke {
+
+void FleetUpdater::Apply(const std::vector<MirrorRow>& rows) {
+  RecordOutage();
+  for (const auto& row : rows) {
+    if (row.removed) {
+      RemoveEntry(UpstreamName(row.key));
+    } else {
+      ApplyEntry(row);
+    }
+  }
+  context_.state.relay.fleet_known =
+      context_.state.relay.mirrors.entries.complete();
+}
+
+void FleetUpdater::ApplyEntry(const MirrorRow& row) {
+  LastReason reason;
+  const auto entry = ParseFleetEntry(row.key, row.value, reason);
+  if (!entry) {
+    context_.state.timeline.Record(LogLevel::kWarning, EventKind::kEntryRefused,
+                                   reason.code(),
+                                   {{"reason", reason.message()}});
+    return RemoveEntry(UpstreamName(row.key));
+  }
+  DaemonState& state = context_.state;
+  const FleetChange change = state.relay.fleet.Apply(*entry);
+  if (change == FleetChange::kNone) return;
+  const UpstreamName& name = entry->upstream.name;
+  if (change == FleetChange::kRestarted) state.upstreams.Reset(name);
+  state.upstreams.SetLeaving(name, entry->draining);
+  state.timeline.Record(
+      LogLevel::kInfo, EventKind::kUpstreamChanged, ResultCode::kOk,
+      {{"upstream", name.text()},
+       {"change", std::string(kFleetChangeNames.NameOf(change))},
+       {"address", entry->upstream.endpoint.ToString()},
+       {"data_centre", entry->upstream.data_centre.text()},
+       {"accelerator", entry->upstream.accelerator},
+       {"layers", std::to_string(entry->upstream.layers.first) + "-" +
+                      std::to_string(entry->upstream.layers.end)},
+       {"version", std::to_string(row.version)}});
+}
+
+void FleetUpdater::RemoveEntry(const UpstreamName& name) {
+  if (context_.state.relay.fleet.Remove(name, context_.loop.Now())) {
+    ForgetUpstream(name);
+  }
+}
+
+void FleetUpdater::ForgetUpstream(const UpstreamName& name) {
+  context_.state.upstreams.Reset(name);
+  context_.state.timeline.Record(LogLevel::kInfo, EventKind::kUpstreamGone,
+                                 ResultCode::kOk, {{"upstream", name.text()}});
+}
+
+void FleetUpdater::Expire() {
+  const TimePoint now = context_.loop.Now();
+  for (const auto& name : context_.state.relay.fleet.Expire(now)) {
+    ForgetUpstream(name);
+  }
+  RecordOutage();
+}
+
+/// Records that the store is out of reach for this daemon and its peers, so
+/// that entries that are missing afterwards are kept until they had time to
+/// return.
+void FleetUpdater::RecordOutage() {
+  RelayState& relay = context_.state.relay;
+  if (relay.freshness.HasMargin(context_.loop.BootNow())) return;
+  relay.fleet.RecordStoreRecovery(context_.loop.Now());
+}
+
+}  // namespace wisteriayoke
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "platform/fleet_codec.h"
 #include "platform/relay_tables_codec.h"
 #include "platform/store_tables.h"
 
@@ -73,7 +72,8 @@
       entries_{.table = MirroredTable::kEntries,
                .store_table = kEntriesTable,
                .wait = kEntriesWait,
-               .pause = kEntriesPause} {}
+               .pause = kEntriesPause},
+      fleet_updater_(context) {}
 
 bool StoreFollower::Start(LastReason& /*reason*/) {
   peer_views_ = context_.state.relay.peer_views.Subscribe(
@@ -260,7 +260,7 @@
   if (feed.table == MirroredTable::kTables) {
     ApplyTables(rows);
   } else {
-    ApplyEntries(rows);
+    fleet_updater_.Apply(rows);
   }
   if (mirror.view().head == before) return;
   if (const auto link = peers_()) link->AnnounceStoreView();
@@ -291,78 +291,13 @@
   }
 }
 
-void StoreFollower::ApplyEntries(const std::vector<MirrorRow>& rows) {
-  RecordOutage();
-  for (const auto& row : rows) {
-    if (row.removed) {
-      RemoveEntry(UpstreamName(row.key));
-    } else {
-      ApplyEntry(row);
-    }
-  }
-  context_.state.relay.fleet_known =
-      context_.state.relay.mirrors.entries.complete();
-}
-
-void StoreFollower::ApplyEntry(const MirrorRow& row) {
-  LastReason reason;
-  const auto entry = ParseFleetEntry(row.key, row.value, reason);
-  if (!entry) {
-    context_.state.timeline.Record(LogLevel::kWarning, EventKind::kEntryRefused,
-                                   reason.code(),
-                                   {{"reason", reason.message()}});
-    return RemoveEntry(UpstreamName(row.key));
-  }
-  DaemonState& state = context_.state;
-  const FleetChange change = state.relay.fleet.Apply(*entry);
-  if (change == FleetChange::kNone) return;
-  const UpstreamName& name = entry->upstream.name;
-  if (change == FleetChange::kRestarted) state.upstreams.Reset(name);
-  state.upstreams.SetLeaving(name, entry->draining);
-  state.timeline.Record(
-      LogLevel::kInfo, EventKind::kUpstreamChanged, ResultCode::kOk,
-      {{"upstream", name.text()},
-       {"change", std::string(kFleetChangeNames.NameOf(change))},
-       {"address", entry->upstream.endpoint.ToString()},
-       {"data_centre", entry->upstream.data_centre.text()},
-       {"accelerator", entry->upstream.accelerator},
-       {"layers", std::to_string(entry->upstream.layers.first) + "-" +
-                      std::to_string(entry->upstream.layers.end)},
-       {"version", std::to_string(row.version)}});
-}
-
-void StoreFollower::RemoveEntry(const UpstreamName& name) {
-  if (context_.state.relay.fleet.Remove(name, context_.loop.Now())) {
-    ForgetUpstream(name);
-  }
-}
-
-void StoreFollower::ForgetUpstream(const UpstreamName& name) {
-  context_.state.upstreams.Reset(name);
-  context_.state.timeline.Record(LogLevel::kInfo, EventKind::kUpstreamGone,
-                                 ResultCode::kOk, {{"upstream", name.text()}});
-}
-
 void StoreFollower::ExpireEntries() {
-  const TimePoint now = context_.loop.Now();
-  for (const auto& name : context_.state.relay.fleet.Expire(now)) {
-    ForgetUpstream(name);
-  }
-  RecordOutage();
+  fleet_updater_.Expire();
   RecordFreshness();
   expiry_timer_ =
       context_.loop.Schedule(kExpiryInterval, [this] { ExpireEntries(); });
 }
 
-/// Records that the store is out of reach for this daemon and its peers, so
-/// that entries that are missing afterwards are kept until they had time to
-/// return.
-void StoreFollower::RecordOutage() {
-  RelayState& relay = context_.state.relay;
-  if (relay.freshness.HasMargin(context_.loop.BootNow())) return;
-  relay.fleet.RecordStoreRecovery(context_.loop.Now());
-}
-
 /// Records when keys stop being accepted and when they are accepted again.
 void StoreFollower::RecordFreshness() {
   const RelayState& relay = context_.state.relay;
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -12,6 +12,7 @@
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/peers/peer_link.h"
+#include "supervisor/store_follower/fleet_updater.h"
 #include "wire/mirror_codec.h"
 
 namespace wisteriayoke {
@@ -65,12 +66,7 @@
 
   void Apply(const ChangeFeed& feed, const MirrorChanges& changes);
   void ApplyTables(const std::vector<MirrorRow>& rows);
-  void ApplyEntries(const std::vector<MirrorRow>& rows);
-  void ApplyEntry(const MirrorRow& row);
-  void RemoveEntry(const UpstreamName& name);
-  void ForgetUpstream(const UpstreamName& name);
   void ExpireEntries();
-  void RecordOutage();
   void RecordFreshness();
 
   DaemonContext context_;
@@ -79,6 +75,7 @@
   StoreFollowPolicy policy_;
   ChangeFeed tables_;
   ChangeFeed entries_;
+  FleetUpdater fleet_updater_;
   PeerViewExchange::Subscription peer_views_;
   bool keys_fresh_ = false;  ///< Whether the last check allowed keys.
   LoopTimerPtr expiry_timer_;
