--- a/source/ctl/saved_log.cc
+++ b/source/ctl/saved_log.cc
@@ -27,9 +27,9 @@
      kLeaseTaken, kLeaseEnded, kMemberChanged});
 /// Events that affect only requests with the named upstream on their paths.
 constexpr auto kUpstreamEvents = std::to_array<EventKind>(
-    {kUpstreamChanged, kUpstreamGone, kUpstreamSuspected, kUpstreamCrashed,
-     kUpstreamLeaving, kUpstreamReturned, kOrderSent, kOrderEnded,
-     kEntryRefused});
+    {kUpstreamChanged, kUpstreamGone, kUpstreamMissing, kUpstreamSuspected,
+     kUpstreamCrashed, kUpstreamLeaving, kUpstreamReturned, kOrderSent,
+     kOrderEnded, kEntryRefused});
 
 template <typename Events>
 bool IsOneOf(const Events& events, const LogLine& line) {
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -1,6 +1,7 @@
 #include "supervisor/context/metrics_page.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,7 +13,7 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-/// Age of the tables, in seconds, reported while they were never proven fresh.
+/// Age in seconds that is reported while none is known.
 constexpr double kUnknownAge = -1;
 
 /// Returns the type and the only sample of a metric with a whole value.
@@ -63,23 +64,31 @@
   return text;
 }
 
+std::string AgeSample(std::string_view name, std::optional<Duration> age) {
+  const double age_s =
+      age ? std::chrono::duration<double>(*age).count() : kUnknownAge;
+  return MetricSample(name, "gauge", std::to_string(age_s));
+}
+
 /// Returns the relay's metrics; nothing while it has no tables. Names come only
 /// from the operator's document, never from callers.
 std::string DescribeRelay(const DaemonContext& context) {
   const DaemonState& state = context.state;
   const RelayState& relay = state.relay;
   if (!relay.tables) return "";
-  const auto age = relay.freshness.AgeAt(context.loop.BootNow());
-  const double age_s =
-      age ? std::chrono::duration<double>(*age).count() : kUnknownAge;
-  return MetricSample("tables_age_seconds", "gauge", std::to_string(age_s)) +
+  const TimePoint now = context.loop.Now();
+  std::optional<Duration> entries_age;
+  if (relay.entries_confirmed) entries_age = now - *relay.entries_confirmed;
+  return AgeSample("tables_age_seconds",
+                   relay.freshness.AgeAt(context.loop.BootNow())) +
+         AgeSample("entries_age_seconds", entries_age) +
          Sample("follows_store", "gauge", relay.follows_store ? 1 : 0) +
          Sample("tables_head", "gauge", relay.mirrors.tables.view().head) +
          Sample("entries_head", "gauge", relay.mirrors.entries.view().head) +
          DescribePlaces(relay) +
          Sample("peers", "gauge", state.peer_loads.CountPeers()) +
          Sample("suspect_requests", "gauge", state.quarantine.CountSuspects()) +
-         DescribeUpstreams(state, context.loop.Now()) + DescribeBudgets(relay) +
+         DescribeUpstreams(state, now) + DescribeBudgets(relay) +
          relay.metrics.Render();
 }
 
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "decisions/fleet.h"
@@ -24,6 +25,10 @@
   Fleet fleet;
   bool fleet_known = false;  ///< Whether the list of upstreams was read.
   StoreMirrors mirrors;      ///< Copies of the store's tables.
+  /// When the copy of the entries was last known to be up to date: the last
+  /// answer of the store to this daemon, or the last time that a peer knew a
+  /// later state of the store. Unset before the first.
+  std::optional<TimePoint> entries_confirmed;
   /// Whether the newest document is valid and so in force.
   bool document_valid = false;
   Freshness freshness;  ///< Proven age of `tables`.
--- a/source/supervisor/store_follower/fleet_updater.cc
+++ b/source/supervisor/store_follower/fleet_updater.cc
@@ -3,28 +3,36 @@
 #include "platform/fleet_codec.h"
 
 namespace wisteriayoke {
+namespace {
 
-void FleetUpdater::Apply(const std::vector<MirrorRow>& rows) {
+/// Source of a removal that was held back until the entry had time to return.
+constexpr auto kExpirySource = "expiry";
+
+}  // namespace
+
+void FleetUpdater::Apply(const std::vector<MirrorRow>& rows,
+                         const EntriesSource& source) {
   RecordOutage();
   for (const auto& row : rows) {
     if (row.removed) {
-      RemoveEntry(UpstreamName(row.key));
+      RemoveEntry(UpstreamName(row.key), source);
     } else {
-      ApplyEntry(row);
+      ApplyEntry(row, source);
     }
   }
   context_.state.relay.fleet_known =
       context_.state.relay.mirrors.entries.complete();
 }
 
-void FleetUpdater::ApplyEntry(const MirrorRow& row) {
+void FleetUpdater::ApplyEntry(const MirrorRow& row,
+                              const EntriesSource& source) {
   LastReason reason;
   const auto entry = ParseFleetEntry(row.key, row.value, reason);
   if (!entry) {
     context_.state.timeline.Record(LogLevel::kWarning, EventKind::kEntryRefused,
                                    reason.code(),
                                    {{"reason", reason.message()}});
-    return RemoveEntry(UpstreamName(row.key));
+    return RemoveEntry(UpstreamName(row.key), source);
   }
   DaemonState& state = context_.state;
   const FleetChange change = state.relay.fleet.Apply(*entry);
@@ -41,25 +49,39 @@
        {"accelerator", entry->upstream.accelerator},
        {"layers", std::to_string(entry->upstream.layers.first) + "-" +
                       std::to_string(entry->upstream.layers.end)},
-       {"version", std::to_string(row.version)}});
+       {"version", std::to_string(row.version)},
+       {"source", source.name},
+       {"entries_age_us", source.age_us}});
 }
 
-void FleetUpdater::RemoveEntry(const UpstreamName& name) {
-  if (context_.state.relay.fleet.Remove(name, context_.loop.Now())) {
-    ForgetUpstream(name);
+void FleetUpdater::RemoveEntry(const UpstreamName& name,
+                               const EntriesSource& source) {
+  Fleet& fleet = context_.state.relay.fleet;
+  if (fleet.Remove(name, context_.loop.Now())) {
+    return ForgetUpstream(name, source);
   }
+  if (fleet.Find(name) == nullptr) return;
+  context_.state.timeline.Record(LogLevel::kInfo, EventKind::kUpstreamMissing,
+                                 ResultCode::kOk,
+                                 {{"upstream", name.text()},
+                                  {"source", source.name},
+                                  {"entries_age_us", source.age_us}});
 }
 
-void FleetUpdater::ForgetUpstream(const UpstreamName& name) {
+void FleetUpdater::ForgetUpstream(const UpstreamName& name,
+                                  const EntriesSource& source) {
   context_.state.upstreams.Reset(name);
   context_.state.timeline.Record(LogLevel::kInfo, EventKind::kUpstreamGone,
-                                 ResultCode::kOk, {{"upstream", name.text()}});
+                                 ResultCode::kOk,
+                                 {{"upstream", name.text()},
+                                  {"source", source.name},
+                                  {"entries_age_us", source.age_us}});
 }
 
 void FleetUpdater::Expire() {
   const TimePoint now = context_.loop.Now();
   for (const auto& name : context_.state.relay.fleet.Expire(now)) {
-    ForgetUpstream(name);
+    ForgetUpstream(name, {kExpirySource, "unknown"});
   }
   RecordOutage();
 }
--- a/source/supervisor/store_follower/fleet_updater.h
+++ b/source/supervisor/store_follower/fleet_updater.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_SUPERVISOR_STORE_FOLLOWER_FLEET_UPDATER_H_
 #define WISTERIAYOKE_SUPERVISOR_STORE_FOLLOWER_FLEET_UPDATER_H_
 
+#include <string>
 #include <vector>
 
 #include "decisions/row_mirror.h"
@@ -8,22 +9,28 @@
 
 namespace wisteriayoke {
 
+/// Where changes of the entries came from, for the log.
+struct EntriesSource {
+  std::string name;    ///< "store", or the address of a peer.
+  std::string age_us;  ///< Age of the copy that they change, or "unknown".
+};
+
 /// Puts changes of the upstreams' entries in force and records them.
 class FleetUpdater {
  public:
   explicit FleetUpdater(DaemonContext context) : context_(context) {}
 
   /// Applies changed rows of the mirrored table.
-  void Apply(const std::vector<MirrorRow>& rows);
+  void Apply(const std::vector<MirrorRow>& rows, const EntriesSource& source);
 
   /// Removes the upstreams whose entries didn't return in time after an outage
   /// of the store.
   void Expire();
 
  private:
-  void ApplyEntry(const MirrorRow& row);
-  void RemoveEntry(const UpstreamName& name);
-  void ForgetUpstream(const UpstreamName& name);
+  void ApplyEntry(const MirrorRow& row, const EntriesSource& source);
+  void RemoveEntry(const UpstreamName& name, const EntriesSource& source);
+  void ForgetUpstream(const UpstreamName& name, const EntriesSource& source);
   void RecordOutage();
 
   DaemonContext context_;
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -33,6 +33,7 @@
 constexpr std::uint64_t kMaxPageBytes = 8 * 1024 * 1024;
 constexpr int kStatusOk = 200;
 constexpr auto kStoreSource = "store";
+constexpr auto kUnknown = "unknown";
 
 Duration RetryDelay(unsigned failures) {
   Duration delay = kFirstRetryDelay;
@@ -109,7 +110,7 @@
       ResultCode::kOk,
       {{"rank", std::to_string(relay.follow_rank)},
        {"group", std::to_string(relay.group_size)},
-       {"tables_age_us", age ? std::to_string(age->count()) : "unknown"},
+       {"tables_age_us", age ? std::to_string(age->count()) : kUnknown},
        {"proof_source", relay.proof_source}});
   return follows;
 }
@@ -132,9 +133,10 @@
       proves ? StoreFollowPolicy::ChooseWait(feed.wait, age, feed.last_waited)
              : feed.wait;
   feed.last_waited = wait > Duration::zero();
-  auto done = [self = shared_from_this(), &feed, whole, wait,
-               sent = now](const RowReply& reply) {
-    self->HandleReply(feed, whole, sent, wait, reply);
+  feed.sent = now;
+  auto done = [self = shared_from_this(), &feed, whole,
+               wait](const RowReply& reply) {
+    self->HandleReply(feed, whole, wait, reply);
   };
   if (whole) {
     store_->ReadTable(feed.store_table, std::move(done));
@@ -144,8 +146,8 @@
   }
 }
 
-void StoreFollower::HandleReply(ChangeFeed& feed, bool whole, BootTime sent,
-                                Duration wait, const RowReply& reply) {
+void StoreFollower::HandleReply(ChangeFeed& feed, bool whole, Duration wait,
+                                const RowReply& reply) {
   if (stopped_) return;
   const auto kind = whole ? StoreCallKind::kRead : StoreCallKind::kFollow;
   RelayState& relay = context_.state.relay;
@@ -156,15 +158,19 @@
   }
   if (reply.code != ResultCode::kOk) return HandleFailure(feed, reply);
   RecordReturn(feed);
+  feed.answered = context_.loop.BootNow();
   feed.read_whole = false;
-  Apply(feed, ConvertPage(reply.page, whole, MirrorOf(feed).view().head));
+  Apply(feed, ConvertPage(reply.page, whole, MirrorOf(feed).view().head),
+        kStoreSource);
+  ConfirmEntries(feed);
   // An empty answer to a wait proves that nothing changed until its end; any
   // other answer may be as old as the call.
-  const BootTime wait_end = sent + std::max(wait - kWaitTolerance, Duration());
+  const BootTime wait_end =
+      feed.sent + std::max(wait - kWaitTolerance, Duration());
   const bool idle =
       !whole && reply.page.rows.empty() && context_.loop.BootNow() >= wait_end;
   if (feed.table == MirroredTable::kTables && relay.document_valid &&
-      relay.freshness.RecordProof(idle ? wait_end : sent)) {
+      relay.freshness.RecordProof(idle ? wait_end : feed.sent)) {
     relay.proof_source = kStoreSource;
   }
   if (reply.page.rows.empty()) return CheckRole(feed);
@@ -180,7 +186,10 @@
   if (++feed.failures == 1) {
     context_.state.timeline.Record(
         LogLevel::kWarning, EventKind::kStoreLost, reply.code,
-        {{"table", feed.store_table}, {"reason", reply.message}});
+        {{"table", feed.store_table},
+         {"reason", reply.message},
+         {"call_us", DescribeWait(feed)},
+         {"answer_age_us", DescribeAnswerAge(feed)}});
   }
   Schedule(RetryDelay(feed.failures), feed);
 }
@@ -190,20 +199,48 @@
   context_.state.timeline.Record(LogLevel::kInfo, EventKind::kStoreReturned,
                                  ResultCode::kOk,
                                  {{"table", feed.store_table},
-                                  {"failures", std::to_string(feed.failures)}});
+                                  {"failures", std::to_string(feed.failures)},
+                                  {"call_us", DescribeWait(feed)},
+                                  {"answer_age_us", DescribeAnswerAge(feed)}});
   feed.failures = 0;
   if (feed.table == MirroredTable::kEntries) {
     context_.state.relay.fleet.RecordStoreRecovery(context_.loop.Now());
   }
 }
 
+/// Returns how long the last call has taken, in microseconds.
+std::string StoreFollower::DescribeWait(const ChangeFeed& feed) const {
+  return std::to_string((context_.loop.BootNow() - feed.sent).count());
+}
+
+/// Returns how long ago the store last answered a call, in microseconds.
+std::string StoreFollower::DescribeAnswerAge(const ChangeFeed& feed) const {
+  if (!feed.answered) return kUnknown;
+  return std::to_string((context_.loop.BootNow() - *feed.answered).count());
+}
+
+/// Records that the copy of `feed` is up to date, if it holds the entries.
+void StoreFollower::ConfirmEntries(const ChangeFeed& feed) {
+  if (feed.table != MirroredTable::kEntries) return;
+  context_.state.relay.entries_confirmed = context_.loop.Now();
+}
+
+EntriesSource StoreFollower::DescribeSource(std::string name) const {
+  const auto& confirmed = context_.state.relay.entries_confirmed;
+  return {std::move(name),
+          confirmed ? std::to_string((context_.loop.Now() - *confirmed).count())
+                    : kUnknown};
+}
+
 /// Fetches the changes that a peer knows and this daemon doesn't.
 void StoreFollower::HandlePeerView(const StoreView& view,
                                    const Endpoint& source) {
   for (ChangeFeed* feed : {&tables_, &entries_}) {
     RowMirror& mirror = MirrorOf(*feed);
     const MirrorView& theirs = view.Of(feed->table);
+    const std::uint64_t position = mirror.view().position;
     mirror.RecordPosition(theirs);
+    if (mirror.view().position > position) ConfirmEntries(*feed);
     if (theirs.head <= mirror.view().head) continue;
     if (!feed->fetching) {
       Fetch(*feed, source);
@@ -237,7 +274,8 @@
   const auto page =
       answered ? ParseMirrorPage(result.response.body, reason) : std::nullopt;
   if (page) {
-    Apply(feed, *page);
+    Apply(feed, *page, source.ToString());
+    ConfirmEntries(feed);
   } else {
     // Another peer's next message starts another fetch.
     context_.state.timeline.Record(
@@ -252,15 +290,15 @@
 }
 
 /// Puts changes in force and, if there are any, announces them to peers.
-void StoreFollower::Apply(const ChangeFeed& feed,
-                          const MirrorChanges& changes) {
+void StoreFollower::Apply(const ChangeFeed& feed, const MirrorChanges& changes,
+                          const std::string& source) {
   RowMirror& mirror = MirrorOf(feed);
   const std::uint64_t before = mirror.view().head;
   const std::vector<MirrorRow> rows = mirror.Apply(changes);
   if (feed.table == MirroredTable::kTables) {
     ApplyTables(rows);
   } else {
-    fleet_updater_.Apply(rows);
+    fleet_updater_.Apply(rows, DescribeSource(source));
   }
   if (mirror.view().head == before) return;
   if (const auto link = peers_()) link->AnnounceStoreView();
@@ -310,7 +348,7 @@
       fresh ? EventKind::kKeysFresh : EventKind::kKeysStale,
       fresh ? ResultCode::kOk : ResultCode::kNotReady,
       {{"tables", std::to_string(context_.state.version.number)},
-       {"tables_age_us", age ? std::to_string(age->count()) : "unknown"}});
+       {"tables_age_us", age ? std::to_string(age->count()) : kUnknown}});
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,8 +40,10 @@
     bool last_waited = true;  ///< Whether the last call could wait.
     bool read_whole = false;  ///< Whether the next call reads the whole table.
     unsigned failures = 0;    ///< Consecutive failures.
-    LoopTimerPtr timer;       ///< Timer of the next call or role check.
-    bool fetching = false;    ///< Whether a fetch from a peer is open.
+    BootTime sent;            ///< When the last call was sent.
+    std::optional<BootTime> answered;  ///< When the store last answered one.
+    LoopTimerPtr timer;     ///< Timer of the next call or role check.
+    bool fetching = false;  ///< Whether a fetch from a peer is open.
     /// Peer that announced a change while a fetch was open, and its head.
     Endpoint next_peer;
     std::uint64_t next_head = 0;
@@ -53,18 +56,23 @@
   bool MustFollow();
   void CheckRole(ChangeFeed& feed);
   void CallStore(ChangeFeed& feed);
-  void HandleReply(ChangeFeed& feed, bool whole, BootTime sent, Duration wait,
+  void HandleReply(ChangeFeed& feed, bool whole, Duration wait,
                    const RowReply& reply);
   void Schedule(Duration delay, ChangeFeed& feed);
   void HandleFailure(ChangeFeed& feed, const RowReply& reply);
   void RecordReturn(ChangeFeed& feed);
+  std::string DescribeWait(const ChangeFeed& feed) const;
+  std::string DescribeAnswerAge(const ChangeFeed& feed) const;
+  void ConfirmEntries(const ChangeFeed& feed);
+  EntriesSource DescribeSource(std::string name) const;
 
   void HandlePeerView(const StoreView& view, const Endpoint& source);
   void Fetch(ChangeFeed& feed, const Endpoint& source);
   void HandlePage(ChangeFeed& feed, const Endpoint& source,
                   const FetchResult& result);
 
-  void Apply(const ChangeFeed& feed, const MirrorChanges& changes);
+  void Apply(const ChangeFeed& feed, const MirrorChanges& changes,
+             const std::string& source);
   void ApplyTables(const std::vector<MirrorRow>& rows);
   void ExpireEntries();
   void RecordFreshness();
--- a/tests/relay/relay_log_test.cc
+++ b/tests/relay/relay_log_test.cc
@@ -166,6 +166,7 @@
   CHECK(has("relay_upstreams{pool=\"w\",health=\"healthy\"} 2\n"));
   CHECK(has("retry_budget{pool=\"s\"}"));
   CHECK(has("tables_age_seconds"));
+  CHECK(has("entries_age_seconds"));
 }
 
 TEST_CASE_FIXTURE(RelayFixture, "callers can't add series to the metrics") {
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -46,15 +46,23 @@
         events.begin(), events.end(),
         [kind](const auto& event) { return event.kind == kind; });
   }
+  /// Returns the last event of `kind` with the value `value` in its field
+  /// `field`, or null.
+  const TimelineEvent* FindEvent(EventKind kind, const std::string& field,
+                                 const std::string& value) const {
+    const auto& events = state.timeline.events();
+    const auto found =
+        std::find_if(events.rbegin(), events.rend(), [&](const auto& event) {
+          const auto& fields = event.fields;
+          return event.kind == kind &&
+                 std::find(fields.begin(), fields.end(),
+                           std::pair(field, value)) != fields.end();
+        });
+    return found == events.rend() ? nullptr : &*found;
+  }
   /// Returns whether an event of `kind` was recorded for `table`.
   bool IsRecorded(EventKind kind, const std::string& table) const {
-    const auto& events = state.timeline.events();
-    return std::any_of(events.begin(), events.end(), [&](const auto& event) {
-      const auto& fields = event.fields;
-      return event.kind == kind &&
-             std::find(fields.begin(), fields.end(),
-                       std::pair(std::string("table"), table)) != fields.end();
-    });
+    return FindEvent(kind, "table", table) != nullptr;
   }
   /// Makes this daemon one that learns of changes from its peers.
   void SetBehindFollowers() {
@@ -186,7 +194,9 @@
   store.set_fault(StoreFault::kNone);
   RunUntil([this] { return IsRecorded(EventKind::kStoreReturned, "servers"); });
   CHECK(IsKnown("i-1"));
+  CHECK(FindEvent(EventKind::kUpstreamMissing, "source", "store") != nullptr);
   RunUntil([this] { return !IsKnown("i-1"); });
+  CHECK(FindEvent(EventKind::kUpstreamGone, "source", "expiry") != nullptr);
 }
 
 TEST_CASE_FIXTURE(FollowerFixture,
