--- a/source/standins/fake_row_store.cc
+++ b/source/standins/fake_row_store.cc
@@ -39,6 +39,24 @@
   AnswerWaiting();
 }
 
+void FakeRowStore::set_fault(StoreFault fault) {
+  fault_ = fault;
+  if (fault != StoreFault::kSilent) return;
+  for (auto& waiter : std::exchange(waiting_, {})) {
+    unanswered_.push_back(std::move(waiter.caller));
+  }
+}
+
+void FakeRowStore::LoseWaiting(const std::string& table) {
+  for (auto& waiter : std::exchange(waiting_, {})) {
+    if (waiter.table == table) {
+      unanswered_.push_back(std::move(waiter.caller));
+    } else {
+      waiting_.push_back(std::move(waiter));
+    }
+  }
+}
+
 std::string FakeRowStore::ValueOf(const std::string& table,
                                   const std::string& key) const {
   const auto found = rows_.find({table, key});
@@ -63,7 +81,7 @@
                                  const Caller& caller) {
   if (request.target == "/fault") {
     const auto fault = kStoreFaultNames.Find(request.body);
-    if (fault) fault_ = *fault;
+    if (fault) set_fault(*fault);
     caller->Respond({{fault ? kOk : kNotFound, {}}, ""});
     return true;
   }
@@ -144,7 +162,6 @@
 }
 
 void FakeRowStore::AnswerWaiting() {
-  if (fault_ == StoreFault::kSilent) return;
   for (auto& waiter : std::exchange(waiting_, {})) {
     const Json rows = List(waiter.table, waiter.after, true);
     if (rows.empty()) {
--- a/source/standins/fake_row_store.h
+++ b/source/standins/fake_row_store.h
@@ -19,7 +19,7 @@
 /// Faults of the stand-in store.
 enum class StoreFault {
   kNone,
-  kSilent,      ///< Never answers.
+  kSilent,      ///< Never answers, nor what it received before or meanwhile.
   kRefusing,    ///< Answers 503 and executes nothing.
   kLosing,      ///< Executes writes and closes without an answer.
   kForgetting,  ///< Answers the next feed request as if history were lost.
@@ -54,7 +54,10 @@
   /// Returns the value of a row, or "" if it is absent.
   std::string ValueOf(const std::string& table, const std::string& key) const;
 
-  void set_fault(StoreFault fault) { fault_ = fault; }
+  void set_fault(StoreFault fault);
+  /// Leaves the calls that wait for changes of `table` without an answer, as if
+  /// their connections were lost.
+  void LoseWaiting(const std::string& table);
   /// Number of requests of the platform's protocol received.
   int calls() const { return calls_; }
 
--- a/tests/decisions/fleet_test.cc
+++ b/tests/decisions/fleet_test.cc
@@ -99,6 +99,17 @@
   CHECK(fleet.Find(UpstreamName("a")) != nullptr);
 }
 
+// Guards against work for an upstream that left well after an outage: an entry
+// may be missing for a while from the store's return, not from its removal.
+TEST_CASE("an entry removed late after an outage isn't kept beyond its time") {
+  Fleet fleet;
+  fleet.Apply(MakeEntry("a"));
+  fleet.RecordStoreRecovery(At(1000));
+  CHECK_FALSE(fleet.Remove(UpstreamName("a"), At(2700)));
+  CHECK(fleet.Expire(At(2799)).empty());
+  CHECK(fleet.Expire(At(2800)).size() == 1);
+}
+
 TEST_CASE("a draining upstream isn't kept after an outage") {
   Fleet fleet;
   FleetEntry entry = MakeEntry("a");
