store_follower: a call that an outage swallowed no longer hides changes

Cause: the feed of the entries waited up to 5.8 s for a call that could not be answered any more. One sent shortly before the store's return held the feed until 5.8 s after it, though the feed of the tables was served again.

Ruled out: keep-alive probes (a silent store still acknowledges them); a wait as short as that of the tables, which would triple the calls for entries.

--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -14,8 +14,10 @@
 /// wait that ends proves the tables fresh, and the proof has to reach daemons
 /// that don't follow the store.
 constexpr int kTablesWaitPerMille = 150;
-/// Wait for changes of the entries, whose freshness needs no proof.
-constexpr Duration kEntriesWait = std::chrono::seconds(5);
+/// Wait for changes of the entries, whose freshness needs no proof. With the
+/// time for an answer it bounds how long a lost call hides changes, of which a
+/// leaving upstream must be known five seconds after the store's return.
+constexpr Duration kEntriesWait = std::chrono::milliseconds(3500);
 /// Delay of the next call after one with changes of the entries, so that many
 /// changes in quick succession need few calls. It is short against the two
 /// seconds for which a leaving upstream may still get work.
@@ -122,18 +124,22 @@
   Schedule(kRoleCheckInterval, feed);
 }
 
+Duration StoreFollower::ChooseWait(const ChangeFeed& feed) const {
+  // A call that waits would tell late that the store is back.
+  if (feed.failures > 0) return Duration::zero();
+  // Only the tables need proofs.
+  if (feed.table != MirroredTable::kTables) return feed.wait;
+  const auto age =
+      context_.state.relay.freshness.AgeAt(context_.loop.BootNow());
+  return StoreFollowPolicy::ChooseWait(feed.wait, age, feed.last_waited);
+}
+
 void StoreFollower::CallStore(ChangeFeed& feed) {
   const RowMirror& mirror = MirrorOf(feed);
   const bool whole = feed.read_whole || !mirror.complete();
-  const BootTime now = context_.loop.BootNow();
-  // Only the tables need proofs.
-  const bool proves = feed.table == MirroredTable::kTables;
-  const auto age = context_.state.relay.freshness.AgeAt(now);
-  const Duration wait =
-      proves ? StoreFollowPolicy::ChooseWait(feed.wait, age, feed.last_waited)
-             : feed.wait;
+  const Duration wait = ChooseWait(feed);
   feed.last_waited = wait > Duration::zero();
-  feed.sent = now;
+  feed.sent = context_.loop.BootNow();
   auto done = [self = shared_from_this(), &feed, whole,
                wait](const RowReply& reply) {
     self->HandleReply(feed, whole, wait, reply);
@@ -141,14 +147,15 @@
   if (whole) {
     store_->ReadTable(feed.store_table, std::move(done));
   } else {
-    store_->Follow(feed.store_table, mirror.view().position, wait,
-                   std::move(done));
+    feed.call = store_->Follow(feed.store_table, mirror.view().position, wait,
+                               std::move(done));
   }
 }
 
 void StoreFollower::HandleReply(ChangeFeed& feed, bool whole, Duration wait,
                                 const RowReply& reply) {
   if (stopped_) return;
+  feed.call.reset();
   const auto kind = whole ? StoreCallKind::kRead : StoreCallKind::kFollow;
   RelayState& relay = context_.state.relay;
   relay.metrics.CountStoreCall(kind, reply.code);
@@ -206,6 +213,18 @@
   if (feed.table == MirroredTable::kEntries) {
     context_.state.relay.fleet.RecordStoreRecovery(context_.loop.Now());
   }
+  ReplaceOlderCall(&feed == &tables_ ? entries_ : tables_, feed.sent);
+}
+
+/// Sends the open call of `feed` again if it is older than one that was sent at
+/// `sent`, the first that the store answered after an outage: it may have been
+/// lost in the outage.
+void StoreFollower::ReplaceOlderCall(ChangeFeed& feed, BootTime sent) {
+  if (!feed.call || feed.sent >= sent) return;
+  feed.call->Cancel();
+  context_.state.relay.metrics.CountStoreCall(StoreCallKind::kFollow,
+                                              ResultCode::kStoreUnreachable);
+  CallStore(feed);
 }
 
 /// Returns how long the last call has taken, in microseconds.
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -40,7 +40,8 @@
     bool last_waited = true;  ///< Whether the last call could wait.
     bool read_whole = false;  ///< Whether the next call reads the whole table.
     unsigned failures = 0;    ///< Consecutive failures.
-    BootTime sent;            ///< When the last call was sent.
+    std::shared_ptr<HttpClientCall> call;  ///< Open call that may wait.
+    BootTime sent;                         ///< When the last call was sent.
     std::optional<BootTime> answered;  ///< When the store last answered one.
     LoopTimerPtr timer;     ///< Timer of the next call or role check.
     bool fetching = false;  ///< Whether a fetch from a peer is open.
@@ -55,12 +56,14 @@
 
   bool MustFollow();
   void CheckRole(ChangeFeed& feed);
+  Duration ChooseWait(const ChangeFeed& feed) const;
   void CallStore(ChangeFeed& feed);
   void HandleReply(ChangeFeed& feed, bool whole, Duration wait,
                    const RowReply& reply);
   void Schedule(Duration delay, ChangeFeed& feed);
   void HandleFailure(ChangeFeed& feed, const RowReply& reply);
   void RecordReturn(ChangeFeed& feed);
+  void ReplaceOlderCall(ChangeFeed& feed, BootTime sent);
   std::string DescribeWait(const ChangeFeed& feed) const;
   std::string DescribeAnswerAge(const ChangeFeed& feed) const;
   void ConfirmEntries(const ChangeFeed& feed);
