fleet: a removed entry is kept from the store's return on, not from its removal

Cause: the entry of a live upstream may be missing for about two seconds from the store's return. The fleet counted its 1.8 s from the removal, and took for the return the moment at which the feed of the entries was answered again, however late that was; one lost call was an outage. Now an outage is a time of 2.4 s or more, the least in which an entry can expire, in which the store answered neither this daemon nor, by their proofs, its peers. Its end is when it answered, not when this daemon learned of it, and entries are kept until 1.8 s after that.

Two cases of decisions_test say what is and what isn't an outage. The older test of an expired entry had an outage too short for that and now waits for one that isn't.

--- a/source/decisions/fleet.cc
+++ b/source/decisions/fleet.cc
@@ -1,12 +1,13 @@
 #include "decisions/fleet.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wisteriayoke {
 
 FleetChange Fleet::Apply(const FleetEntry& entry) {
   const UpstreamName& name = entry.upstream.name;
-  missing_since_.erase(name);
+  missing_.erase(name);
   const auto [found, added] = entries_.try_emplace(name, entry);
   if (added) return FleetChange::kJoined;
   const FleetEntry before = std::exchange(found->second, entry);
@@ -34,29 +35,39 @@
          found->second.started_ms == entry.started_ms;
 }
 
+void Fleet::RecordStoreAge(std::optional<Duration> age, TimePoint now) {
+  if (!age || *age >= kShortestOutage) {
+    store_lost_ = true;
+  } else if (std::exchange(store_lost_, false)) {
+    store_returned_ = now - *age;
+  }
+}
+
+/// Returns whether a live upstream's entry may be missing because of an outage.
+bool Fleet::MayHaveExpired(TimePoint now) const {
+  return store_lost_ ||
+         (store_returned_ && now - *store_returned_ < kReregistrationTime);
+}
+
 bool Fleet::Remove(const UpstreamName& name, TimePoint now) {
   const auto found = entries_.find(name);
   if (found == entries_.end()) return false;
-  const bool may_have_lapsed =
-      store_returned_ && now - *store_returned_ < kReregistrationTime;
-  if (may_have_lapsed && !found->second.draining) {
-    missing_since_.try_emplace(name, now);
+  if (MayHaveExpired(now) && !found->second.draining) {
+    missing_.insert(name);
     return false;
   }
   entries_.erase(found);
-  missing_since_.erase(name);
+  missing_.erase(name);
   return true;
 }
 
 std::vector<UpstreamName> Fleet::Expire(TimePoint now) {
   std::vector<UpstreamName> gone;
-  for (const auto& [name, since] : missing_since_) {
-    if (now - since >= kReregistrationTime) gone.push_back(name);
-  }
-  for (const auto& name : gone) {
-    missing_since_.erase(name);
-    entries_.erase(name);
+  if (!MayHaveExpired(now)) {
+    gone.assign(missing_.begin(), missing_.end());
+    missing_.clear();
   }
+  for (const auto& name : gone) entries_.erase(name);
   std::erase_if(leaving_, [this, now](const auto& item) {
     return !entries_.contains(item.first) &&
            now - item.second.recorded_at >= kLeavingRetention;
--- a/source/decisions/fleet.h
+++ b/source/decisions/fleet.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/ids.h"
@@ -43,15 +44,18 @@
 /// Tracks the upstreams that registered themselves in the store.
 ///
 /// Entries expire while the store is down although their upstreams are alive.
-/// An entry that is missing right after an outage is therefore kept until the
-/// upstream had time to register again.
+/// An entry that is removed during an outage or soon after it is therefore kept
+/// until the upstream had time to register again, counted from the store's
+/// return.
 class Fleet {
  public:
-  /// How long after an outage an entry of a live upstream may be missing. The
-  /// platform states two seconds, within which a leaving upstream must stop
-  /// getting work as well.
+  /// How long after the store's return an entry of a live upstream may be
+  /// missing.
   static constexpr Duration kReregistrationTime =
       std::chrono::milliseconds(1800);
+  /// Shortest outage in which an entry can expire: three heartbeats of 1.2 s
+  /// have to fail, the first of them as much as one interval after its start.
+  static constexpr Duration kShortestOutage = std::chrono::milliseconds(2400);
   /// How long the announcement of an upstream without an entry is kept; far
   /// longer than an upstream goes on serving after it.
   static constexpr Duration kLeavingRetention = std::chrono::minutes(10);
@@ -70,10 +74,9 @@
   /// was removed; if it was only marked missing, `Expire` removes it later.
   bool Remove(const UpstreamName& name, TimePoint now);
 
-  /// Records that the store answers again after an outage.
-  void RecordStoreRecovery(TimePoint now) {
-    store_returned_ = std::max(store_returned_.value_or(now), now);
-  }
+  /// Records how long ago the store last answered this daemon or a peer, as far
+  /// as this daemon knows; nullopt if it never did.
+  void RecordStoreAge(std::optional<Duration> age, TimePoint now);
 
   /// Removes the upstreams whose entries didn't return in time and returns
   /// their names.
@@ -100,11 +103,13 @@
   };
 
   bool IsLeaving(const FleetEntry& entry) const;
+  bool MayHaveExpired(TimePoint now) const;
 
   std::map<UpstreamName, FleetEntry> entries_;
   std::map<UpstreamName, LeavingRun> leaving_;
-  std::map<UpstreamName, TimePoint> missing_since_;
-  std::optional<TimePoint> store_returned_;
+  std::set<UpstreamName> missing_;  ///< Kept without an entry in the store.
+  bool store_lost_ = false;
+  std::optional<TimePoint> store_returned_;  ///< End of the last outage.
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/store_follower/fleet_updater.cc
+++ b/source/supervisor/store_follower/fleet_updater.cc
@@ -1,5 +1,7 @@
 #include "supervisor/store_follower/fleet_updater.h"
 
+#include <algorithm>
+
 #include "platform/fleet_codec.h"
 
 namespace wisteriayoke {
@@ -10,9 +12,15 @@
 
 }  // namespace
 
+void FleetUpdater::RecordStoreAnswer() {
+  RecordStoreAge();
+  store_answered_ = context_.loop.Now();
+  RecordStoreAge();
+}
+
 void FleetUpdater::Apply(const std::vector<MirrorRow>& rows,
                          const EntriesSource& source) {
-  RecordOutage();
+  RecordStoreAge();
   for (const auto& row : rows) {
     if (row.removed) {
       RemoveEntry(UpstreamName(row.key), source);
@@ -79,20 +87,23 @@
 }
 
 void FleetUpdater::Expire() {
+  RecordStoreAge();
   const TimePoint now = context_.loop.Now();
   for (const auto& name : context_.state.relay.fleet.Expire(now)) {
     ForgetUpstream(name, {kExpirySource, "unknown"});
   }
-  RecordOutage();
 }
 
-/// Records that the store is out of reach for this daemon and its peers, so
-/// that entries that are missing afterwards are kept until they had time to
-/// return.
-void FleetUpdater::RecordOutage() {
+/// Records how long ago the store last answered this daemon or, by the proof of
+/// the tables, a peer.
+void FleetUpdater::RecordStoreAge() {
   RelayState& relay = context_.state.relay;
-  if (relay.freshness.HasMargin(context_.loop.BootNow())) return;
-  relay.fleet.RecordStoreRecovery(context_.loop.Now());
+  const TimePoint now = context_.loop.Now();
+  auto age = relay.freshness.AgeAt(context_.loop.BootNow());
+  if (store_answered_) {
+    age = std::min(age.value_or(Duration::max()), now - *store_answered_);
+  }
+  relay.fleet.RecordStoreAge(age, now);
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/store_follower/fleet_updater.h
+++ b/source/supervisor/store_follower/fleet_updater.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_SUPERVISOR_STORE_FOLLOWER_FLEET_UPDATER_H_
 #define WISTERIAYOKE_SUPERVISOR_STORE_FOLLOWER_FLEET_UPDATER_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,9 @@
  public:
   explicit FleetUpdater(DaemonContext context) : context_(context) {}
 
+  /// Records that the store answers this daemon now.
+  void RecordStoreAnswer();
+
   /// Applies changed rows of the mirrored table.
   void Apply(const std::vector<MirrorRow>& rows, const EntriesSource& source);
 
@@ -31,9 +35,10 @@
   void ApplyEntry(const MirrorRow& row, const EntriesSource& source);
   void RemoveEntry(const UpstreamName& name, const EntriesSource& source);
   void ForgetUpstream(const UpstreamName& name, const EntriesSource& source);
-  void RecordOutage();
+  void RecordStoreAge();
 
   DaemonContext context_;
+  std::optional<TimePoint> store_answered_;  ///< This daemon, last.
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -165,6 +165,7 @@
   }
   if (reply.code != ResultCode::kOk) return HandleFailure(feed, reply);
   RecordReturn(feed);
+  fleet_updater_.RecordStoreAnswer();
   feed.answered = context_.loop.BootNow();
   feed.read_whole = false;
   Apply(feed, ConvertPage(reply.page, whole, MirrorOf(feed).view().head),
@@ -210,9 +211,6 @@
                                   {"call_us", DescribeWait(feed)},
                                   {"answer_age_us", DescribeAnswerAge(feed)}});
   feed.failures = 0;
-  if (feed.table == MirroredTable::kEntries) {
-    context_.state.relay.fleet.RecordStoreRecovery(context_.loop.Now());
-  }
   ReplaceOlderCall(&feed == &tables_ ? entries_ : tables_, feed.sent);
 }
 
--- a/tests/decisions/fleet_test.cc
+++ b/tests/decisions/fleet_test.cc
@@ -13,6 +13,12 @@
   return {.upstream = {.name = UpstreamName(name)}, .pool = PoolName("p")};
 }
 
+/// Records an outage of the store that ended at `end`.
+void RecordOutage(Fleet& fleet, TimePoint end) {
+  fleet.RecordStoreAge(Fleet::kShortestOutage, end);
+  fleet.RecordStoreAge(Duration(), end);
+}
+
 }  // namespace
 
 TEST_CASE("each change of an entry is classified") {
@@ -87,7 +93,7 @@
   Fleet fleet;
   fleet.Apply(MakeEntry("a"));
   fleet.Apply(MakeEntry("b"));
-  fleet.RecordStoreRecovery(At(1000));
+  RecordOutage(fleet, At(1000));
   CHECK_FALSE(fleet.Remove(UpstreamName("a"), At(1010)));
   CHECK_FALSE(fleet.Remove(UpstreamName("b"), At(1010)));
   CHECK(fleet.ListAvailable(PoolName("p")).size() == 2);
@@ -104,18 +110,39 @@
 TEST_CASE("an entry removed late after an outage isn't kept beyond its time") {
   Fleet fleet;
   fleet.Apply(MakeEntry("a"));
-  fleet.RecordStoreRecovery(At(1000));
+  RecordOutage(fleet, At(1000));
   CHECK_FALSE(fleet.Remove(UpstreamName("a"), At(2700)));
   CHECK(fleet.Expire(At(2799)).empty());
   CHECK(fleet.Expire(At(2800)).size() == 1);
 }
 
+TEST_CASE("an entry is kept for as long as the store is out of reach") {
+  Fleet fleet;
+  fleet.Apply(MakeEntry("a"));
+  SUBCASE("it never answered") { fleet.RecordStoreAge(std::nullopt, At(0)); }
+  SUBCASE("it stopped") { fleet.RecordStoreAge(Fleet::kShortestOutage, At(0)); }
+  CHECK_FALSE(fleet.Remove(UpstreamName("a"), At(10)));
+  CHECK(fleet.Expire(At(60'000)).empty());
+  // It answered 300 ms before this daemon learned of it.
+  fleet.RecordStoreAge(std::chrono::milliseconds(300), At(60'000));
+  CHECK(fleet.Expire(At(61'499)).empty());
+  CHECK(fleet.Expire(At(61'500)).size() == 1);
+}
+
+TEST_CASE("a pause in which no entry can expire is no outage") {
+  Fleet fleet;
+  fleet.Apply(MakeEntry("a"));
+  fleet.RecordStoreAge(Fleet::kShortestOutage - Duration(1), At(1000));
+  fleet.RecordStoreAge(Duration(), At(1000));
+  CHECK(fleet.Remove(UpstreamName("a"), At(1001)));
+}
+
 TEST_CASE("a draining upstream isn't kept after an outage") {
   Fleet fleet;
   FleetEntry entry = MakeEntry("a");
   entry.draining = true;
   fleet.Apply(entry);
-  fleet.RecordStoreRecovery(At(1000));
+  RecordOutage(fleet, At(1000));
   CHECK(fleet.Remove(UpstreamName("a"), At(1010)));
 }
 
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -190,6 +190,8 @@
   // The wait in progress ends with this change; the next call fails.
   store.Put("servers", "i-2", MakeEntry("ready"));
   RunUntil([this] { return IsRecorded(EventKind::kStoreLost, "servers"); });
+  const TimePoint end = loop.Now() + Fleet::kShortestOutage;
+  RunUntil([&] { return loop.Now() >= end; });
   store.Drop("servers", "i-1");
   store.set_fault(StoreFault::kNone);
   RunUntil([this] { return IsRecorded(EventKind::kStoreReturned, "servers"); });
