store_follow_policy: in small groups followers without a store are replaced sooner

Cause: a daemon behind the followers calls the store itself once its proof is 2.15 s old, whatever the size of its group, though proofs spread faster in small ones: the oldest in virtual time is 1.0 s at 4, 1.2 s at 8, 1.5 s at 27 and 2.1 s at 118. Now the age is 1.6 s in groups of up to eight, 1.9 s at 27 and 2.15 s as before from 64 on.

'a change reaches the others in time though followers lost the store' fails in 11 of 40 checks before, none now. Calls in calm stay at 2.75 a second at 4 and 8 and 4.1 above; with a change a second 60 and at most 120 (the bound) as before. Ruled out: to follow on until a peer has a newer proof, which takes 45 calls a second at 118.

Larger groups keep a gap of up to 2.5 s if all three followers are turned away at once.

--- a/source/decisions/store_follow_policy.h
+++ b/source/decisions/store_follow_policy.h
@@ -46,9 +46,9 @@
   static Duration ChooseWait(Duration usual, std::optional<Duration> proof_age,
                              bool last_waited);
 
-  /// Returns the age of its proof at which a daemon of rank `rank` follows the
-  /// store itself.
-  Duration FallbackAge(std::size_t rank) const;
+  /// Returns the age of its proof at which a daemon of rank `rank` in a group
+  /// of `group_size` follows the store itself.
+  Duration FallbackAge(std::size_t rank, std::size_t group_size) const;
 
  private:
   Duration revocation_;
--- a/tests/decisions/store_follow_test.cc
+++ b/tests/decisions/store_follow_test.cc
@@ -80,7 +80,14 @@
     }
     return followers;
   }
-  void SetStoreCut(std::size_t i, bool cut) { daemons_[i].store_cut = cut; }
+  /// Cuts daemon `i` off the store; an open call gets no answer.
+  void SetStoreCut(std::size_t i, bool cut) {
+    daemons_[i].store_cut = cut;
+    const auto lost =
+        std::erase_if(waiting_, [i](const auto& w) { return w.first == i; });
+    if (lost == 0) return;
+    group_.Schedule(now() + milliseconds(400), [this, i] { CheckRole(i); });
+  }
   /// Suspends daemon `i`: its monotonic clock stands still.
   void Suspend(std::size_t i, Duration time) {
     group_.SetPaused(i, true);
@@ -233,7 +240,7 @@
 
 TEST_CASE("store calls don't grow with the group, and proofs stay recent") {
   double calls_of_four = 0;
-  for (const std::size_t count : {4U, 118U, 320U}) {
+  for (const std::size_t count : {4U, 8U, 27U, 118U, 320U}) {
     CAPTURE(count);
     FollowSimulation simulation(count);
     simulation.group().RunFor(seconds(6));
@@ -329,6 +336,27 @@
   CHECK(simulation.AllHave(simulation.newest()));
 }
 
+// Guards against work for an upstream that left just after the store had begun
+// to turn the followers away: the others must know within two seconds.
+TEST_CASE(
+    "a change reaches the others in time though followers lost the store") {
+  constexpr std::size_t kCount = 4;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    FollowSimulation simulation(kCount, seed);
+    simulation.group().RunFor(seconds(5) + seed * milliseconds(37));
+    const auto followers = simulation.ListFollowers();
+    for (const auto i : followers) simulation.SetStoreCut(i, true);
+    // The second change comes when the store is followed by others.
+    for (const auto pause : {milliseconds(0), milliseconds(4000)}) {
+      simulation.group().RunFor(pause);
+      simulation.ChangeDocument();
+      simulation.group().RunFor(milliseconds(1900));
+      CHECK(simulation.AllHave(simulation.newest()));
+    }
+  }
+}
+
 TEST_CASE("daemons without a way to the store stop accepting keys") {
   FollowSimulation simulation(27);
   simulation.group().RunFor(seconds(5));
