base, runtime: an exception of a library costs a session, not the process

What callers would see: with max_header_bytes over 64 KiB a header field of 65,534 bytes or more ends the daemon, with all its requests (not with the deployed 64 KiB for a whole header; found by trying lengths, not seen by anyone).

Beast throws length_error for a name or value that its tables can't hold; the parsers now refuse such a message. RunGuarded catches what else is thrown where input enters: server sessions, client calls, datagrams, signals, replies to the store's feeds, and the loop.

Left of point 1: a timer that throws before it sets itself again stays unset.

--- a/source/base/result_code.cc
+++ b/source/base/result_code.cc
@@ -129,6 +129,8 @@
      "Report this defect with the time line."},
     {kVersionForked, "version-forked", 500, kUnknown,
      "Set the tables again; two contents had one version number."},
+    {kExceptionCaught, "exception-caught", 500, kUnknown,
+     "Report this defect with the log line; only one session was closed."},
 });
 
 constexpr int kCodesInGroup = 100;
--- a/source/base/result_code.h
+++ b/source/base/result_code.h
@@ -75,6 +75,7 @@
   kNotRunAfterDispatch = 905,
   kAnswerMisdirected = 906,
   kVersionForked = 907,
+  kExceptionCaught = 908,
 };
 
 /// One row of the table of result codes.
--- a/source/daemon/wisteriayoked_main.cc
+++ b/source/daemon/wisteriayoked_main.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "base/fault.h"
 #include "base/invariant.h"
 #include "base/last_reason.h"
 #include "base/version.h"
@@ -99,6 +100,12 @@
     root.timeline().Record(LogLevel::kError, EventKind::kInvariantBroken, code,
                            {{"state", state}});
   });
+  SetFaultHandler([&root](FaultBoundary boundary, std::string_view text) {
+    root.timeline().Record(
+        LogLevel::kError, EventKind::kFaultCaught, ResultCode::kExceptionCaught,
+        {{"boundary", std::string(kFaultBoundaryNames.NameOf(boundary))},
+         {"reason", std::string(text)}});
+  });
   if (!root.Start(end)) return ReportError(end);
   loop.WatchStopSignals(
       [&root](int) { root.RequestStop(StopSource::kSignal); });
--- a/source/runtime/event_loop.cc
+++ b/source/runtime/event_loop.cc
@@ -8,6 +8,8 @@
 #include <initializer_list>
 #include <utility>
 
+#include "base/fault.h"
+
 namespace wisteriayoke {
 
 /// Calls a handler for each of a set of signals.
@@ -24,7 +26,7 @@
   void Wait() {
     signals_.async_wait([this](const asio::error_code& error, int number) {
       if (error) return;
-      handler_(number);
+      RunGuarded(FaultBoundary::kSignal, [&] { handler_(number); });
       Wait();
     });
   }
@@ -39,7 +41,8 @@
 
 void EventLoop::Run() {
   const auto guard = asio::make_work_guard(context_);
-  context_.run();
+  while (!RunGuarded(FaultBoundary::kLoop, [this] { context_.run(); })) {
+  }
 }
 
 void EventLoop::Stop() { context_.stop(); }
--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -3,6 +3,7 @@
 #include <asio/write.hpp>
 #include <utility>
 
+#include "base/fault.h"
 #include "base/overloaded.h"
 #include "wire/http_encode.h"
 
@@ -43,13 +44,19 @@
       {address, endpoint.port},
       [self = shared_from_this()](const asio::error_code& failure) {
         if (self->closed_) return;
-        if (failure) {
-          return self->Fail(ResultCode::kConnectFailed, failure.message());
-        }
-        self->Send();
+        self->RunGuardedOrClose([&self, &failure] {
+          if (!failure) return self->Send();
+          self->Fail(ResultCode::kConnectFailed, failure.message());
+        });
       });
 }
 
+/// Runs `call`, and closes the connection if it throws.
+template <typename Call>
+void HttpClientCall::RunGuardedOrClose(const Call& call) {
+  if (!RunGuarded(FaultBoundary::kClientCall, call)) Close();
+}
+
 void HttpClientCall::Send() {
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -62,8 +69,10 @@
                     [self = shared_from_this()](const asio::error_code& error,
                                                 std::size_t /*size*/) {
                       if (self->closed_ || !error) return;
-                      self->Fail(ResultCode::kConnectionBroken,
-                                 error.message());
+                      self->RunGuardedOrClose([&self, &error] {
+                        self->Fail(ResultCode::kConnectionBroken,
+                                   error.message());
+                      });
                     });
   Read();
 }
@@ -83,14 +92,17 @@
 
 void HttpClientCall::Read() {
   reading_ = true;
-  socket_.async_read_some(asio::buffer(read_buffer_),
-                          [self = shared_from_this()](
-                              const asio::error_code& error, std::size_t size) {
-                            self->reading_ = false;
-                            if (self->closed_) return;
-                            if (error) return self->HandleReadEnd(error);
-                            self->HandleRead({self->read_buffer_.data(), size});
-                          });
+  socket_.async_read_some(
+      asio::buffer(read_buffer_),
+      [self = shared_from_this()](const asio::error_code& error,
+                                  std::size_t size) {
+        self->reading_ = false;
+        if (self->closed_) return;
+        self->RunGuardedOrClose([&self, &error, size] {
+          if (error) return self->HandleReadEnd(error);
+          self->HandleRead({self->read_buffer_.data(), size});
+        });
+      });
 }
 
 void HttpClientCall::HandleRead(std::string_view data) {
--- a/source/runtime/http_client_call.h
+++ b/source/runtime/http_client_call.h
@@ -85,6 +85,8 @@
   static constexpr std::size_t kReadBytes = 16 * 1024;
 
   void Connect(const Endpoint& endpoint, HttpRequest request);
+  template <typename Call>
+  void RunGuardedOrClose(const Call& call);
   void Send();
   void Read();
   void HandleRead(std::string_view data);
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -3,6 +3,7 @@
 #include <asio/buffer.hpp>
 #include <utility>
 
+#include "base/fault.h"
 #include "wire/http_encode.h"
 
 namespace wisteriayoke {
@@ -29,13 +30,22 @@
 }
 
 void HttpServerSession::Read() {
-  socket_.async_read_some(asio::buffer(read_buffer_),
-                          [self = shared_from_this()](
-                              const asio::error_code& error, std::size_t size) {
-                            if (self->closed_) return;
-                            if (error) return self->HandleReadEnd();
-                            self->HandleRead({self->read_buffer_.data(), size});
-                          });
+  socket_.async_read_some(
+      asio::buffer(read_buffer_),
+      [self = shared_from_this()](const asio::error_code& error,
+                                  std::size_t size) {
+        if (self->closed_) return;
+        if (error) return self->HandleReadEnd();
+        self->RunGuardedOrClose([&self, size] {
+          self->HandleRead({self->read_buffer_.data(), size});
+        });
+      });
+}
+
+/// Runs `call`, and closes the connection if it throws.
+template <typename Call>
+void HttpServerSession::RunGuardedOrClose(const Call& call) {
+  if (!RunGuarded(FaultBoundary::kServerSession, call)) Close();
 }
 
 void HttpServerSession::HandleRead(std::string_view data) {
@@ -116,7 +126,8 @@
   if (!keep_alive_) close_when_idle_ = true;
   if (close_when_idle_) return;
   loop_.Post([self = shared_from_this()] {
-    if (!self->closed_ && !self->answering_) self->HandleNextRequest();
+    if (self->closed_ || self->answering_) return;
+    self->RunGuardedOrClose([&self] { self->HandleNextRequest(); });
   });
 }
 
--- a/source/runtime/http_server_session.h
+++ b/source/runtime/http_server_session.h
@@ -127,6 +127,8 @@
     return limits_.message.header_bytes + limits_.message.body_bytes;
   }
 
+  template <typename Call>
+  void RunGuardedOrClose(const Call& call);
   void Read();
   void HandleRead(std::string_view data);
   void HandleReadEnd();
--- a/source/runtime/udp_endpoint.cc
+++ b/source/runtime/udp_endpoint.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/fault.h"
+
 namespace wisteriayoke {
 
 std::shared_ptr<UdpEndpoint> UdpEndpoint::Create(EventLoop& loop,
@@ -44,7 +46,9 @@
 void UdpEndpoint::HandleReceived(std::size_t size) {
   received_bytes_ += size;
   const Endpoint from{sender_.address().to_string(), sender_.port()};
-  handler_({buffer_.data(), size}, from);
+  RunGuarded(FaultBoundary::kDatagram, [&] {
+    handler_({buffer_.data(), size}, from);
+  });
 }
 
 void UdpEndpoint::Send(std::string_view data, const Endpoint& to) {
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/fault.h"
 #include "base/invariant.h"
 #include "supervisor/context/log.h"
 #include "supervisor/context/metrics_text.h"
@@ -104,6 +105,7 @@
       Sample("tables_version", "gauge", state.version.number) +
       Sample("requests_total", "counter", state.requests_started) +
       Sample("invariants_broken_total", "counter", CountBrokenInvariants()) +
+      Sample("faults_caught_total", "counter", CountFaults()) +
       Sample("log_lines_dropped_total", "counter", CountDroppedLogLines()) +
       DescribeRelay(context) + state.metrics.Render();
   return page;
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/fault.h"
 #include "platform/relay_tables_codec.h"
 #include "platform/store_tables.h"
 
@@ -142,7 +143,11 @@
   feed.sent = context_.loop.BootNow();
   auto done = [self = shared_from_this(), &feed, whole,
                wait](const RowReply& reply) {
-    self->HandleReply(feed, whole, wait, reply);
+    // A fault must not end the feed.
+    const bool handled = RunGuarded(FaultBoundary::kStoreFeed, [&] {
+      self->HandleReply(feed, whole, wait, reply);
+    });
+    if (!handled && !self->stopped_) self->HandleFailure(feed, reply);
   };
   if (whole) {
     store_->ReadTable(feed.store_table, std::move(done));
--- a/source/wire/http_request_parser.cc
+++ b/source/wire/http_request_parser.cc
@@ -1,11 +1,11 @@
 #include "wire/http_request_parser.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "wire/http_framing.h"
+#include "wire/http_parser_input.h"
 
 namespace wisteriayoke {
 namespace {
@@ -92,7 +92,7 @@
     return false;
   }
   boost::system::error_code error;
-  state_->parser.put(boost::asio::const_buffer(input_.data(), size), error);
+  PutInput(state_->parser, header, error);
   input_.erase(0, size);
   // If Beast doesn't see the end of the header, it is part of a malformed line.
   if (!error && !state_->parser.is_header_done()) {
@@ -115,8 +115,7 @@
 bool HttpRequestParser::ParseBody(LastReason& reason) {
   boost::system::error_code error;
   if (!state_->parser.is_done() && !input_.empty()) {
-    const std::size_t used = state_->parser.put(
-        boost::asio::const_buffer(input_.data(), input_.size()), error);
+    const std::size_t used = PutInput(state_->parser, input_, error);
     input_.erase(0, used);
     state_->body_bytes_used += used;
   }
--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -1,12 +1,12 @@
 #include "wire/http_response_parser.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <utility>
 
 #include "wire/http_framing.h"
+#include "wire/http_parser_input.h"
 
 namespace wisteriayoke {
 namespace {
@@ -35,8 +35,7 @@
   while (!input_.empty() && !done()) {
     boost::system::error_code error;
     const bool head_was_done = head_done();
-    const std::size_t used = state_->parser.put(
-        boost::asio::const_buffer(input_.data(), input_.size()), error);
+    const std::size_t used = PutInput(state_->parser, input_, error);
     input_.erase(0, used);
     if (!head_was_done && head_done() &&
         !HasClearFraming(head, head.version())) {
--- a/tests/wire/http_parser_test.cc
+++ b/tests/wire/http_parser_test.cc
@@ -46,6 +46,31 @@
   }
 }
 
+// Guards against a header field that ends the process: Beast throws for names
+// and values that it can't store.
+TEST_CASE("a header field of any length is parsed or refused") {
+  constexpr std::uint32_t kHeaderLimit = 1024 * 1024;
+  for (const std::size_t size :
+       {60'000U, 65'533U, 65'534U, 65'536U, 200'000U}) {
+    const std::string text(size, 'a');
+    for (const std::string& field : {"A: " + text, text + ": a"}) {
+      CAPTURE(size);
+      LastReason reason;
+      HttpRequestParser requests({.header_bytes = kHeaderLimit});
+      requests.Push("GET / HTTP/1.1\r\nHost: h\r\n" + field + "\r\n\r\n");
+      const bool parsed = requests.Next(reason).has_value();
+      CHECK(parsed != (reason.code() == ResultCode::kHeaderTooLarge));
+      CHECK(parsed == (size <= 65'533U));
+      reason.Clear();
+      HttpResponseParser responses({.header_bytes = kHeaderLimit}, false);
+      const bool taken = responses.Push(
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + field + "\r\n\r\n",
+          reason);
+      CHECK(taken == (size <= 65'533U));
+    }
+  }
+}
+
 TEST_CASE("only requests that usually have a body tell that theirs is empty") {
   for (const char* method : {"POST", "PUT", "GET", "DELETE"}) {
     CAPTURE(method);
