store_follower: no change between the pages of a long table is missed

Cause: the mirror's position never is below its newest row. A row of a later page that is newer than the first page moved it past changes in earlier pages, and the feed went on from there. Such a row now counts as of the first page's version.

'no change between the pages of a long table is missed' (1,200 rows, changes after each of the first two pages) ran into its limit before. The stand-in store has pages of 500 rows now.

A fault in a reply of the store makes the feed go on after 400 ms: counted as a failed call it would have been retried each 50 ms.

--- a/source/standins/fake_row_store.cc
+++ b/source/standins/fake_row_store.cc
@@ -10,6 +10,8 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kRowsPrefix = "/rows/";
+/// Most rows of a page, as at the platform.
+constexpr std::size_t kMaxRows = 500;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
@@ -124,15 +126,25 @@
   return rows;
 }
 
-void FakeRowStore::Answer(const Caller& caller, int status,
-                          const Json& rows) const {
-  const Json body = {{"Rows", rows}, {"HasMore", false}, {"Ver", version_}};
+void FakeRowStore::Answer(const Caller& caller, int status, const Json& rows,
+                          bool has_more) const {
+  const Json body = {{"Rows", rows}, {"HasMore", has_more}, {"Ver", version_}};
   caller->Respond({{status, {}}, body.dump()});
 }
 
 void FakeRowStore::AnswerGet(const HttpRequest& request,
                              const Caller& caller) const {
-  Answer(caller, kOk, List(ReadParameter(request.target, "Table"), 0, false));
+  // A page begins after the last key of the one before, which a zero byte ends.
+  std::string from = ReadParameter(request.target, "From");
+  from = from.substr(0, from.find("%00"));
+  Json rows = Json::array();
+  for (auto& row : List(ReadParameter(request.target, "Table"), 0, false)) {
+    if (from.empty() || row["Key"] > from) rows.push_back(std::move(row));
+  }
+  const bool has_more = rows.size() > kMaxRows;
+  if (has_more) rows.erase(rows.begin() + kMaxRows, rows.end());
+  Answer(caller, kOk, rows, has_more);
+  if (has_more && on_page_) on_page_();
 }
 
 void FakeRowStore::AnswerFeed(const HttpRequest& request,
--- a/source/standins/fake_row_store.h
+++ b/source/standins/fake_row_store.h
@@ -2,6 +2,7 @@
 #define WISTERIAYOKE_STANDINS_FAKE_ROW_STORE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -58,6 +59,10 @@
   /// Leaves the calls that wait for changes of `table` without an answer, as if
   /// their connections were lost.
   void LoseWaiting(const std::string& table);
+  /// Calls `handler` after each page of a table that more pages follow.
+  void set_on_page(std::function<void()> handler) {
+    on_page_ = std::move(handler);
+  }
   /// Number of requests of the platform's protocol received.
   int calls() const { return calls_; }
 
@@ -84,7 +89,8 @@
   void HandleRow(const HttpRequest& request, const Caller& caller);
   Json List(const std::string& table, std::uint64_t after,
             bool include_removed) const;
-  void Answer(const Caller& caller, int status, const Json& rows) const;
+  void Answer(const Caller& caller, int status, const Json& rows,
+              bool has_more = false) const;
   void AnswerGet(const HttpRequest& request, const Caller& caller) const;
   void AnswerFeed(const HttpRequest& request, const Caller& caller);
   void EndWait(Caller caller);
@@ -96,6 +102,7 @@
   std::uint64_t version_ = 0;
   StoreFault fault_ = StoreFault::kNone;
   int calls_ = 0;
+  std::function<void()> on_page_;
   std::vector<Waiter> waiting_;
   std::vector<Caller> unanswered_;  ///< Callers left without an answer.
 };
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -46,14 +46,18 @@
   return std::min(delay, kMaxRetryDelay);
 }
 
-/// Converts a page of the store. One of changes follows on `head`.
+/// Converts a page of the store. One of changes follows on `head`. A row of a
+/// whole table that changed while its pages were read counts as of their first
+/// one, so that the feed goes on from there and misses no earlier change.
 MirrorChanges ConvertPage(const RowPage& page, bool whole, std::uint64_t head) {
   MirrorChanges changes{.head = whole ? page.version : head,
                         .position = page.version,
                         .whole = whole};
   for (const auto& row : page.rows) {
-    changes.head = std::max(changes.head, row.version);
-    changes.rows.push_back({row.key, row.value, row.version, row.removed});
+    const std::uint64_t version =
+        whole ? std::min(row.version, page.version) : row.version;
+    changes.head = std::max(changes.head, version);
+    changes.rows.push_back({row.key, row.value, version, row.removed});
   }
   return changes;
 }
@@ -143,11 +147,11 @@
   feed.sent = context_.loop.BootNow();
   auto done = [self = shared_from_this(), &feed, whole,
                wait](const RowReply& reply) {
-    // A fault must not end the feed.
     const bool handled = RunGuarded(FaultBoundary::kStoreFeed, [&] {
       self->HandleReply(feed, whole, wait, reply);
     });
-    if (!handled && !self->stopped_) self->HandleFailure(feed, reply);
+    // The next page may be sound.
+    if (!handled && !self->stopped_) self->Schedule(kMaxRetryDelay, feed);
   };
   if (whole) {
     store_->ReadTable(feed.store_table, std::move(done));
@@ -201,7 +205,7 @@
         LogLevel::kWarning, EventKind::kStoreLost, reply.code,
         {{"table", feed.store_table},
          {"reason", reply.message},
-         {"call_us", DescribeWait(feed)},
+         {"call_us", DescribeCallTime(feed)},
          {"answer_age_us", DescribeAnswerAge(feed)}});
   }
   Schedule(RetryDelay(feed.failures), feed);
@@ -213,7 +217,7 @@
                                  ResultCode::kOk,
                                  {{"table", feed.store_table},
                                   {"failures", std::to_string(feed.failures)},
-                                  {"call_us", DescribeWait(feed)},
+                                  {"call_us", DescribeCallTime(feed)},
                                   {"answer_age_us", DescribeAnswerAge(feed)}});
   feed.failures = 0;
   ReplaceOlderCall(&feed == &tables_ ? entries_ : tables_, feed.sent);
@@ -231,7 +235,7 @@
 }
 
 /// Returns how long the last call has taken, in microseconds.
-std::string StoreFollower::DescribeWait(const ChangeFeed& feed) const {
+std::string StoreFollower::DescribeCallTime(const ChangeFeed& feed) const {
   return std::to_string((context_.loop.BootNow() - feed.sent).count());
 }
 
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -64,7 +64,7 @@
   void HandleFailure(ChangeFeed& feed, const RowReply& reply);
   void RecordReturn(ChangeFeed& feed);
   void ReplaceOlderCall(ChangeFeed& feed, BootTime sent);
-  std::string DescribeWait(const ChangeFeed& feed) const;
+  std::string DescribeCallTime(const ChangeFeed& feed) const;
   std::string DescribeAnswerAge(const ChangeFeed& feed) const;
   void ConfirmEntries(const ChangeFeed& feed);
   EntriesSource DescribeSource(std::string name) const;
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -171,6 +171,33 @@
   CHECK(IsKnown("i-2"));
 }
 
+// Guards against a change that is missed because it is made in a page that was
+// already read, while a later page has a newer one.
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "no change between the pages of a long table is missed") {
+  constexpr int kRows = 1200;
+  const auto name = [](int i) { return "i-" + std::to_string(10'000 + i); };
+  store.Put("op", "config", MakeDocument(5, "k1"));
+  for (int i = 0; i < kRows; ++i) {
+    store.Put("servers", name(i), MakeEntry("ready"));
+  }
+  int pages = 0;
+  store.set_on_page([&] {
+    const int first = 500 * pages++;
+    store.Put("servers", name(first), MakeEntry("draining"));
+    store.Drop("servers", name(first + 1));
+    store.Put("servers", name(kRows - 1 - pages), MakeEntry("draining"));
+  });
+  Start();
+  RunUntil([&] {
+    return IsKnown(name(kRows - 1).c_str()) && !IsKnown(name(1).c_str()) &&
+           !IsKnown(name(501).c_str());
+  });
+  CHECK(pages == 2);
+  CHECK(state.relay.fleet.entries().size() == kRows - 2);
+  CHECK(state.relay.fleet.ListAvailable(PoolName("s")).size() == kRows - 6);
+}
+
 TEST_CASE_FIXTURE(FollowerFixture, "an invalid entry doesn't affect others") {
   store.Put("op", "config", MakeDocument(5, "k1"));
   store.Put("servers", "i-1", MakeEntry("ready"));
