--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -97,8 +97,11 @@
 void StoreFollower::Stop(const std::function<void()>& done) {
   stopped_ = true;
   peer_views_.reset();
-  tables_.timer.reset();
-  entries_.timer.reset();
+  for (ChangeFeed* feed : {&tables_, &entries_}) {
+    feed->timer.reset();
+    // The call refers to this object, which holds it.
+    if (const auto call = std::exchange(feed->call, nullptr)) call->Cancel();
+  }
   expiry_timer_.reset();
   done();
 }
