--- a/source/decisions/member_table.cc
+++ b/source/decisions/member_table.cc
@@ -56,6 +56,22 @@
   if (found != entries_.end()) found->second.last_contact = now;
 }
 
+bool MemberTable::HasContactSince(const DaemonName& name,
+                                  TimePoint since) const {
+  const auto found = entries_.find(name);
+  return found != entries_.end() && found->second.last_contact >= since;
+}
+
+bool MemberTable::Reinstate(const DaemonName& name, TimePoint now) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end()) return false;
+  Entry& entry = found->second;
+  if (entry.member.status != MemberStatus::kSuspect) return false;
+  entry.member.status = MemberStatus::kAlive;
+  entry.changed = now;
+  return true;
+}
+
 const MemberTable::Entry& MemberTable::NextInRound() {
   while (true) {
     if (next_in_round_ >= round_.size()) Shuffle();
--- a/source/decisions/member_table.h
+++ b/source/decisions/member_table.h
@@ -35,6 +35,14 @@
   /// Records that a datagram came from the member called `name`.
   void RecordContact(const DaemonName& name, TimePoint now);
 
+  /// Returns whether a datagram came from the member called `name` at `since`
+  /// or later.
+  bool HasContactSince(const DaemonName& name, TimePoint since) const;
+
+  /// Makes the suspected member called `name` alive at its incarnation. Returns
+  /// whether it was suspected.
+  bool Reinstate(const DaemonName& name, TimePoint now);
+
   /// Returns the next present member to probe, in rounds of random order, or
   /// null if there is none. Members that sent nothing since `silent_since` come
   /// before members that did.
--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -62,40 +62,104 @@
 }
 
 void Membership::HandleTick() {
+  Postpone(health_.RecordTick(now_));
+  if (wanted_incarnation_ > self_.incarnation) AdoptIncarnation();
+  if (announcement_due_) GossipNow({});
+  ContinueProbes();
   ExpireSuspects();
+  if (now_ - period_started_ < kPeriod) return;
+  period_started_ = now_;
   std::erase_if(relayed_pings_, [this](const auto& item) {
-    return now_ - item.second.started >= kPeriod;
+    return now_ - item.second.started >= kProbeRetention;
   });
-  if (probe_ && now_ - probe_->started < kPeriod) return ContinueProbe();
-  if (probe_ && !probe_->answered) Suspect(probe_->target);
   gossip_.Expire(now_);
   members_.Expire(now_);
+  suspicions_.Expire(now_);
   StartProbe();
+  ProbeSuspects();
 }
 
-void Membership::ContinueProbe() {
-  if (probe_->answered || probe_->indirect) return;
-  if (now_ - probe_->started < kProbeTimeout) return;
-  probe_->indirect = true;
-  const Endpoint& target = probe_->target.endpoint;
-  for (const auto& helper : members_.Sample(kIndirectProbes, target)) {
-    Send(helper.endpoint, PingRequest{probe_->sequence, target});
+void Membership::Postpone(Duration pause) {
+  if (pause == Duration::zero()) return;
+  for (auto& [sequence, probe] : probes_) probe.started += pause;
+  suspicions_.Postpone(pause);
+}
+
+void Membership::ContinueProbes() {
+  std::erase_if(probes_, [this](const auto& item) {
+    return now_ - item.second.started >= kProbeRetention;
+  });
+  for (auto& [sequence, probe] : probes_) {
+    if (probe.failed) continue;
+    const Duration age = now_ - probe.started;
+    if (age >= ProbeTime(probe)) {
+      FailProbe(probe);
+    } else if (!probe.check && !probe.indirect && age >= ProbeTimeout(probe)) {
+      probe.indirect = true;
+      RequestIndirect(sequence, probe);
+    }
   }
 }
 
+Duration Membership::ProbeTimeout(const Probe& probe) const {
+  return std::min<Duration>(
+      delays_.TimeoutOf(probe.target.name, health_.score() > 0) *
+          (1 + health_.score()),
+      ProbeDelays::kMost);
+}
+
+Duration Membership::ProbeTime(const Probe& probe) const {
+  // Leaves the helpers more time than the direct probe had.
+  return std::max<Duration>(probe.check ? kCheckTime : kPeriod,
+                            ProbeTimeout(probe) * 5 / 2);
+}
+
+void Membership::RequestIndirect(std::uint32_t sequence, const Probe& probe) {
+  // A daemon in poor health would burden the others with most of its probes.
+  const auto score = static_cast<std::size_t>(health_.score());
+  const std::size_t helpers =
+      score < kIndirectProbes ? kIndirectProbes - score : 1;
+  const Endpoint& target = probe.target.endpoint;
+  for (const auto& helper : members_.Sample(helpers, target)) {
+    Send(helper.endpoint, PingRequest{sequence, target});
+  }
+}
+
+void Membership::FailProbe(Probe& probe) {
+  probe.failed = true;
+  const Member* known = members_.Find(probe.target.name);
+  if (known == nullptr || known->status != MemberStatus::kAlive) return;
+  health_.RecordProbe(false);
+  // A message that came meanwhile is worth as much as the answer.
+  if (members_.HasContactSince(known->name, probe.started)) return;
+  Suspect(*known);
+}
+
 void Membership::StartProbe() {
   const Member* target = members_.NextToProbe(now_ - kPeriod);
-  // A period without a target gets an empty probe marked as answered.
-  probe_ = Probe{.target = target == nullptr ? Member{} : *target,
-                 .sequence = next_sequence_++,
-                 .started = now_,
-                 .answered = target == nullptr};
-  if (target != nullptr) {
-    Send(probe_->target.endpoint, Ping{probe_->sequence});
-  }
+  if (target != nullptr && !IsProbed(target->name)) SendProbe(*target, false);
   if (target == nullptr || ++periods_ % kContactPeriods == 0) ContactAbsent();
 }
 
+void Membership::ProbeSuspects() {
+  for (const auto& name : suspicions_.TakeOwn(kSuspectsProbed)) {
+    const Member* suspect = members_.Find(name);
+    if (suspect != nullptr) Send(suspect->endpoint, Ping{next_sequence_++});
+  }
+}
+
+void Membership::SendProbe(const Member& target, bool check) {
+  const std::uint32_t sequence = next_sequence_++;
+  probes_[sequence] = {.target = target, .started = now_, .check = check};
+  Send(target.endpoint, Ping{sequence});
+}
+
+bool Membership::IsProbed(const DaemonName& name) const {
+  return std::any_of(probes_.begin(), probes_.end(), [&](const auto& item) {
+    return !item.second.failed && item.second.target.name == name;
+  });
+}
+
 void Membership::ContactAbsent() {
   std::vector<Endpoint> contacts;
   for (const auto& seed : seeds_) {
@@ -116,41 +180,115 @@
   }
 }
 
-Duration Membership::SuspicionTime() const {
-  return kPeriod * std::bit_width(group_size() - 1);
+SuspicionTimes Membership::ChooseSuspicionTimes() const {
+  const std::size_t group = group_size();
+  const Duration least = kPeriod * std::bit_width(group - 1);
+  return {.least = std::min<Duration>(least * (1 + health_.score()),
+                                      kLongestSuspicion),
+          .most = kLongestSuspicion,
+          .confirmations =
+              std::min(kConfirmations, std::max<std::size_t>(group, 2) - 2)};
 }
 
 void Membership::Suspect(const Member& member) {
-  const Member* known = members_.Find(member.name);
-  if (known == nullptr || known->status != MemberStatus::kAlive) return;
-  Member record = *known;
+  Member record = member;
   record.status = MemberStatus::kSuspect;
-  ApplyRecord(record);
-  GossipNow({});
+  suspicions_.AddOwn(record.name, record.incarnation, now_);
+  if (!StoreRecord(record)) return;
+  if (const auto accuser = suspicions_.FirstAccuser(record.name)) {
+    const Member* asking = members_.Find(*accuser);
+    if (asking != nullptr) Send(asking->endpoint, GossipNotice{});
+  }
+  GossipNow(record.endpoint);
 }
 
 void Membership::ExpireSuspects() {
-  std::vector<Member> dead;
-  for (const auto& [name, deadline] : suspects_) {
-    if (now_ < deadline) continue;
-    if (const Member* known = members_.Find(name)) dead.push_back(*known);
+  bool announce = false;
+  for (const auto& name : suspicions_.ListDue(ChooseSuspicionTimes(), now_)) {
+    const Member* known = members_.Find(name);
+    suspicions_.Clear(name);
+    if (known == nullptr) continue;
+    Member dead = *known;
+    dead.status = MemberStatus::kDead;
+    announce |= StoreRecord(dead);
   }
-  for (auto& member : dead) {
-    member.status = MemberStatus::kDead;
-    ApplyRecord(member);
-  }
-  if (!dead.empty()) GossipNow({});
+  if (announce) GossipNow({});
 }
 
-void Membership::ApplyRecord(const Member& record, bool from_list) {
+void Membership::ApplyRecord(const Member& record, const DaemonName& sender,
+                             bool from_list) {
   if (record.name == self_.name) return Refute(record);
-  if (!members_.Merge(record, now_)) return;
-  suspects_.erase(record.name);
-  if (record.status == MemberStatus::kSuspect) {
-    suspects_[record.name] = now_ + SuspicionTime();
+  const Member* known = members_.Find(record.name);
+  const bool same =
+      known != nullptr && known->incarnation == record.incarnation;
+  switch (record.status) {
+    case MemberStatus::kAlive:
+      if (same) suspicions_.RemoveAccuser(record.name, sender);
+      StoreRecord(record, from_list);
+      return;
+    case MemberStatus::kSuspect:
+      return HandleAccusation(record, sender);
+    case MemberStatus::kDead:
+      if (same && members_.HasContactSince(record.name, now_ - kFreshContact)) {
+        return;
+      }
+      if (StoreRecord(record) && known != nullptr) GossipNow({});
+      return;
+    case MemberStatus::kLeft:
+      StoreRecord(record);
+      return;
   }
+}
+
+bool Membership::StoreRecord(const Member& record, bool from_list) {
+  const Member* known = members_.Find(record.name);
+  const std::uint64_t incarnation = known == nullptr ? 0 : known->incarnation;
+  if (!members_.Merge(record, now_)) return false;
+  if (record.incarnation > incarnation || !record.present()) {
+    suspicions_.Clear(record.name);
+  }
+  if (!record.present()) delays_.Drop(record.name);
   if (!from_list) gossip_.AddMember(record);
   actions_.emplace_back(MemberChanged{record});
+  return true;
+}
+
+void Membership::RecordLife(const Member& sender) {
+  StoreRecord(sender);
+  const Member* known = members_.Find(sender.name);
+  if (known == nullptr || known->incarnation != sender.incarnation) return;
+  if (!sender.present()) return;
+  members_.RecordContact(sender.name, now_);
+  Reinstate(sender.name);
+}
+
+void Membership::Reinstate(const DaemonName& name) {
+  suspicions_.Clear(name);
+  if (!members_.Reinstate(name, now_)) return;
+  const Member& member = *members_.Find(name);
+  gossip_.AddMember(member);
+  actions_.emplace_back(MemberChanged{member});
+}
+
+void Membership::HandleAccusation(const Member& record,
+                                  const DaemonName& accuser) {
+  Member alive = record;
+  alive.status = MemberStatus::kAlive;
+  StoreRecord(alive);
+  const Member* known = members_.Find(record.name);
+  if (known == nullptr || known->incarnation != record.incarnation ||
+      !known->present() ||
+      members_.HasContactSince(record.name, now_ - kFreshContact)) {
+    return;
+  }
+  suspicions_.AddAccuser(record.name, record.incarnation, accuser, now_);
+  if (known->status == MemberStatus::kSuspect || IsProbed(record.name)) return;
+  if (suspicions_.CountAccusers(record.name) > kConfirmations) return;
+  const auto checks =
+      std::count_if(probes_.begin(), probes_.end(), [](const auto& item) {
+        return item.second.check && !item.second.failed;
+      });
+  if (static_cast<std::size_t>(checks) < kMaxChecks) SendProbe(*known, true);
 }
 
 void Membership::Refute(const Member& record) {
@@ -160,7 +298,14 @@
       record.status == MemberStatus::kAlive) {
     return;
   }
-  self_.incarnation = record.incarnation + 1;
+  wanted_incarnation_ = std::max(wanted_incarnation_, record.incarnation + 1);
+  AdoptIncarnation();
+}
+
+void Membership::AdoptIncarnation() {
+  if (now_ - refuted_ < kRefuteInterval) return;
+  refuted_ = now_;
+  self_.incarnation = wanted_incarnation_;
   gossip_.AddMember(self_);
   GossipNow({});
 }
@@ -168,12 +313,12 @@
 void Membership::HandleMessage(const PeerMessageArrived& event) {
   const PeerMessage& message = event.message;
   if (message.sender.name == self_.name) return;
-  ApplyRecord(message.sender);
-  members_.RecordContact(message.sender.name, now_);
+  RecordLife(message.sender);
   // The other members already know the list that a joining daemon receives.
   const bool joining = now_ - joined_ < kJoinTime;
   for (const auto& member : message.members) {
-    ApplyRecord(member, joining && member.status == MemberStatus::kAlive);
+    ApplyRecord(member, message.sender.name,
+                joining && member.status == MemberStatus::kAlive);
   }
   if (message.head.number > 0) {
     actions_.emplace_back(TableHeadReceived{message.head, event.from});
@@ -184,7 +329,7 @@
                  [&](const PingRequest& request) {
                    HandlePingRequest(request, event.from);
                  },
-                 [&](const Ack& ack) { HandleAck(ack); },
+                 [&](const Ack& ack) { HandleAck(ack, message.sender); },
                  [](const GossipNotice&) {},
                  [&](const InFlightCountsNotice& notice) {
                    actions_.emplace_back(InFlightCountsReceived{
@@ -206,8 +351,19 @@
   Send(request.target, Ping{sequence});
 }
 
-void Membership::HandleAck(const Ack& ack) {
-  if (probe_ && probe_->sequence == ack.sequence) probe_->answered = true;
+void Membership::HandleAck(const Ack& ack, const Member& sender) {
+  const auto probed = probes_.find(ack.sequence);
+  if (probed != probes_.end()) {
+    const Probe probe = probed->second;
+    probes_.erase(probed);
+    const Member* known = members_.Find(probe.target.name);
+    if (sender.name == probe.target.name) {
+      delays_.Record(sender.name, now_ - probe.started);
+    } else if (known != nullptr && known->present()) {
+      Reinstate(probe.target.name);
+    }
+    if (!probe.failed) health_.RecordProbe(true);
+  }
   const auto relay = relayed_pings_.find(ack.sequence);
   if (relay == relayed_pings_.end()) return;
   Send(relay->second.requester, Ack{relay->second.sequence});
@@ -242,6 +398,8 @@
 }
 
 void Membership::GossipNow(const Endpoint& excluded) {
+  announcement_due_ = !announcements_.Take(now_);
+  if (announcement_due_) return;
   for (const auto& peer : members_.Sample(kFanout, excluded)) {
     Send(peer.endpoint, GossipNotice{});
   }
--- a/source/decisions/membership.h
+++ b/source/decisions/membership.h
@@ -9,8 +9,12 @@
 #include <vector>
 
 #include "decisions/gossip_queue.h"
+#include "decisions/local_health.h"
 #include "decisions/member_table.h"
 #include "decisions/peer_message.h"
+#include "decisions/probe_delays.h"
+#include "decisions/send_allowance.h"
+#include "decisions/suspicions.h"
 
 namespace wisteriayoke {
 
@@ -91,14 +95,33 @@
 /// Maintains the group of daemons with the SWIM protocol. In each period a
 /// daemon probes one other. If that one doesn't answer, the daemon requests
 /// indirect probes from others, suspects it, and declares it dead unless it
-/// refutes. The cost for each daemon doesn't grow with the group.
+/// gives a sign of life. A daemon that hears of a suspicion probes the member
+/// itself, and suspects it only if it gets no answer either. The cost for each
+/// daemon doesn't grow with the group.
 class Membership {
  public:
   static constexpr Duration kTickInterval = std::chrono::milliseconds(30);
   /// Time between two probes.
   static constexpr Duration kPeriod = std::chrono::milliseconds(150);
-  /// Time to wait for an answer before indirect probes are requested.
-  static constexpr Duration kProbeTimeout = std::chrono::milliseconds(60);
+  /// Longest time of a suspicion that no other member confirms.
+  static constexpr Duration kLongestSuspicion = std::chrono::milliseconds(3500);
+  /// Number of other members whose suspicion makes the time shortest.
+  static constexpr std::size_t kConfirmations = 3;
+  /// Time after a message from a member in which suspicions and deaths that
+  /// others report of it, at the same incarnation, don't count.
+  static constexpr Duration kFreshContact = std::chrono::milliseconds(300);
+  /// Least time of a probe that checks the suspicion of another member.
+  static constexpr Duration kCheckTime = std::chrono::milliseconds(225);
+  /// Maximum number of such probes at a time.
+  static constexpr std::size_t kMaxChecks = 2;
+  /// Suspects that are probed again in each period.
+  static constexpr std::size_t kSuspectsProbed = 2;
+  /// How long a probe is kept, so that a late answer is measured.
+  static constexpr Duration kProbeRetention = std::chrono::seconds(2);
+  /// Least time between two refutations.
+  static constexpr Duration kRefuteInterval = std::chrono::milliseconds(500);
+  /// Number of times in a period that news is sent to `kFanout` members.
+  static constexpr unsigned kAnnouncements = 1;
   /// Number of members requested to probe one that doesn't answer.
   static constexpr std::size_t kIndirectProbes = 3;
   /// Number of members that are sent new information at once.
@@ -139,13 +162,12 @@
   std::size_t group_size() const { return members_.CountPresent() + 1; }
 
  private:
-  /// The probe of the current period.
   struct Probe {
     Member target;
-    std::uint32_t sequence = 0;
     TimePoint started;
-    bool indirect = false;
-    bool answered = false;
+    bool check = false;     ///< Checks the suspicion of another member.
+    bool indirect = false;  ///< Indirect probes were requested.
+    bool failed = false;    ///< Only a late answer is awaited.
   };
   /// A ping sent on behalf of another daemon.
   struct RelayedPing {
@@ -158,25 +180,42 @@
   void HandleMessage(const PeerMessageArrived& event);
   void HandlePing(const Ping& ping, const Endpoint& from);
   void HandlePingRequest(const PingRequest& request, const Endpoint& from);
-  void HandleAck(const Ack& ack);
+  void HandleAck(const Ack& ack, const Member& sender);
   void HandleUpdate(const GossipUpdate& update, const Endpoint& source);
   void HandleCounts(const InFlightCountsPosted& event);
   void HandleLeave();
 
-  void ContinueProbe();
+  /// Lets `pause`, in which this daemon didn't run, count for no member.
+  void Postpone(Duration pause);
+  void ContinueProbes();
+  void RequestIndirect(std::uint32_t sequence, const Probe& probe);
+  void FailProbe(Probe& probe);
   void StartProbe();
+  void ProbeSuspects();
+  void SendProbe(const Member& target, bool check);
+  bool IsProbed(const DaemonName& name) const;
+  Duration ProbeTimeout(const Probe& probe) const;
+  Duration ProbeTime(const Probe& probe) const;
   void ContactAbsent();
   void ExpireSuspects();
-  /// Applies a member record. One `from_list` isn't passed on by gossip, since
-  /// the other members know it.
-  void ApplyRecord(const Member& record, bool from_list = false);
+  /// Applies a record that `sender` listed. One `from_list` isn't passed on by
+  /// gossip, since the other members know it.
+  void ApplyRecord(const Member& record, const DaemonName& sender,
+                   bool from_list);
+  /// Stores a record if it is newer than the known one.
+  bool StoreRecord(const Member& record, bool from_list = false);
+  /// Takes a message from a member as a sign of life at its incarnation.
+  void RecordLife(const Member& sender);
+  void Reinstate(const DaemonName& name);
+  void HandleAccusation(const Member& record, const DaemonName& accuser);
   void Refute(const Member& record);
+  void AdoptIncarnation();
   void Suspect(const Member& member);
   void GossipNow(const Endpoint& excluded);
   void SendMemberList(const Endpoint& to);
   void Send(const Endpoint& to, PeerContent content);
   PeerMessage MakeMessage(PeerContent content) const;
-  Duration SuspicionTime() const;
+  SuspicionTimes ChooseSuspicionTimes() const;
 
   Member self_;
   std::vector<Endpoint> seeds_;
@@ -184,9 +223,17 @@
   MemberTable members_;
   GossipQueue gossip_;
   TableVersion head_;
-  std::optional<Probe> probe_;
+  LocalHealth health_{kTickInterval};
+  ProbeDelays delays_;
+  Suspicions suspicions_;
+  SendAllowance announcements_{kAnnouncements, kPeriod};
+  bool announcement_due_ = false;
+  std::map<std::uint32_t, Probe> probes_;  ///< By sequence number.
+  TimePoint period_started_{-kPeriod};
+  TimePoint refuted_{-kRefuteInterval};  ///< Time of the latest refutation.
+  /// Incarnation that refutes what others say of this daemon.
+  std::uint64_t wanted_incarnation_ = 0;
   std::map<std::uint32_t, RelayedPing> relayed_pings_;
-  std::map<DaemonName, TimePoint> suspects_;  ///< When each is declared dead.
   std::uint32_t next_sequence_ = 1;
   unsigned periods_ = 0;
   TimePoint joined_{-kJoinTime};  ///< Time of the latest attempt to join.
--- a/tests/decisions/membership_simulation.h
+++ b/tests/decisions/membership_simulation.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_TESTS_DECISIONS_MEMBERSHIP_SIMULATION_H_
 #define WISTERIAYOKE_TESTS_DECISIONS_MEMBERSHIP_SIMULATION_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,6 +20,8 @@
 class MembershipSimulation {
  public:
   static constexpr std::size_t kFirstPort = 7000;
+  /// Datagrams that wait for a slow daemon at most.
+  static constexpr std::size_t kReceiveQueue = 128;
 
   /// Called with each message when it is sent.
   using Observer = std::function<void(std::size_t from, const PeerMessage&)>;
@@ -63,6 +66,28 @@
     daemons_[i].partition = partition;
   }
   void SetLoss(unsigned percent) { loss_percent_ = percent; }
+  /// Multiplies the delay of each message by the factor of its link.
+  void SetLinkFactor(
+      std::function<unsigned(std::size_t from, std::size_t to)> factor) {
+    link_factor_ = std::move(factor);
+  }
+  /// Makes daemon `i` take `time` for each tick and each datagram. Datagrams
+  /// that find its queue full are lost.
+  void SetHandlingTime(std::size_t i, Duration time) {
+    daemons_[i].handling = time;
+  }
+  /// Makes all daemons known to each other, as after a long time of calm.
+  void Introduce() {
+    RunFor(std::chrono::milliseconds(100));
+    for (std::size_t i = 0; i < size(); ++i) {
+      const std::size_t from = i == 0 ? 1 : 0;
+      PeerMessage list{.sender = membership(from).self()};
+      for (std::size_t j = 0; j < size(); ++j) {
+        list.members.push_back(membership(j).self());
+      }
+      Feed(i, PeerMessageArrived{list, EndpointOf(from)});
+    }
+  }
   void set_observer(Observer observer) { observer_ = std::move(observer); }
   void set_handler(Handler handler) { handler_ = std::move(handler); }
   /// Called with each message before it is sent, to complete it.
@@ -129,6 +154,9 @@
     bool paused = false;
     unsigned partition = 0;
     unsigned generation = 0;
+    Duration handling{};
+    std::size_t queued = 0;
+    TimePoint busy_until{};
   };
   struct Event {
     TimePoint time;
@@ -143,9 +171,25 @@
 
   void ScheduleTick(std::size_t i, unsigned generation, TimePoint time) {
     Schedule(time, [this, i, generation] {
-      if (daemons_[i].generation != generation) return;
-      Feed(i, PeerTick{});
-      ScheduleTick(i, generation, now_ + Membership::kTickInterval);
+      Enter(i, [this, i, generation] {
+        if (daemons_[i].generation != generation) return;
+        Feed(i, PeerTick{});
+        ScheduleTick(i, generation, now_ + Membership::kTickInterval);
+      });
+    });
+  }
+
+  /// Calls `call` when daemon `i` has handled what came before it.
+  void Enter(std::size_t i, std::function<void()> call) {
+    Daemon& daemon = daemons_[i];
+    if (daemon.handling == Duration::zero() && daemon.queued == 0) {
+      return call();
+    }
+    daemon.busy_until = std::max(now_, daemon.busy_until) + daemon.handling;
+    ++daemon.queued;
+    Schedule(daemon.busy_until, [this, i, call = std::move(call)] {
+      --daemons_[i].queued;
+      call();
     });
   }
 
@@ -156,22 +200,29 @@
     if (random_() % 100 < loss_percent_) return;
     const std::size_t to = send.to.port - kFirstPort;
     if (daemons_[to].partition != daemons_[from].partition) return;
-    const Duration delay(static_cast<Duration::rep>(250 + random_() % 2000));
+    Duration delay(static_cast<Duration::rep>(250 + random_() % 2000));
+    if (link_factor_) delay *= link_factor_(from, to);
     Schedule(now_ + delay, [this, from, to, message = std::move(message)] {
-      Feed(to, PeerMessageArrived{message, EndpointOf(from)});
-      const Daemon& receiver = daemons_[to];
-      if (receiver_ && receiver.running && !receiver.paused) {
-        receiver_(to, message, from);
-      }
+      if (daemons_[to].queued >= kReceiveQueue) return;
+      Enter(to, [this, from, to, message] { Receive(to, message, from); });
     });
   }
 
+  void Receive(std::size_t to, const PeerMessage& message, std::size_t from) {
+    Feed(to, PeerMessageArrived{message, EndpointOf(from)});
+    const Daemon& receiver = daemons_[to];
+    if (receiver_ && receiver.running && !receiver.paused) {
+      receiver_(to, message, from);
+    }
+  }
+
   std::vector<Daemon> daemons_;
   std::priority_queue<Event, std::vector<Event>, Later> events_;
   std::mt19937_64 random_;
   std::uint64_t next_order_ = 0;
   unsigned loss_percent_ = 0;
   TimePoint now_{};
+  std::function<unsigned(std::size_t, std::size_t)> link_factor_;
   Observer observer_;
   Handler handler_;
   std::function<void(std::size_t, PeerMessage&)> stamp_;
