membership: deaths pass before refutations, each daemon watches its successor

A crowded queue of refutations held up records of deaths among 320 daemons. Half of the records in a message are now of absent members while there are any.

--- a/source/decisions/gossip_queue.cc
+++ b/source/decisions/gossip_queue.cc
@@ -56,11 +56,22 @@
 
 std::vector<Member> GossipQueue::TakeMembers(std::size_t group_size) {
   const unsigned max_sent = CountTransmissions(group_size);
-  const std::size_t count = SortAndCount(members_, kMembersInMessage, max_sent);
+  SortAndCount(members_, members_.size(), max_sent);
   std::vector<Member> taken;
-  for (std::size_t i = 0; i < count; ++i) {
-    taken.push_back(members_[i].member);
-    ++members_[i].sent;
+  const auto take = [&taken](MemberItem& item) {
+    taken.push_back(item.member);
+    ++item.sent;
+  };
+  // Many refutations at a time must not hold up deaths, nor the reverse.
+  for (auto& item : members_) {
+    if (taken.size() == kAbsentFirst) break;
+    if (!item.member.present()) take(item);
+  }
+  const std::size_t absent = taken.size();
+  for (auto& item : members_) {
+    if (taken.size() == kMembersInMessage) break;
+    const auto end = taken.begin() + static_cast<std::ptrdiff_t>(absent);
+    if (std::find(taken.begin(), end, item.member) == end) take(item);
   }
   std::erase_if(members_, [max_sent](const MemberItem& item) {
     return item.sent >= max_sent;
--- a/source/decisions/gossip_queue.h
+++ b/source/decisions/gossip_queue.h
@@ -25,6 +25,8 @@
   /// Maximum number of records and updates in one message.
   static constexpr std::size_t kMembersInMessage = 6;
   static constexpr std::size_t kUpdatesInMessage = 4;
+  /// Number of records of absent members that come before all others.
+  static constexpr std::size_t kAbsentFirst = 3;
   /// How long an update is kept, so that repeats of it are recognized.
   static constexpr Duration kUpdateRetention = std::chrono::seconds(30);
 
@@ -34,7 +36,8 @@
   /// Adds an update unless it is known, and returns how new it is.
   UpdateNovelty AddUpdate(const GossipUpdate& update, TimePoint now);
 
-  /// Returns the records that were sent least often and counts them as sent
+  /// Returns the records that were sent least often, some of absent members
+  /// before all others, and counts them as sent
   /// once more. Records that were sent often enough are dropped.
   std::vector<Member> TakeMembers(std::size_t group_size);
 
--- a/source/decisions/member_table.cc
+++ b/source/decisions/member_table.cc
@@ -46,6 +46,19 @@
   return found == entries_.end() ? nullptr : &found->second.member;
 }
 
+const Member* MemberTable::FindNext(const DaemonName& name) const {
+  if (present_ == 0) return nullptr;
+  auto next = entries_.upper_bound(name);
+  while (next == entries_.end() || !next->second.member.present()) {
+    if (next == entries_.end()) {
+      next = entries_.begin();
+    } else {
+      ++next;
+    }
+  }
+  return &next->second.member;
+}
+
 const Member* MemberTable::FindAt(const Endpoint& endpoint) const {
   const auto found = by_endpoint_.find(endpoint);
   return found == by_endpoint_.end() ? nullptr : Find(found->second);
--- a/source/decisions/member_table.h
+++ b/source/decisions/member_table.h
@@ -29,6 +29,10 @@
   /// Returns the member called `name`, or null.
   const Member* Find(const DaemonName& name) const;
 
+  /// Returns the present member after `name` in order of names, starting again
+  /// with the first after the last, or null if there is none.
+  const Member* FindNext(const DaemonName& name) const;
+
   /// Returns the member at `endpoint`, or null.
   const Member* FindAt(const Endpoint& endpoint) const;
 
--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -116,9 +116,7 @@
 
 void Membership::RequestIndirect(std::uint32_t sequence, const Probe& probe) {
   // A daemon in poor health would burden the others with most of its probes.
-  const auto score = static_cast<std::size_t>(health_.score());
-  const std::size_t helpers =
-      score < kIndirectProbes ? kIndirectProbes - score : 1;
+  const std::size_t helpers = health_.score() == 0 ? kIndirectProbes : 1;
   const Endpoint& target = probe.target.endpoint;
   for (const auto& helper : members_.Sample(helpers, target)) {
     Send(helper.endpoint, PingRequest{sequence, target});
@@ -136,7 +134,11 @@
 }
 
 void Membership::StartProbe() {
-  const Member* target = members_.NextToProbe(now_ - kPeriod);
+  const Member* target = members_.FindNext(self_.name);
+  if (target == nullptr || IsProbed(target->name) ||
+      members_.HasContactSince(target->name, now_ - kSuccessorSilence)) {
+    target = members_.NextToProbe(now_ - kPeriod);
+  }
   if (target != nullptr && !IsProbed(target->name)) SendProbe(*target, false);
   if (target == nullptr || ++periods_ % kContactPeriods == 0) ContactAbsent();
 }
@@ -183,8 +185,9 @@
 SuspicionTimes Membership::ChooseSuspicionTimes() const {
   const std::size_t group = group_size();
   const Duration least = kPeriod * std::bit_width(group - 1);
-  return {.least = std::min<Duration>(least * (1 + health_.score()),
-                                      kLongestSuspicion),
+  return {.least = std::min<Duration>(
+              least + least * health_.score() / LocalHealth::kMaxScore,
+              kLongestSuspicion),
           .most = kLongestSuspicion,
           .confirmations =
               std::min(kConfirmations, std::max<std::size_t>(group, 2) - 2)};
--- a/source/decisions/membership.h
+++ b/source/decisions/membership.h
@@ -103,6 +103,10 @@
   static constexpr Duration kTickInterval = std::chrono::milliseconds(30);
   /// Time between two probes.
   static constexpr Duration kPeriod = std::chrono::milliseconds(150);
+  /// Time without a message from the next member in order of names after which
+  /// it is probed before all others, so that each member has one daemon that
+  /// finds its death soon.
+  static constexpr Duration kSuccessorSilence = kPeriod;
   /// Longest time of a suspicion that no other member confirms.
   static constexpr Duration kLongestSuspicion = std::chrono::milliseconds(3500);
   /// Number of other members whose suspicion makes the time shortest.
@@ -115,7 +119,7 @@
   /// Maximum number of such probes at a time.
   static constexpr std::size_t kMaxChecks = 2;
   /// Suspects that are probed again in each period.
-  static constexpr std::size_t kSuspectsProbed = 2;
+  static constexpr std::size_t kSuspectsProbed = 1;
   /// How long a probe is kept, so that a late answer is measured.
   static constexpr Duration kProbeRetention = std::chrono::seconds(2);
   /// Least time between two refutations.
--- a/source/decisions/probe_delays.cc
+++ b/source/decisions/probe_delays.cc
@@ -28,8 +28,7 @@
   if (!is_first) found->second.Add(delay);
 }
 
-Duration ProbeDelays::TimeoutOf(const DaemonName& member,
-                                bool degraded) const {
+Duration ProbeDelays::TimeoutOf(const DaemonName& member, bool degraded) const {
   const auto found = delays_.find(member);
   if (found == delays_.end()) return all_.Timeout();
   if (!degraded) return found->second.Timeout();
