--- a/source/ctl/saved_log.cc
+++ b/source/ctl/saved_log.cc
@@ -24,7 +24,7 @@
 constexpr auto kProcessEvents = std::to_array<EventKind>(
     {kStarted, kStopRequested, kEnded, kChildFailed, kReloaded, kTablesInForce,
      kTablesRefused, kStoreLost, kStoreReturned, kKeysStale, kKeysFresh,
-     kLeaseTaken, kLeaseEnded, kMemberChanged});
+     kLeaseTaken, kLeaseEnded, kMemberChanged, kMembersChanged});
 /// Events that affect only requests with the named upstream on their paths.
 constexpr auto kUpstreamEvents = std::to_array<EventKind>(
     {kUpstreamChanged, kUpstreamGone, kUpstreamMissing, kUpstreamSuspected,
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -45,7 +45,8 @@
       on_failure_(std::move(on_failure)),
       membership_(MakeSelf(context.settings),
                   context.settings.EndpointsOf(SettingKey::kPeerSeeds),
-                  std::random_device{}()) {}
+                  std::random_device{}()),
+      group_(membership_.self().name) {}
 
 bool PeerLink::Start(LastReason& reason) {
   if (!Listen(reason)) return false;
@@ -99,6 +100,8 @@
 
 void PeerLink::Tick() {
   Feed(PeerTick{});
+  if (group_.Tick(context_.loop.Now())) ApplyGroup();
+  LogChanges();
   context_.state.peer_loads.Expire(context_.loop.Now());
   tick_timer_ =
       context_.loop.Schedule(Membership::kTickInterval, [this] { Tick(); });
@@ -196,12 +199,11 @@
 }
 
 void PeerLink::HandleMember(const Member& member) {
-  PeerLoads& loads = context_.state.peer_loads;
-  loads.SetPeerCount(membership_.group_size() - 1);
-  context_.state.rank = membership_.RankByName();
-  context_.state.relay.follow_rank = membership_.RankByDigest();
-  context_.state.relay.group_size = membership_.group_size();
-  if (!member.present()) loads.Drop(member.name);
+  const TimePoint now = context_.loop.Now();
+  if (group_.Record(member, now)) ApplyGroup();
+  if (!group_.Contains(member.name))
+    context_.state.peer_loads.Drop(member.name);
+  if (!changes_.Record(member.status, now)) return;
   context_.state.timeline.Record(
       LogLevel::kInfo, EventKind::kMemberChanged, ResultCode::kOk,
       {{"member", member.name.text()},
@@ -209,6 +211,26 @@
        {"incarnation", std::to_string(member.incarnation)}});
 }
 
+/// Passes the settled view of the group on to what depends on it.
+void PeerLink::ApplyGroup() {
+  context_.state.peer_loads.SetPeerCount(group_.size() - 1);
+  context_.state.rank = group_.RankByName();
+  context_.state.relay.follow_rank = group_.RankByDigest();
+  context_.state.relay.group_size = group_.size();
+}
+
+void PeerLink::LogChanges() {
+  auto counts = changes_.TakeDue(context_.loop.Now());
+  if (counts.empty()) return;
+  context_.state.timeline.Record(
+      LogLevel::kInfo, EventKind::kMembersChanged, ResultCode::kOk,
+      {{"alive", std::to_string(counts[MemberStatus::kAlive])},
+       {"suspect", std::to_string(counts[MemberStatus::kSuspect])},
+       {"dead", std::to_string(counts[MemberStatus::kDead])},
+       {"left", std::to_string(counts[MemberStatus::kLeft])},
+       {"group", std::to_string(group_.size())}});
+}
+
 void PeerLink::HandleGossipUpdate(const GossipUpdateReceived& received) {
   if (const auto* head = std::get_if<TableHeadUpdate>(&received.update)) {
     return HandleHead(head->version, received.source);
--- a/source/supervisor/peers/peer_link.h
+++ b/source/supervisor/peers/peer_link.h
@@ -7,8 +7,10 @@
 #include <string_view>
 #include <vector>
 
+#include "decisions/member_change_summary.h"
 #include "decisions/membership.h"
 #include "decisions/proof_clock.h"
+#include "decisions/settled_group.h"
 #include "runtime/http_server.h"
 #include "runtime/supervisor.h"
 #include "runtime/udp_endpoint.h"
@@ -40,7 +42,8 @@
   /// that announced it last, else a random member. Empty if there is none.
   std::optional<Endpoint> ChooseContentPeer(const std::string& hash);
 
-  std::size_t group_size() const { return membership_.group_size(); }
+  /// Returns the number of daemons in the settled view of the group.
+  std::size_t group_size() const { return group_.size(); }
 
   /// Returns the members that are present, this daemon included.
   std::vector<Member> ListMembers() const;
@@ -57,12 +60,17 @@
   void Feed(const PeerEvent& event);
   void SendMessage(const SendPeerMessage& action);
   void HandleMember(const Member& member);
+  void ApplyGroup();
+  /// Records the changes of members that got no lines of their own.
+  void LogChanges();
   void HandleGossipUpdate(const GossipUpdateReceived& received);
   void HandleHead(const TableVersion& head, const Endpoint& sender);
 
   DaemonContext context_;
   FailureHandler on_failure_;
   Membership membership_;
+  SettledGroup group_;
+  MemberChangeSummary changes_;
   std::shared_ptr<UdpEndpoint> udp_;
   std::shared_ptr<HttpServer> server_;
   GossipExchange::Subscription gossip_sender_;
