relay: the operator's priorities rank requests and reach upstreams

Routes and tenants have a priority that no code read. The tables now give each pool the dense order of the distinct priorities of its requests, the workspace's before the route's, and a ranked request carries Request-Urgency. A pool with a single priority has no ranks and its requests are sent as before.

--- a/source/decisions/relay_tables.cc
+++ b/source/decisions/relay_tables.cc
@@ -1,6 +1,7 @@
 #include "decisions/relay_tables.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace wisteriayoke {
@@ -19,6 +20,41 @@
   for (std::size_t i = 0; i < spec_.workspaces.size(); ++i) {
     for (const auto& key : spec_.workspaces[i].keys) by_key_[key] = i;
   }
+  CollectRanks();
+}
+
+void RelayTables::CollectRanks() {
+  std::set<std::optional<std::uint32_t>> of_workspaces;
+  for (const auto& workspace : spec_.workspaces) {
+    of_workspaces.insert(workspace.priority);
+  }
+  std::map<PoolName, std::set<PriorityPair>> pairs;
+  for (const auto& route : spec_.routes) {
+    auto priorities = of_workspaces;
+    if (route.anonymous || priorities.empty()) priorities.insert(std::nullopt);
+    for (const auto& priority : priorities) {
+      const auto pair = CombinePriorities(priority, route.priority);
+      if (!pair) continue;
+      for (const auto& share : route.pools) pairs[share.pool].insert(*pair);
+    }
+  }
+  for (const auto& [pool, distinct] : pairs) {
+    if (distinct.size() < 2) continue;
+    ranks_[pool].assign(distinct.begin(), distinct.end());
+  }
+}
+
+std::optional<RequestRank> RelayTables::FindRank(
+    const PoolName& pool, const RelayRoute& route,
+    const KeyedWorkspace* workspace) const {
+  const auto ranks = ranks_.find(pool);
+  const auto pair = CombinePriorities(
+      workspace == nullptr ? std::nullopt : workspace->priority,
+      route.priority);
+  if (ranks == ranks_.end() || !pair) return std::nullopt;
+  const auto place =
+      std::lower_bound(ranks->second.begin(), ranks->second.end(), *pair);
+  return RequestRank{static_cast<std::uint32_t>(place - ranks->second.begin())};
 }
 
 const RelayRoute* RelayTables::FindRoute(std::string_view host,
--- a/source/decisions/relay_tables.h
+++ b/source/decisions/relay_tables.h
@@ -14,6 +14,7 @@
 #include "base/names_table.h"
 #include "base/time_types.h"
 #include "decisions/layered_model.h"
+#include "decisions/request_rank.h"
 
 namespace wisteriayoke {
 
@@ -50,6 +51,7 @@
   bool anonymous = false;  ///< Whether requests without a key are taken.
   bool resumable = false;  ///< Whether another upstream may continue a stream.
   std::vector<RouteShare> pools;
+  std::optional<std::uint32_t> priority;  ///< 0 is the most urgent.
 
   /// Returns whether a request that may have run may be sent again.
   bool repeatable() const {
@@ -62,6 +64,7 @@
 struct KeyedWorkspace {
   WorkspaceName name;
   std::vector<std::string> keys;
+  std::optional<std::uint32_t> priority;  ///< 0 is the most urgent.
 };
 
 /// A pool as the tables describe it. Its upstreams register themselves.
@@ -94,13 +97,27 @@
   /// Returns the pool called `name`, or null.
   const RelayPool* FindPool(const PoolName& name) const;
 
+  /// Returns whether the requests to `pool` differ in their priorities.
+  bool HasRanks(const PoolName& pool) const { return ranks_.contains(pool); }
+
+  /// Returns the rank in `pool` of a request of `route` and `workspace`, which
+  /// is null for a caller without a key. Nothing if the pool has no ranks or
+  /// the request has no priority.
+  std::optional<RequestRank> FindRank(const PoolName& pool,
+                                      const RelayRoute& route,
+                                      const KeyedWorkspace* workspace) const;
+
   const RelaySpec& spec() const { return spec_; }
 
  private:
+  void CollectRanks();
+
   RelaySpec spec_;
   /// Indices of the routes of a host, longer prefixes first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
   std::unordered_map<std::string, std::size_t> by_key_;
+  /// Distinct priorities of each pool that has several, in order.
+  std::map<PoolName, std::vector<PriorityPair>> ranks_;
 };
 
 using RelayTablesPtr = std::shared_ptr<const RelayTables>;
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -153,6 +153,7 @@
   relayed.tables = relay.tables;
   relayed.route = *route;
   relayed.pool = ChoosePool(*route, context_.state.random());
+  relayed.rank = relay.tables->FindRank(relayed.pool, *route, nullptr);
   if (relay.tables->spec().workspaces.empty()) return ResultCode::kOk;
   // A key is checked where none is required as well: it may have been revoked.
   if (route->anonymous && relayed.fields.key.empty()) return ResultCode::kOk;
@@ -163,6 +164,7 @@
     return tables_fresh ? ResultCode::kUnknownKey : ResultCode::kNotReady;
   }
   relayed.workspace = workspace->name;
+  relayed.rank = relay.tables->FindRank(relayed.pool, *route, workspace);
   return ResultCode::kOk;
 }
 
--- a/source/supervisor/relay/relayed_request.cc
+++ b/source/supervisor/relay/relayed_request.cc
@@ -30,6 +30,7 @@
                        .time_left = time_left,
                        .chain = target.chain};
   if (last_event_id) fields.last_event_id = std::to_string(*last_event_id);
+  if (relayed.rank) fields.urgency = relayed.rank->urgency();
   const HttpRequest& request = relayed.request;
   return {.method = request.method,
           .target = request.target,
--- a/source/supervisor/relay/relayed_request.h
+++ b/source/supervisor/relay/relayed_request.h
@@ -20,6 +20,8 @@
   RelayRoute route;
   PoolName pool;
   WorkspaceName workspace;  ///< Empty if the caller sent no key.
+  /// Among the requests to the pool; none if the tables rank none of them.
+  std::optional<RequestRank> rank;
   CallerFields fields;
   HttpRequest request;
   std::shared_ptr<HttpServerSession> caller;
--- a/tests/decisions/relay_tables_test.cc
+++ b/tests/decisions/relay_tables_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <optional>
 
 namespace wisteriayoke {
 namespace {
@@ -68,4 +69,58 @@
   }
 }
 
+namespace {
+
+/// Tables with two streaming routes to pool "p" and two workspaces.
+RelayTables MakeRanked(std::optional<std::uint32_t> first_route,
+                       std::optional<std::uint32_t> second_route,
+                       std::optional<std::uint32_t> first_workspace,
+                       std::optional<std::uint32_t> second_workspace) {
+  RelaySpec spec;
+  spec.routes = {MakeRoute("a", "h", "/a/"), MakeRoute("b", "h", "/b/")};
+  spec.routes[0].priority = first_route;
+  spec.routes[1].priority = second_route;
+  spec.workspaces = {{WorkspaceName("volta"), {"k1"}, first_workspace},
+                     {WorkspaceName("sul"), {"k2"}, second_workspace}};
+  return RelayTables(spec);
+}
+
+std::optional<RequestRank> RankOf(const RelayTables& tables, const char* path,
+                                  const char* key) {
+  return tables.FindRank(PoolName("p"), *tables.FindRoute("h", path),
+                         tables.FindWorkspaceOfKey(key));
+}
+
+}  // namespace
+
+// Guards against an order in which a route outweighs its workspace, and against
+// gaps in the numbers that upstreams get.
+TEST_CASE("a pool's distinct priorities give dense ranks, workspaces first") {
+  const RelayTables tables = MakeRanked(0, 20, 1, 0);
+  CHECK(RankOf(tables, "/a/", "k2") == RequestRank{0});
+  CHECK(RankOf(tables, "/b/", "k2") == RequestRank{1});
+  CHECK(RankOf(tables, "/a/", "k1") == RequestRank{2});
+  CHECK(RankOf(tables, "/b/", "k1") == RequestRank{3});
+  CHECK(RequestRank{12}.urgency() == RequestRank::kMaxUrgency);
+}
+
+TEST_CASE("an absent priority is replaced by the other, none gives no rank") {
+  const RelayTables tables = MakeRanked(0, std::nullopt, 2, std::nullopt);
+  CHECK(RankOf(tables, "/a/", "k2") == RequestRank{0});
+  CHECK(RankOf(tables, "/a/", "k1") == RequestRank{1});
+  CHECK(RankOf(tables, "/b/", "k1") == RequestRank{2});
+  CHECK_FALSE(RankOf(tables, "/b/", "k2").has_value());
+}
+
+// Guards against changed decisions on deployments whose priorities are all
+// equal or absent.
+TEST_CASE("a pool with one distinct priority has no ranks") {
+  for (const auto& tables :
+       {MakeRanked(1, 1, 1, 1), MakeRanked(3, 3, std::nullopt, std::nullopt),
+        MakeTables()}) {
+    CHECK_FALSE(tables.HasRanks(PoolName("p")));
+  }
+  CHECK_FALSE(RankOf(MakeRanked(1, 1, 1, 1), "/a/", "k1").has_value());
+}
+
 }  // namespace wisteriayoke
--- a/tests/platform/store_codecs_test.cc
+++ b/tests/platform/store_codecs_test.cc
@@ -190,4 +190,26 @@
   }));
 }
 
+// Guards against a priority that is read but wrong: an odd value must neither
+// refuse the document nor rank a request.
+TEST_CASE("priorities of routes and tenants are read, odd values ignored") {
+  const auto parse = [](const std::string& value) {
+    LastReason reason;
+    const auto spec = ParseRelaySpec(
+        R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/",
+            "Kind":"streaming","Service":"w","Priority":)" +
+            value + R"(}],"Tenants":[{"Name":"volta","Priority":)" + value +
+            "}]}",
+        reason);
+    REQUIRE_MESSAGE(spec.has_value(), reason.message());
+    CHECK(spec->routes[0].priority == spec->workspaces[0].priority);
+    return spec->routes[0].priority;
+  };
+  CHECK(parse("0") == 0);
+  CHECK(parse("7") == 7);
+  for (const char* odd : {"-1", "1.5", "\"1\"", "null", "[1]", "4294967296"}) {
+    CHECK_FALSE(parse(odd).has_value());
+  }
+}
+
 }  // namespace wisteriayoke
