--- a/source/decisions/place_queue.cc
+++ b/source/decisions/place_queue.cc
@@ -6,8 +6,6 @@
 namespace wisteriayoke {
 namespace {
 
-/// Time over which starts are averaged.
-constexpr std::chrono::duration<double> kRateTime{2.0};
 /// Starts a second assumed at least, for a daemon that has just begun.
 constexpr double kMinRate = 2.0;
 /// Part of the rate of starts that is given to callers that return.
@@ -18,16 +16,6 @@
 
 }  // namespace
 
-double PlaceQueue::RateAt(TimePoint now) const {
-  const std::chrono::duration<double> age = now - started_at_;
-  return starts_ * std::exp(-age / kRateTime) / kRateTime.count();
-}
-
-void PlaceQueue::RecordStart(TimePoint now) {
-  starts_ = RateAt(now) * kRateTime.count() + 1;
-  started_at_ = now;
-}
-
 bool PlaceQueue::TryJoin(Duration limit, TimePoint now) {
   const double expected =
       RateAt(now) * std::chrono::duration<double>(limit).count();
@@ -48,14 +36,17 @@
 }
 
 Duration PlaceQueue::ScheduleReturn(Duration least, Duration most,
-                                    TimePoint now) {
+                                    TimePoint now, RequestRank rank) {
   if (most <= least) return most;
   const double rate = kReturnShare * std::max(kMinRate, RateAt(now));
   const auto interval = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(1.0 / rate));
-  const TimePoint due = std::max(next_return_, now + least);
+  TimePoint due = now + least;
+  for (const auto& [other, next] : next_returns_) {
+    if (!(rank < other)) due = std::max(due, next);
+  }
   if (due - now <= most) {
-    next_return_ = due + interval;
+    next_returns_[rank] = due + interval;
     return due - now;
   }
   // The schedule is full, so the caller returns at some time in its later half.
--- a/source/decisions/place_queue.h
+++ b/source/decisions/place_queue.h
@@ -2,9 +2,12 @@
 #define WISTERIAYOKE_DECISIONS_PLACE_QUEUE_H_
 
 #include <cstddef>
+#include <map>
 #include <optional>
 
 #include "base/time_types.h"
+#include "decisions/decaying_rate.h"
+#include "decisions/request_rank.h"
 
 namespace wisteriayoke {
 
@@ -22,7 +25,7 @@
   static constexpr Duration kSearchInterval = std::chrono::milliseconds(8);
 
   /// Records that a request got a place at `now`.
-  void RecordStart(TimePoint now);
+  void RecordStart(TimePoint now) { starts_.Record(now); }
 
   /// Adds a request that may wait for `limit`. Returns whether it may wait.
   bool TryJoin(Duration limit, TimePoint now);
@@ -39,20 +42,21 @@
   void RecordBusy(TimePoint now) { busy_at_ = now; }
 
   /// Returns after what time a caller that is refused at `now` should return:
-  /// at least `least`, at most `most`.
-  Duration ScheduleReturn(Duration least, Duration most, TimePoint now);
+  /// at least `least`, at most `most`. The returns of less urgent ranks leave
+  /// the time of more urgent ones to them; without ranks, all have the same.
+  Duration ScheduleReturn(Duration least, Duration most, TimePoint now,
+                          RequestRank rank = {});
 
   std::size_t waiting() const { return waiting_; }
 
   /// Returns the requests a second that got a place lately.
-  double RateAt(TimePoint now) const;
+  double RateAt(TimePoint now) const { return starts_.RateAt(now); }
 
  private:
   std::size_t waiting_ = 0;
   std::optional<TimePoint> busy_at_;
-  double starts_ = 0;  ///< Starts, weighted by age, at `started_at_`.
-  TimePoint started_at_;
-  TimePoint next_return_;
+  DecayingRate starts_;
+  std::map<RequestRank, TimePoint> next_returns_;
   double spread_ = 0;  ///< Position of the last return beyond the schedule.
 };
 
--- a/source/decisions/relay_request_decider.cc
+++ b/source/decisions/relay_request_decider.cc
@@ -3,15 +3,6 @@
 #include "base/overloaded.h"
 
 namespace wisteriayoke {
-namespace {
-
-/// Charges one repetition to `budget`; returns false if the budget is spent.
-bool Charge(RetryBudget& budget) {
-  return budget.TakeRetry({.idempotent = true, .may_have_run = false}) ==
-         RetryDecision::kAllowed;
-}
-
-}  // namespace
 
 ResultCode CodeOf(const RelayRequestEvent& event) {
   return std::visit(
@@ -23,6 +14,14 @@
       event);
 }
 
+/// Charges one repetition to `budget`; returns false if the budget is spent.
+bool RelayRequestDecider::Charge(RetryBudget& budget) const {
+  return budget.TakeRetry({.idempotent = true,
+                           .may_have_run = false,
+                           .uses_reserve = uses_reserve()}) ==
+         RetryDecision::kAllowed;
+}
+
 RelayRequestAction RelayRequestDecider::Handle(const RelayRequestEvent& event,
                                                RetryBudget& budget) {
   return std::visit(
@@ -70,7 +69,7 @@
 
 bool RelayRequestDecider::MayLeaveStalled(const RetryBudget& budget) const {
   return rules_.repeatable && runs_ + 1 < rules_.max_attempts &&
-         budget.CoversRetry();
+         budget.CoversRetry(uses_reserve());
 }
 
 RelayRequestAction RelayRequestDecider::HandleStall(RetryBudget& budget) {
--- a/source/decisions/relay_request_decider.h
+++ b/source/decisions/relay_request_decider.h
@@ -86,6 +86,9 @@
 struct RelayRequestRules {
   bool repeatable = false;  ///< Whether the request may run more than once.
   std::uint32_t max_attempts = 1;  ///< Attempts that may run the request.
+  /// Whether its repetitions may use the reserve of the retry budget. Those of
+  /// an answer that has begun may in any case.
+  bool uses_reserve = true;
 };
 
 /// Decides the next step when an attempt at a relayed request fails.
@@ -127,6 +130,8 @@
   }
 
  private:
+  bool uses_reserve() const { return delivering_ || rules_.uses_reserve; }
+  bool Charge(RetryBudget& budget) const;
   RelayRequestAction HandleRejection(const AttemptRejected& event,
                                      RetryBudget& budget);
   RelayRequestAction HandleLoss(const AttemptLost& event, RetryBudget& budget);
--- a/source/decisions/retry_budget.h
+++ b/source/decisions/retry_budget.h
@@ -24,6 +24,7 @@
 struct RetryRequest {
   bool idempotent = false;
   bool may_have_run = true;
+  bool uses_reserve = true;  ///< Whether it may use the reserve.
 };
 
 /// Bounds of one pool's budget.
@@ -46,8 +47,9 @@
   /// Records a first attempt, which adds `share` to the balance.
   void RecordRequest();
 
-  /// Returns whether the balance covers one more retry.
-  bool CoversRetry() const { return balance_ >= 1.0; }
+  /// Returns whether the balance covers one more retry. A part of the full
+  /// balance is reserved for retries that may use the reserve.
+  bool CoversRetry(bool uses_reserve = true) const;
 
   /// Decides whether a retry is allowed and, if so, charges it.
   RetryDecision TakeRetry(const RetryRequest& request);
