relay: ranked requests wait in the order of their ranks

Requests of a pool with ranks wait in its RankedQueue and search for a place at their turn, while their callers stay and places become free fast enough. Started streams search first, the last tenth of the room is left to the most urgent recent rank, return times and retries follow the rank, and a refusal's log line names its rule and rank. Counts are kept by route and rank. Pools without ranks keep their queue.

--- a/source/supervisor/context/log.cc
+++ b/source/supervisor/context/log.cc
@@ -58,7 +58,7 @@
 std::uint64_t CountDroppedLogLines() { return g_limiter.dropped(); }
 
 void LogEvent(LogLevel level, std::string_view event, ResultCode code,
-              std::initializer_list<LogField> fields) {
+              std::span<const LogField> fields) {
   if (level < g_min_level) return;
   if (!g_limiter.Admit(level, ReadClock())) return;
   if (!CanWrite()) return g_limiter.RecordDropped();
--- a/source/supervisor/context/log.h
+++ b/source/supervisor/context/log.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -36,7 +37,11 @@
 /// Logs one event as one line of fields. Never blocks: a line is dropped and
 /// counted if its level exceeds its rate or standard output can't take it.
 void LogEvent(LogLevel level, std::string_view event, ResultCode code,
-              std::initializer_list<LogField> fields);
+              std::span<const LogField> fields);
+inline void LogEvent(LogLevel level, std::string_view event, ResultCode code,
+                     std::initializer_list<LogField> fields) {
+  LogEvent(level, event, code, std::span(fields.begin(), fields.size()));
+}
 
 }  // namespace wisteriayoke
 
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -59,8 +59,12 @@
 std::string DescribePlaces(const RelayState& relay) {
   std::string text = MetricType("relay_waiting", "gauge");
   for (const auto& [pool, places] : relay.places) {
+    const auto ranked = relay.ranked_queues.find(pool);
+    const std::size_t waiting =
+        places.waiting() +
+        (ranked == relay.ranked_queues.end() ? 0 : ranked->second.waiting());
     text += MetricLine("relay_waiting", MetricLabel("pool", pool.text()),
-                       std::to_string(places.waiting()));
+                       std::to_string(waiting));
   }
   return text;
 }
--- a/source/supervisor/context/relay_metrics.cc
+++ b/source/supervisor/context/relay_metrics.cc
@@ -26,6 +26,15 @@
   ++answers_[pair][code];
 }
 
+void RelayMetrics::CountRank(const RouteName& route, RequestRank rank,
+                             RankEvent event) {
+  std::pair key{route.text(), rank.urgency()};
+  const bool counted =
+      rank_events_.contains(key) || rank_events_.size() < kMaxRoutePools;
+  if (!counted) key.first = kOthers;
+  ++rank_events_[key][event];
+}
+
 void RelayMetrics::CountStoreCall(StoreCallKind kind, ResultCode code) {
   ++store_calls_[{kind, code}];
 }
@@ -58,6 +67,19 @@
                        MetricLabel("kind", kTargetSearchKindNames.NameOf(kind)),
                        std::to_string(count));
   }
+  if (!rank_events_.empty())
+    text += MetricType("relay_ranked_total", "counter");
+  for (const auto& [key, events] : rank_events_) {
+    const std::string labels = MetricLabel("route", key.first) + "," +
+                               MetricLabel("rank", std::to_string(key.second)) +
+                               ",";
+    for (const auto& [event, count] : events) {
+      text += MetricLine(
+          "relay_ranked_total",
+          labels + MetricLabel("event", kRankEventNames.NameOf(event)),
+          std::to_string(count));
+    }
+  }
   return text;
 }
 
--- a/source/supervisor/context/relay_metrics.h
+++ b/source/supervisor/context/relay_metrics.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 #include "base/names_table.h"
 #include "base/result_code.h"
+#include "decisions/request_rank.h"
 
 namespace wisteriayoke {
 
@@ -33,6 +34,21 @@
     MakeNamesTable<TargetSearchKind>({{TargetSearchKind::kAttempt, "attempt"},
                                       {TargetSearchKind::kStall, "stall"}});
 
+/// What is counted of ranked requests.
+enum class RankEvent {
+  kWaiting,    ///< Began to wait for a place.
+  kRefused,    ///< Refused, since none was expected in time.
+  kDisplaced,  ///< Refused in favour of a more urgent one.
+  kInverted,   ///< Started while a more urgent one waited.
+};
+
+inline constexpr auto kRankEventNames = MakeNamesTable<RankEvent>({
+    {RankEvent::kWaiting, "waiting"},
+    {RankEvent::kRefused, "refused"},
+    {RankEvent::kDisplaced, "displaced"},
+    {RankEvent::kInverted, "inverted"},
+});
+
 /// Counts the relay's answers by route and pool, its searches and its calls to
 /// the store.
 /// Names come from the operator's tables, which may hold thousands of routes,
@@ -47,6 +63,10 @@
   void CountAnswer(const RouteName& route, const PoolName& pool,
                    ResultCode code);
 
+  /// Counts `event` for a request of `route` and `rank`; the least urgent ranks
+  /// are counted together.
+  void CountRank(const RouteName& route, RequestRank rank, RankEvent event);
+
   /// Counts a call to the store that ended with `code`.
   void CountStoreCall(StoreCallKind kind, ResultCode code);
 
@@ -67,6 +87,10 @@
   std::map<RouteAndPool, std::map<ResultCode, std::uint64_t>> answers_;
   std::map<std::pair<StoreCallKind, ResultCode>, std::uint64_t> store_calls_;
   std::map<TargetSearchKind, std::uint64_t> target_searches_;
+  /// By route and urgency.
+  std::map<std::pair<std::string, std::uint32_t>,
+           std::map<RankEvent, std::uint64_t>>
+      rank_events_;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -10,6 +10,7 @@
 #include "decisions/freshness.h"
 #include "decisions/link_budget.h"
 #include "decisions/place_queue.h"
+#include "decisions/ranked_queue.h"
 #include "decisions/relay_tables.h"
 #include "decisions/retry_budget.h"
 #include "decisions/segment_quarantine.h"
@@ -41,7 +42,8 @@
   PeerViewExchange peer_views;
   RetryLimits retry_limits;  ///< This daemon's share of each pool's limits.
   std::map<PoolName, RetryBudget> budgets;
-  std::map<PoolName, PlaceQueue> places;  ///< Requests without a place.
+  std::map<PoolName, PlaceQueue> places;          ///< Requests without a place.
+  std::map<PoolName, RankedQueue> ranked_queues;  ///< Of pools with ranks.
   LinkBudget links;  ///< Budget of the links between data centres.
   SegmentQuarantine segments;
   double max_members_seen = 1;  ///< Most members that were seen at a time.
--- a/source/supervisor/context/timeline.cc
+++ b/source/supervisor/context/timeline.cc
@@ -24,8 +24,8 @@
   last_ = std::max(last_, seen);
 }
 
-void Timeline::Record(LogLevel level, EventKind kind, ResultCode code,
-                      std::initializer_list<LogField> fields) {
+void Timeline::RecordFields(LogLevel level, EventKind kind, ResultCode code,
+                            std::span<const LogField> fields) {
   TimelineEvent event{.time = Tick(), .kind = kind, .code = code};
   for (const auto& field : fields) {
     event.fields.emplace_back(field.name, field.value);
--- a/source/supervisor/context/timeline.h
+++ b/source/supervisor/context/timeline.h
@@ -43,7 +43,11 @@
 
   /// Adds an event, stamped with the hybrid clock, and logs it.
   void Record(LogLevel level, EventKind kind, ResultCode code,
-              std::initializer_list<LogField> fields);
+              std::initializer_list<LogField> fields) {
+    RecordFields(level, kind, code, {fields.begin(), fields.size()});
+  }
+  void RecordFields(LogLevel level, EventKind kind, ResultCode code,
+                    std::span<const LogField> fields);
 
   /// Moves the clock to at least `seen`, the time in a message from a peer, so
   /// that the next tick is later.
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -9,6 +9,7 @@
 #include "supervisor/context/fleet_leaving.h"
 #include "supervisor/context/server_limits.h"
 #include "supervisor/context/suspect_guard.h"
+#include "supervisor/relay/place_turns.h"
 #include "supervisor/relay/relay_refusal.h"
 #include "supervisor/relay/segment_guard.h"
 
@@ -202,6 +203,7 @@
   for (const auto& weak : std::vector(sessions_)) {
     if (const auto session = weak.lock()) session->CheckProgress();
   }
+  GivePlaces(context_, sessions_);
 }
 
 void RelayFrontEnd::CheckUpstreamsAndMembers() {
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -11,7 +11,8 @@
       request_(std::move(request)),
       on_stall_(std::move(on_stall)),
       decider_({.repeatable = request_.route.repeatable(),
-                .max_attempts = request_.route.max_attempts}),
+                .max_attempts = request_.route.max_attempts,
+                .uses_reserve = RecordArrival(context, request_)}),
       guard_(context, ComputeFingerprint(request_),
              RequestId(request_.fields.attempt_id)),
       segment_guard_(context, request_),
@@ -52,21 +53,22 @@
   StartAttempt();
 }
 
+bool RelaySession::HasStaleKey() const {
+  return !request_.workspace.empty() &&
+         !context_.state.relay.freshness.AllowsKeys(context_.loop.BootNow());
+}
+
 void RelaySession::StartAttempt() {
   if (TimeLeft() <= Duration::zero()) return Feed(TimeLimitPassed{});
-  const DaemonState& state = context_.state;
   // Checked right before each send, since the instance may have been suspended
   // in between.
-  if (!request_.workspace.empty() &&
-      !state.relay.freshness.AllowsKeys(context_.loop.BootNow())) {
-    return HandleTargetUnavailable(ResultCode::kNotReady);
-  }
+  if (HasStaleKey()) return HandleTargetUnavailable(ResultCode::kNotReady);
   // An answer that has begun shows that its segments crash no upstream.
   if (guard_.Blocks() || (!times_.begun() && segment_guard_.Blocks())) {
     return Feed(TargetUnavailable{ResultCode::kQuarantined});
   }
   if (!decider_.PayForRetry(Budget())) return;
-  const TargetChoice choice = search_.Search(attempts_ == 0);
+  const TargetChoice choice = search_.Search(attempts_ == 0, times_.begun());
   if (!choice.target) return HandleTargetUnavailable(choice.code);
   waiting_ = false;
   Send(*choice.target);
@@ -87,7 +89,8 @@
 void RelaySession::CheckProgress() {
   if (ended_) return;
   if (waiting_) {
-    if (search_.IsDue(times_.begun())) StartAttempt();
+    const bool due = search_.IsDue(times_.begun());
+    if (due || (!times_.begun() && HasStaleKey())) StartAttempt();
     return;
   }
   if (!attempt_ || paused_) return;
@@ -99,6 +102,17 @@
   LeaveStalledAttempt(ResultCode::kTimedOut, {attempt_->target().upstream});
 }
 
+std::optional<PlaceTicket> RelaySession::FindTicket() const {
+  if (ended_ || !waiting_) return std::nullopt;
+  return search_.ranked().ticket();
+}
+
+bool RelaySession::TakeTurn() {
+  search_.ranked().GiveTurn();
+  StartAttempt();
+  return !waiting_ || search_.is_restricted();
+}
+
 void RelaySession::Feed(const RelayRequestEvent& event) {
   if (ended_) return;
   end_code_ = CodeOf(event);
@@ -110,21 +124,25 @@
                           ResultCode code) const {
   const Duration age = context_.loop.Now() - arrived_;
   const auto first_event = times_.first_event_after();
-  context_.state.timeline.Record(
-      level, kind, code,
-      {{"request", request_.fields.attempt_id},
-       {"route", request_.route.name.text()},
-       {"pool", request_.pool.text()},
-       {"attempts", std::to_string(attempts_)},
-       {"retry_balance", std::to_string(Budget().balance())},
-       {"age_us", std::to_string(age.count())},
-       {"first_event_us",
-        first_event ? std::to_string(first_event->count()) : ""},
-       {"longest_pause_us", std::to_string(times_.longest_gap().count())},
-       {"last_event", last_event_id_ ? std::to_string(*last_event_id_) : ""},
-       {"path", path_},
-       {"status", answer_ ? std::to_string(answer_->head().status) : ""},
-       {"tables", std::to_string(request_.tables->spec().version)}});
+  std::vector<LogField> fields{
+      {"request", request_.fields.attempt_id},
+      {"route", request_.route.name.text()},
+      {"pool", request_.pool.text()},
+      {"attempts", std::to_string(attempts_)},
+      {"retry_balance", std::to_string(Budget().balance())},
+      {"age_us", std::to_string(age.count())},
+      {"first_event_us",
+       first_event ? std::to_string(first_event->count()) : ""},
+      {"longest_pause_us", std::to_string(times_.longest_gap().count())},
+      {"last_event", last_event_id_ ? std::to_string(*last_event_id_) : ""},
+      {"path", path_},
+      {"status", answer_ ? std::to_string(answer_->head().status) : ""},
+      {"tables", std::to_string(request_.tables->spec().version)}};
+  if (const auto rule = search_.ranked().rule()) {
+    fields.push_back({"rule", std::string(kPlaceRuleNames.NameOf(*rule))});
+    fields.push_back({"rank", std::to_string(request_.OrderRank().index)});
+  }
+  context_.state.timeline.RecordFields(level, kind, code, fields);
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/relay_session.h
+++ b/source/supervisor/relay/relay_session.h
@@ -51,9 +51,22 @@
 
   bool ended() const { return ended_; }
 
+  const PoolName& pool() const { return request_.pool; }
+
+  /// Whether it is a started stream that waits for a path.
+  bool WaitsToResume() const { return !ended_ && waiting_ && times_.begun(); }
+
+  /// Ticket of a request that waits in a ranked queue.
+  std::optional<PlaceTicket> FindTicket() const;
+
+  /// Searches a place for a request whose turn it is. Returns whether others
+  /// may search after it: unless it found that there is none.
+  bool TakeTurn();
+
  private:
   RetryBudget& Budget() const;
   Duration TimeLeft() const;
+  bool HasStaleKey() const;
 
   void StartAttempt();
   void HandleTargetUnavailable(ResultCode code);
--- a/source/supervisor/relay/relay_session_answer.cc
+++ b/source/supervisor/relay/relay_session_answer.cc
@@ -40,8 +40,11 @@
 }
 
 void RelaySession::Execute(const RefuseNotRun& action) {
-  RespondWithError(action.code, ComputeReturnTime(context_, request_.pool,
-                                                  action.code, TimeLeft()));
+  const RequestRank rank =
+      request_.is_ranked() ? request_.OrderRank() : RequestRank{};
+  RespondWithError(action.code,
+                   ComputeReturnTime(context_, request_.pool, action.code,
+                                     TimeLeft(), rank));
 }
 
 void RelaySession::Execute(const FailOutcomeUnknown& action) {
@@ -56,8 +59,13 @@
 
 void RelaySession::RespondWithError(ResultCode code, Duration retry_after) {
   EndAttempt(UpstreamFeedback::kNone);
-  request_.caller->Respond(
-      BuildRefusal(request_.fields.attempt_id, code, retry_after));
+  HttpResponse refusal =
+      BuildRefusal(request_.fields.attempt_id, code, retry_after);
+  if (search_.ranked().rule() == PlaceRule::kDisplaced) {
+    // It made way for another request, so its own rate isn't the reason.
+    refusal.head.status = DescribeResultCode(ResultCode::kNotReady).http_status;
+  }
+  request_.caller->Respond(refusal);
   End(code);
 }
 
--- a/source/supervisor/relay/relay_session_resume.cc
+++ b/source/supervisor/relay/relay_session_resume.cc
@@ -1,5 +1,6 @@
 // Leaving an attempt that stalls, and going on elsewhere.
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "supervisor/relay/relay_session.h"
@@ -35,7 +36,8 @@
     ResultCode code, const std::vector<UpstreamName>& others) {
   // A search is expensive, and in vain where no attempt may follow.
   if (decider_.MayLeaveStalled(Budget())) {
-    if (!search_.HasTargetWithout({others.begin(), others.end()})) return;
+    const std::set<UpstreamName> excluded(others.begin(), others.end());
+    if (!search_.HasTargetWithout(excluded, times_.begun())) return;
     for (const auto& name : others) search_.Avoid(name);
   }
   Feed(AttemptStalled{code});
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -1,6 +1,7 @@
 #include "supervisor/relay/relay_target.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "decisions/layer_path.h"
 #include "supervisor/relay/relay_refusal.h"
@@ -60,6 +61,15 @@
   return candidates;
 }
 
+/// Leaves only `share` of the room of each candidate, rounded; one with few
+/// places has no tenth to leave out.
+void LimitRoom(std::vector<PathCandidate>& candidates, double share) {
+  for (auto& candidate : candidates) {
+    candidate.limit = static_cast<std::uint32_t>(
+        std::lround(share * static_cast<double>(candidate.limit)));
+  }
+}
+
 std::uint64_t StartOf(const DaemonContext& context, const UpstreamName& name) {
   const FleetEntry* entry = context.state.relay.fleet.Find(name);
   return entry == nullptr ? 0 : entry->started_ms;
@@ -79,8 +89,9 @@
 TargetChoice ChooseChainTarget(const DaemonContext& context,
                                const RelayPool& pool,
                                const std::set<UpstreamName>& excluded,
-                               double tokens) {
-  const auto candidates = ListCandidates(context, pool, excluded);
+                               double tokens, double room_share) {
+  auto candidates = ListCandidates(context, pool, excluded);
+  if (room_share < 1.0) LimitRoom(candidates, room_share);
   PathChoice choice = ChoosePath(pool.model->layer_count, candidates);
   const bool busy =
       choice.outcome == PathOutcome::kBusy ||
@@ -152,10 +163,11 @@
 }
 
 TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
-                          const std::set<UpstreamName>& excluded,
-                          double tokens) {
-  return pool.model ? ChooseChainTarget(context, pool, excluded, tokens)
-                    : ChooseServiceTarget(context, pool, excluded);
+                          const std::set<UpstreamName>& excluded, double tokens,
+                          double room_share) {
+  return pool.model
+             ? ChooseChainTarget(context, pool, excluded, tokens, room_share)
+             : ChooseServiceTarget(context, pool, excluded);
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/relay_target.h
+++ b/source/supervisor/relay/relay_target.h
@@ -32,10 +32,11 @@
 
 /// Chooses where to send a request for `pool`, without `excluded`; a plain
 /// service falls back to these if no other upstream is usable. The stages read
-/// `tokens` tokens before the first new one.
+/// `tokens` tokens before the first new one. Only `room_share` of the room of
+/// an upstream of a model is used.
 TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
-                          const std::set<UpstreamName>& excluded,
-                          double tokens);
+                          const std::set<UpstreamName>& excluded, double tokens,
+                          double room_share = 1.0);
 
 /// Returns after what time a caller that was refused for want of an upstream
 /// should retry: when the first upstream of `pool` wants work again if all
--- a/source/supervisor/relay/relayed_request.h
+++ b/source/supervisor/relay/relayed_request.h
@@ -20,7 +20,7 @@
   RelayRoute route;
   PoolName pool;
   WorkspaceName workspace;  ///< Empty if the caller sent no key.
-  /// Among the requests to the pool; none if the tables rank none of them.
+  /// Among the requests to the pool; none if the tables don't rank it.
   std::optional<RequestRank> rank;
   CallerFields fields;
   HttpRequest request;
@@ -28,6 +28,15 @@
 
   bool is_stream() const { return route.kind == RelayKind::kStreaming; }
 
+  /// Whether the tables rank the requests to the pool.
+  bool is_ranked() const { return tables->HasRanks(pool); }
+
+  /// Rank in this daemon's queue. A request without one is ordered as upstreams
+  /// order it.
+  RequestRank OrderRank() const {
+    return rank.value_or(RequestRank{RequestRank::kDefaultUrgency});
+  }
+
   /// Time that the caller and the route allow from the request's arrival.
   Duration TimeLimit() const {
     return std::min(route.timeout, fields.deadline.value_or(route.timeout));
--- a/source/supervisor/relay/return_time.cc
+++ b/source/supervisor/relay/return_time.cc
@@ -18,17 +18,18 @@
 }  // namespace
 
 Duration ComputeReturnTime(const DaemonContext& context, const PoolName& pool,
-                           ResultCode code, Duration time_left) {
+                           ResultCode code, Duration time_left,
+                           RequestRank rank) {
   PlaceQueue& places = context.state.relay.places[pool];
   const TimePoint now = context.loop.Now();
   const Duration least = ComputeRetryDelay(context, pool);
   const Duration most =
       std::min(kMaxReturnTime, time_left * kReturnTimePerMille / 1000);
   if (code == ResultCode::kNoUpstream) {
-    return places.ScheduleReturn(std::max(least, kRepairTime), most, now);
+    return places.ScheduleReturn(std::max(least, kRepairTime), most, now, rank);
   }
   if (code == ResultCode::kOverloaded || code == ResultCode::kUpstreamRefused) {
-    return places.ScheduleReturn(least, most, now);
+    return places.ScheduleReturn(least, most, now, rank);
   }
   return least;
 }
--- a/tests/context/metrics_test.cc
+++ b/tests/context/metrics_test.cc
@@ -64,6 +64,21 @@
   CHECK(page.find("route=\"r200\"") == std::string::npos);
 }
 
+// Guards against a page that grows with the operator's routes and priorities.
+TEST_CASE("ranked requests are counted by route and rank, within the bound") {
+  RelayMetrics metrics;
+  CHECK(metrics.Render().find("relay_ranked") == std::string::npos);
+  for (std::size_t i = 0; i < RelayMetrics::kMaxRoutePools + 5; ++i) {
+    metrics.CountRank(RouteName("r" + std::to_string(i)), RequestRank{12},
+                      RankEvent::kDisplaced);
+  }
+  const std::string page = metrics.Render();
+  CHECK(page.find("relay_ranked_total{route=\"r0\",rank=\"9\","
+                  "event=\"displaced\"} 1\n") != std::string::npos);
+  CHECK(page.find("relay_ranked_total{route=\"others\",rank=\"9\","
+                  "event=\"displaced\"} 5\n") != std::string::npos);
+}
+
 TEST_CASE("calls to the store are counted by kind and code") {
   RelayMetrics metrics;
   metrics.CountStoreCall(StoreCallKind::kFollow, ResultCode::kOk);
