--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -9,6 +9,7 @@
 #include "supervisor/context/fleet_leaving.h"
 #include "supervisor/context/server_limits.h"
 #include "supervisor/context/suspect_guard.h"
+#include "supervisor/relay/place_turns.h"
 #include "supervisor/relay/relay_refusal.h"
 #include "supervisor/relay/segment_guard.h"
 
@@ -153,6 +154,7 @@
   relayed.tables = relay.tables;
   relayed.route = *route;
   relayed.pool = ChoosePool(*route, context_.state.random());
+  relayed.rank = relay.tables->FindRank(relayed.pool, *route, nullptr);
   if (relay.tables->spec().workspaces.empty()) return ResultCode::kOk;
   // A key is checked where none is required as well: it may have been revoked.
   if (route->anonymous && relayed.fields.key.empty()) return ResultCode::kOk;
@@ -163,6 +165,7 @@
     return tables_fresh ? ResultCode::kUnknownKey : ResultCode::kNotReady;
   }
   relayed.workspace = workspace->name;
+  relayed.rank = relay.tables->FindRank(relayed.pool, *route, workspace);
   return ResultCode::kOk;
 }
 
@@ -200,6 +203,7 @@
   for (const auto& weak : std::vector(sessions_)) {
     if (const auto session = weak.lock()) session->CheckProgress();
   }
+  GivePlaces(context_, sessions_);
 }
 
 void RelayFrontEnd::CheckUpstreamsAndMembers() {
