memory: a stopped connection stays open, and reading rotates among them

A connection that the budget had stopped reading was held by nothing and closed without an answer, uncounted; its read timer now holds it.

--- a/review/common.sh
+++ b/review/common.sh
@@ -74,7 +74,8 @@
     -e "s/{{Seeds}}/$seeds/" \
     -e "s/{{Platform.Address}}/$store/; s/{{Bounds.RevokeMs}}/5000/" \
     -e "s/{{Bounds.GraceS}}/8/; s/{{Bounds.RetryBudgetRatio}}/0.2/" \
-    -e "s/{{Bounds.RetrySlack}}/200/" "$root/deploy/daemon.ini" >"$work/daemon$1.ini"
+    -e "s/{{Bounds.RetrySlack}}/200/; s/{{Limits.MemoryMb}}/512/" \
+    -e "s/{{Limits.MaxFds}}/10660/" "$root/deploy/daemon.ini" >"$work/daemon$1.ini"
   start "daemon$1" "$daemon_program" --config "$work/daemon$1.ini"
 }
 is_ready() { curl -sf -m 1 "http://$(ready_of "$1")/-/ready"; }
--- a/source/decisions/memory_budget.cc
+++ b/source/decisions/memory_budget.cc
@@ -78,17 +78,24 @@
     left = CloseWorst(MemoryRule::kOverBudget, limit_, now, decision);
   }
   if (limit_ > 0 && left > ResumeLevel()) {
+    const auto granted = holders_.find(granted_);
+    if (granted != holders_.end() &&
+        now - granted->second.progressed_at >= kIdleTime) {
+      granted_ = 0;
+    }
     GrantRead(decision);
     decision.again = IsLow();
     for (const auto& [id, holder] : holders_) {
       decision.again = decision.again || holder.parked;
     }
-    return decision;
-  }
-  granted_ = 0;
-  for (auto& [id, holder] : holders_) {
-    if (std::exchange(holder.parked, false)) decision.resume.push_back(id);
+  } else {
+    granted_ = 0;
+    for (auto& [id, holder] : holders_) {
+      if (std::exchange(holder.parked, false)) decision.resume.push_back(id);
+    }
   }
+  // The wait was not the sender's.
+  for (const HolderId id : decision.resume) holders_[id].progressed_at = now;
   return decision;
 }
 
@@ -127,7 +134,8 @@
 }
 
 /// Lets one parked holder read on, the one with the most input, so that some
-/// request is completed although memory is low.
+/// request is completed although memory is low. Once that one makes no
+/// progress, another may.
 void MemoryBudget::GrantRead(Decision& decision) {
   const auto granted = holders_.find(granted_);
   if (granted != holders_.end() && IsCandidate(granted->second)) {
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -76,8 +76,6 @@
              "the request is incomplete and memory is low (" +
                  std::string(kMemoryRuleNames.NameOf(rule)) + ")");
   Refuse(reason);
-  // The answer is read only if the input behind it is read as well.
-  ResumeReading();
 }
 
 /// Tells the budget what this connection holds.
@@ -144,6 +142,8 @@
   refused_ = true;
   keep_alive_ = false;
   parser_.Release();
+  // Closing with unread input would discard the answer.
+  ResumeReading();
   Respond(error_handler_(reason));
 }
 
@@ -312,11 +312,12 @@
   timing_request_ = in_message;
   const Duration limit =
       in_message ? limits_.request_timeout : limits_.idle_timeout;
-  read_timer_ = loop_.Schedule(limit, [this, in_message] {
-    if (!in_message) return Close();
+  // The timer keeps a connection alive that the budget has stopped reading.
+  read_timer_ = loop_.Schedule(limit, [self = shared_from_this(), in_message] {
+    if (!in_message) return self->Close();
     LastReason reason;
     reason.Set(ResultCode::kCallerTimedOut, "the request came too slowly");
-    Refuse(reason);
+    self->Refuse(reason);
   });
 }
 
--- a/tests/wire/http_parser_test.cc
+++ b/tests/wire/http_parser_test.cc
@@ -124,6 +124,48 @@
   }
 }
 
+// Guards against framing without an end, which held twice the body limit.
+TEST_CASE("a line between chunks and a trailer are bounded by the header") {
+  const std::string header =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string start : {"1;e=", "1\r\nx\r\n0\r\nT: "}) {
+    for (const std::size_t piece : {1U, 50U, 4000U}) {
+      CAPTURE(start);
+      CAPTURE(piece);
+      HttpRequestParser parser({.header_bytes = 100, .body_bytes = 100'000});
+      LastReason reason;
+      const std::string bytes = header + start + std::string(4000, 'e');
+      for (std::size_t i = 0;
+           i < bytes.size() && reason.code() == ResultCode::kOk; i += piece) {
+        parser.Push(std::string_view(bytes).substr(i, piece));
+        CHECK_FALSE(parser.Next(reason).has_value());
+      }
+      CHECK(reason.code() == ResultCode::kHeaderTooLarge);
+    }
+  }
+}
+
+// Guards against input that stays in memory after it was parsed.
+TEST_CASE("the parser holds the body and no more once input is parsed") {
+  constexpr std::size_t kChunks = 10'000;
+  constexpr std::size_t kOverhead = 4096;
+  HttpRequestParser parser({});
+  LastReason reason;
+  parser.Push("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (std::size_t i = 0; i < kChunks; ++i) {
+    parser.Push("1;extension=value\r\nx\r\n");
+    CHECK_FALSE(parser.Next(reason).has_value());
+  }
+  CHECK(parser.CountUnparsedBytes() == 0);
+  CHECK(parser.CountHeldBytes() >= kChunks);
+  CHECK(parser.CountHeldBytes() <= 2 * kChunks + kOverhead);
+  parser.Push("0\r\n\r\n");
+  const auto request = parser.Next(reason);
+  REQUIRE(request.has_value());
+  CHECK(request->body.size() == kChunks);
+  CHECK(parser.CountHeldBytes() <= kOverhead);
+}
+
 TEST_CASE(
     "a chunked response returns data as it arrives and needs its last chunk") {
   HttpResponseParser parser({});
