--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -64,8 +64,11 @@
       [self = shared_from_this()](const asio::error_code& error) {
         if (error == asio::error::operation_aborted) return;
         if (!self->acceptor_.is_open()) return;
-        const bool closed = !error && self->loop_.memory().CloseIdleSession();
-        return closed ? self->Accept() : self->AcceptLater();
+        MemoryGuard& memory = self->loop_.memory();
+        const bool has_room =
+            !error && (memory.HasRoomForSession(self->limits_.reserved) ||
+                       memory.CloseIdleSession());
+        return has_room ? self->Accept() : self->AcceptLater();
       });
 }
 
--- a/source/runtime/memory_guard.cc
+++ b/source/runtime/memory_guard.cc
@@ -77,6 +77,8 @@
     if (const auto session = FindSession(id)) session->ResumeReading();
   }
   if (decision.again) ScheduleCheck(kCheckInterval);
+  // While nothing can be closed, each update must not cost a decision.
+  check_now_ = timer_ && decision.close.empty();
 }
 
 std::shared_ptr<HttpServerSession> MemoryGuard::FindSession(HolderId id) const {
