--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -55,6 +55,7 @@
   kKeysStale,
   kKeysFresh,
   kReloaded,
+  kMemoryLow,
 };
 
 inline constexpr auto kEventKindNames = MakeNamesTable<EventKind>({
@@ -106,6 +107,7 @@
     {EventKind::kKeysStale, "keys-stale"},
     {EventKind::kKeysFresh, "keys-fresh"},
     {EventKind::kReloaded, "reloaded"},
+    {EventKind::kMemoryLow, "memory-low"},
 });
 
 }  // namespace wisteriayoke
