membership: updates other than changes of members are sent at once again

The limit of one announcement in a period of 150 ms held back leaving signs, suspects and heads of tables as well, up to 150 ms at each hop, while the quarantine counts on 150 ms for the whole way; and a leave that came within a period of an announcement was never sent, since no tick follows it. Other updates are limited to eight in a period, a leave not at all.

--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -25,13 +25,13 @@
           [this](const SeedsChanged& changed) { seeds_ = changed.seeds; },
           [this](const GossipUpdatePosted& posted) {
             const auto novelty = gossip_.AddUpdate(posted.update, now_);
-            if (novelty == UpdateNovelty::kNew) GossipNow({});
+            if (novelty == UpdateNovelty::kNew) SpreadUpdate({});
           },
           [this](const InFlightCountsPosted& counted) {
             HandleCounts(counted);
           },
           [this](const TableHeadChanged& changed) { head_ = changed.head; },
-          [this](const AnnounceRequested&) { GossipNow({}); },
+          [this](const AnnounceRequested&) { SpreadUpdate({}); },
           [this](const LeaveRequested&) { HandleLeave(); },
       },
       event);
@@ -64,7 +64,8 @@
 void Membership::HandleTick() {
   Postpone(health_.RecordTick(now_));
   if (wanted_incarnation_ > self_.incarnation) AdoptIncarnation();
-  if (announcement_due_) GossipNow({});
+  if (update_due_) SpreadUpdate({});
+  if (announcement_due_) AnnounceMembers({});
   ContinueProbes();
   ExpireSuspects();
   if (now_ - period_started_ < kPeriod) return;
@@ -202,7 +203,7 @@
     const Member* asking = members_.Find(*accuser);
     if (asking != nullptr) Send(asking->endpoint, GossipNotice{});
   }
-  GossipNow(record.endpoint);
+  AnnounceMembers(record.endpoint);
 }
 
 void Membership::ExpireSuspects() {
@@ -215,7 +216,7 @@
     dead.status = MemberStatus::kDead;
     announce |= StoreRecord(dead);
   }
-  if (announce) GossipNow({});
+  if (announce) AnnounceMembers({});
 }
 
 void Membership::ApplyRecord(const Member& record, const DaemonName& sender,
@@ -235,7 +236,7 @@
       if (same && members_.HasContactSince(record.name, now_ - kFreshContact)) {
         return;
       }
-      if (StoreRecord(record) && known != nullptr) GossipNow({});
+      if (StoreRecord(record) && known != nullptr) AnnounceMembers({});
       return;
     case MemberStatus::kLeft:
       StoreRecord(record);
@@ -310,7 +311,7 @@
   refuted_ = now_;
   self_.incarnation = wanted_incarnation_;
   gossip_.AddMember(self_);
-  GossipNow({});
+  AnnounceMembers({});
 }
 
 void Membership::HandleMessage(const PeerMessageArrived& event) {
@@ -378,7 +379,7 @@
   const UpdateNovelty novelty = gossip_.AddUpdate(update, now_);
   if (novelty == UpdateNovelty::kKnown) return;
   actions_.emplace_back(GossipUpdateReceived{update, source});
-  if (novelty == UpdateNovelty::kNew) GossipNow(source);
+  if (novelty == UpdateNovelty::kNew) SpreadUpdate(source);
 }
 
 void Membership::HandleCounts(const InFlightCountsPosted& event) {
@@ -397,12 +398,21 @@
 void Membership::HandleLeave() {
   self_.status = MemberStatus::kLeft;
   gossip_.AddMember(self_);
-  GossipNow({});
+  // Not limited, since no tick follows that could make up for it.
+  SendNotices({});
 }
 
-void Membership::GossipNow(const Endpoint& excluded) {
+void Membership::SpreadUpdate(const Endpoint& excluded) {
+  update_due_ = !updates_.Take(now_);
+  if (!update_due_) SendNotices(excluded);
+}
+
+void Membership::AnnounceMembers(const Endpoint& excluded) {
   announcement_due_ = !announcements_.Take(now_);
-  if (announcement_due_) return;
+  if (!announcement_due_) SendNotices(excluded);
+}
+
+void Membership::SendNotices(const Endpoint& excluded) {
   for (const auto& peer : members_.Sample(kFanout, excluded)) {
     Send(peer.endpoint, GossipNotice{});
   }
--- a/source/decisions/membership.h
+++ b/source/decisions/membership.h
@@ -124,8 +124,13 @@
   static constexpr Duration kProbeRetention = std::chrono::seconds(2);
   /// Least time between two refutations.
   static constexpr Duration kRefuteInterval = std::chrono::milliseconds(500);
-  /// Number of times in a period that news is sent to `kFanout` members.
+  /// Number of times in a period that changes of members are announced at once.
+  /// They come in numbers under load, when each announcement causes others.
   static constexpr unsigned kAnnouncements = 1;
+  /// Number of times in a period that other updates are sent at once. They are
+  /// rare and don't cause each other, and daemons wait for some of them for no
+  /// longer than `Quarantine::kSettleTime`.
+  static constexpr unsigned kUpdateSpreads = 8;
   /// Number of members requested to probe one that doesn't answer.
   static constexpr std::size_t kIndirectProbes = 3;
   /// Number of members that are sent new information at once.
@@ -215,7 +220,9 @@
   void Refute(const Member& record);
   void AdoptIncarnation();
   void Suspect(const Member& member);
-  void GossipNow(const Endpoint& excluded);
+  void AnnounceMembers(const Endpoint& excluded);
+  void SpreadUpdate(const Endpoint& excluded);
+  void SendNotices(const Endpoint& excluded);
   void SendMemberList(const Endpoint& to);
   void Send(const Endpoint& to, PeerContent content);
   PeerMessage MakeMessage(PeerContent content) const;
@@ -232,6 +239,8 @@
   Suspicions suspicions_;
   SendAllowance announcements_{kAnnouncements, kPeriod};
   bool announcement_due_ = false;
+  SendAllowance updates_{kUpdateSpreads, kPeriod};
+  bool update_due_ = false;
   std::map<std::uint32_t, Probe> probes_;  ///< By sequence number.
   TimePoint period_started_{-kPeriod};
   TimePoint refuted_{-kRefuteInterval};  ///< Time of the latest refutation.
