--- a/source/wire/http_request_parser.h
+++ b/source/wire/http_request_parser.h
@@ -59,7 +59,8 @@
   bool ParseHeader(LastReason& reason);
   bool ParseBody(LastReason& reason);
   std::string_view Unparsed() const {
-    return std::string_view(input_).substr(parsed_);
+    const std::string_view input = input_;
+    return input.substr(parsed_);
   }
   void Consume(std::size_t bytes);
   void DropParsed();
