--- a/source/decisions/layer_path.cc
+++ b/source/decisions/layer_path.cc
@@ -28,10 +28,16 @@
 constexpr double kPrefillCost = 0.55;
 
 double LoadOf(const PathCandidate& candidate) {
+  if (candidate.work) return candidate.work->load;
   return static_cast<double>(candidate.in_flight) /
          std::max(1U, candidate.limit);
 }
 
+bool IsOpen(const PathCandidate& candidate) {
+  if (candidate.work && !candidate.work->has_room) return false;
+  return candidate.in_flight < candidate.limit;
+}
+
 /// Returns the token step time of the whole model on the slowest kind.
 double SlowestStep(const std::vector<const PathCandidate*>& candidates) {
   double slowest = 0;
@@ -221,7 +227,7 @@
   std::vector<const PathCandidate*> open;
   for (const auto& candidate : candidates) {
     all.push_back(&candidate);
-    if (candidate.in_flight < candidate.limit) open.push_back(&candidate);
+    if (IsOpen(candidate)) open.push_back(&candidate);
   }
   Chain chain = PathSearch(layer_count, open).Run();
   if (!chain.empty()) {
--- a/source/decisions/layer_path.h
+++ b/source/decisions/layer_path.h
@@ -2,6 +2,7 @@
 #define WISTERIAYOKE_DECISIONS_LAYER_PATH_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "base/names_table.h"
@@ -9,6 +10,12 @@
 
 namespace wisteriayoke {
 
+/// Load of an upstream by the work of its requests.
+struct WorkLoad {
+  double load = 0;       ///< Share of its capacity, with the new request.
+  bool has_room = true;  ///< Whether it has room for the new request.
+};
+
 /// An upstream that may run some of its layers for a request.
 struct PathCandidate {
   const UpstreamSpec* upstream = nullptr;
@@ -18,6 +25,8 @@
   std::uint32_t limit = 0;       ///< Maximum concurrent requests.
   std::uint32_t in_flight = 0;   ///< Estimated requests of all daemons.
   std::uint32_t prefilling = 0;  ///< This daemon's requests in prefill.
+  /// Takes the place of the load by counts, if it is known.
+  std::optional<WorkLoad> work;
 };
 
 /// Result of the search for a path.
--- a/source/decisions/peer_loads.cc
+++ b/source/decisions/peer_loads.cc
@@ -50,6 +50,12 @@
                                     reporters);
 }
 
+double PeerLoads::Scale() const {
+  if (reports_.empty()) return 1;
+  return static_cast<double>(CountPeers()) /
+         static_cast<double>(reports_.size());
+}
+
 std::size_t PeerLoads::CountPeers() const {
   return std::max(peers_, reports_.size());
 }
--- a/source/decisions/peer_loads.h
+++ b/source/decisions/peer_loads.h
@@ -39,6 +39,9 @@
   /// the daemons that reported.
   std::uint32_t InFlightOf(const UpstreamName& upstream) const;
 
+  /// Returns the number of other daemons for each that reported, at least 1.
+  double Scale() const;
+
   /// Returns the number of other daemons: as set, or all that reported if more.
   std::size_t CountPeers() const;
 
