relay: route by the expected cost of requests where the setting asks for it

Adds relay.cost_routing (off, ranked, on; off by default). The relay then judges the room of an engine by the memory that requests may grow to instead of a count of usual requests, draws loads from their uncertainty so that daemons with the same late view choose different engines, and takes own rejections as knowledge of an engine's fullness.

--- a/source/decisions/layered_model.h
+++ b/source/decisions/layered_model.h
@@ -21,6 +21,7 @@
   double layer_mb = 0;
   double kv_token_bytes = 0;       ///< KV cache of a token, over all layers.
   double mean_request_tokens = 1;  ///< Prompt and answer tokens together.
+  double mean_output_tokens = 1;   ///< Answer tokens alone.
   double link_tokens_per_s = 0;    ///< Rate of hidden states a link carries.
   std::map<std::string, Accelerator> accelerators;
 };
--- a/source/decisions/request_cost.h
+++ b/source/decisions/request_cost.h
@@ -36,6 +36,11 @@
   /// `usual_output_tokens` is the mean of the tables.
   explicit RequestCosts(double usual_output_tokens);
 
+  /// Changes the mean of the tables.
+  void set_usual_output_tokens(double tokens) {
+    usual_output_tokens_ = tokens > 1 ? tokens : 1;
+  }
+
   /// Returns the output tokens of a whole request with `traits` that has
   /// produced `events` already.
   AmountEstimate Estimate(const RequestTraits& traits, double events,
--- a/source/decisions/routing.cc
+++ b/source/decisions/routing.cc
@@ -26,8 +26,8 @@
 }
 
 double LoadOf(const RoutingCandidate& candidate) {
-  return static_cast<double>(candidate.in_flight) /
-         std::max(1U, candidate.slots);
+  const auto requests = static_cast<double>(candidate.in_flight);
+  return candidate.work.value_or(requests) / std::max(1U, candidate.slots);
 }
 
 /// Returns the expected time to serve one more request, in microseconds.
--- a/source/decisions/routing.h
+++ b/source/decisions/routing.h
@@ -21,6 +21,9 @@
   std::uint32_t in_flight = 0;      ///< Estimate for all daemons.
   std::uint32_t reported = 0;       ///< As last reported by the upstream.
   Duration latency = Duration::zero();
+  /// Expected work in usual requests; takes the place of `in_flight` in the
+  /// load, if it is known.
+  std::optional<double> work;
 };
 
 /// Properties of a request that affect the choice.
--- a/source/decisions/upstream_work.cc
+++ b/source/decisions/upstream_work.cc
@@ -8,14 +8,16 @@
 
 /// Time constant of the average of the peers' counts. A sample of the daemons
 /// is noisy, while the load of an upstream changes over seconds.
-constexpr double kPeerAverageSeconds = 0.6;
-/// Part of the growth of running requests that is occupied while another runs:
-/// half of it on average.
-constexpr double kGrowthShare = 0.5;
+constexpr double kPeerAverageSeconds = 2;
+/// Part of the variance of a sample that is left in that average.
+constexpr double kAveragedNoise = 0.5;
+/// Part of the growth of running requests that is kept free. Half of it would
+/// be occupied if none of them ended; others that end leave most of that.
+constexpr double kGrowthShare = 0.1;
 /// Weight of a request in the mean of the layers that it runs.
 constexpr double kLayersWeight = 0.05;
 /// Factor on the effect of a rejection once a request was accepted.
-constexpr double kAcceptanceFactor = 0.5;
+constexpr double kAcceptanceFactor = 0.7;
 
 double SecondsBetween(TimePoint from, TimePoint to) {
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
@@ -57,9 +59,8 @@
 }
 
 void UpstreamWork::Prune() {
-  std::erase_if(states_, [](const auto& item) {
-    return item.second.requests == 0;
-  });
+  std::erase_if(states_,
+                [](const auto& item) { return item.second.requests == 0; });
 }
 
 void UpstreamWork::RecordRejection(const UpstreamName& name, double capacity,
@@ -93,11 +94,10 @@
   // sample isn't taken for certainly idle.
   const double count = peers.scale > 1 ? state.peer_requests + 1 : 0;
   const double counting =
-      std::sqrt(count * (peers.scale - 1)) * each;
-  const double amounts =
-      std::sqrt(state.peer_requests + state.requests) * layers *
-      peers.each_deviation;
-  return {state.estimated + excess, std::hypot(counting, amounts)};
+      std::sqrt(kAveragedNoise * count * (peers.scale - 1)) * each;
+  const double amounts = std::sqrt(state.peer_requests + state.requests) *
+                         layers * peers.each_deviation;
+  return {state.estimated, std::hypot(counting, amounts), excess};
 }
 
 WorkAmount UpstreamWork::OwnOf(const UpstreamName& name) const {
--- a/source/decisions/upstream_work.h
+++ b/source/decisions/upstream_work.h
@@ -30,6 +30,7 @@
 struct WorkEstimate {
   double used = 0;       ///< Occupied on average while a new request runs.
   double deviation = 0;  ///< Uncertainty of `used`.
+  double excess = 0;     ///< Work beyond `used` that a rejection showed.
 };
 
 /// Estimates the work on each upstream from this daemon's own requests, the
@@ -39,7 +40,7 @@
   /// Most upstreams that are remembered beside those with requests.
   static constexpr std::size_t kMaxIdle = 1024;
   /// Time in which a rejection loses all but 1/e of its effect.
-  static constexpr Duration kRejectionLifetime = std::chrono::seconds(1);
+  static constexpr Duration kRejectionLifetime = std::chrono::seconds(10);
 
   /// Adds a request that runs `layers` layers with `amount` in all of them.
   void Add(const UpstreamName& name, const WorkAmount& amount,
--- a/source/decisions/work_load.cc
+++ b/source/decisions/work_load.cc
@@ -1,14 +1,54 @@
 #include "decisions/work_load.h"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
 
 namespace wisteriayoke {
 namespace {
 
-/// Part of the uncertainty by which the load is varied.
-constexpr double kNoiseFactor = 1.0;
-/// Part of the uncertainty that is kept free.
-constexpr double kMarginFactor = 0.0;
+/// Sums over the upstreams of a kind; loads are shares of the capacity.
+class KindLoad {
+ public:
+  void Add(const WorkSample& sample) {
+    if (sample.capacity <= 0) return;
+    const double load = sample.estimate.used / sample.capacity;
+    const double deviation = sample.estimate.deviation / sample.capacity;
+    ++count_;
+    used_ += sample.estimate.used;
+    capacity_ += sample.capacity;
+    loads_ += load;
+    squares_ += load * load;
+    noise_ += deviation * deviation;
+  }
+
+  /// Returns the estimate of `sample`, moved towards the mean load.
+  WorkEstimate Shrink(const WorkSample& sample) const {
+    WorkEstimate estimate = sample.estimate;
+    if (count_ < kLeastCount) return estimate;
+    const double mean = loads_ / count_;
+    const double spread =
+        std::max(0.0, squares_ / count_ - mean * mean - noise_ / count_);
+    const double deviation = estimate.deviation / sample.capacity;
+    const double noise = deviation * deviation;
+    const double share = noise <= 0 ? 1 : spread / (spread + noise);
+    const double center = sample.capacity * used_ / capacity_;
+    estimate.used = center + share * (estimate.used - center);
+    estimate.deviation *= std::sqrt(share);
+    return estimate;
+  }
+
+ private:
+  /// Fewest upstreams whose differences tell of the noise.
+  static constexpr double kLeastCount = 3;
+
+  double count_ = 0;
+  double used_ = 0;
+  double capacity_ = 0;
+  double loads_ = 0;
+  double squares_ = 0;
+  double noise_ = 0;
+};
 
 }  // namespace
 
@@ -22,15 +62,25 @@
   return work;
 }
 
-WorkLoad DrawWorkLoad(const WorkEstimate& estimate, double capacity,
-                      double need, std::mt19937_64& random) {
-  if (capacity <= 0) return {1, false};
-  std::normal_distribution<double> noise(0, kNoiseFactor);
-  const double drawn =
-      std::max(0.0, estimate.used + estimate.deviation * noise(random));
-  const double bound =
-      estimate.used + kMarginFactor * estimate.deviation + need;
-  return {(drawn + need) / capacity, bound <= capacity};
+std::vector<WorkLoad> DrawWorkLoads(std::vector<WorkSample> samples,
+                                    std::mt19937_64& random) {
+  std::map<std::string_view, KindLoad> kinds;
+  for (const auto& sample : samples) kinds[sample.kind].Add(sample);
+  std::normal_distribution<double> noise(0, 1);
+  std::vector<WorkLoad> loads;
+  for (auto& sample : samples) {
+    if (sample.capacity <= 0) {
+      loads.push_back({1, false});
+      continue;
+    }
+    const WorkEstimate estimate = kinds.at(sample.kind).Shrink(sample);
+    const double used = estimate.used + estimate.excess;
+    const double drawn =
+        std::max(0.0, used + estimate.deviation * noise(random));
+    loads.push_back({(drawn + sample.need) / sample.capacity,
+                     used + sample.need <= sample.capacity});
+  }
+  return loads;
 }
 
 }  // namespace wisteriayoke
--- a/source/decisions/work_load.h
+++ b/source/decisions/work_load.h
@@ -2,6 +2,8 @@
 #define WISTERIAYOKE_DECISIONS_WORK_LOAD_H_
 
 #include <random>
+#include <string_view>
+#include <vector>
 
 #include "decisions/layer_path.h"
 #include "decisions/output_histogram.h"
@@ -14,13 +16,23 @@
 /// count more.
 PeerWork DescribePeerWork(double prompt_tokens, const AmountEstimate& output);
 
-/// Returns the load of an upstream with the estimated work `estimate` and room
-/// for `capacity`, if a request that may need `need` is added.
+/// An upstream whose load is to be estimated.
+struct WorkSample {
+  WorkEstimate estimate;
+  double capacity = 0;
+  double need = 0;        ///< What a new request may need.
+  std::string_view kind;  ///< Upstreams of one kind are loaded alike.
+};
+
+/// Returns the loads of upstreams with a new request.
 ///
-/// The load is drawn from its uncertainty. Daemons with the same late view
-/// would otherwise choose the same upstreams at the same time.
-WorkLoad DrawWorkLoad(const WorkEstimate& estimate, double capacity,
-                      double need, std::mt19937_64& random);
+/// The work of an upstream is moved towards the mean of its kind, by as much as
+/// the differences between them are noise of the peers' counts: otherwise those
+/// whose work is underestimated would be chosen. The loads are then drawn from
+/// what uncertainty is left. Daemons with the same late view would otherwise
+/// choose the same upstreams at the same time.
+std::vector<WorkLoad> DrawWorkLoads(std::vector<WorkSample> samples,
+                                    std::mt19937_64& random);
 
 }  // namespace wisteriayoke
 
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -1,5 +1,6 @@
 #include "supervisor/context/metrics_page.h"
 
+#include <cmath>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,6 +47,28 @@
   return text;
 }
 
+/// Returns the work of this daemon's requests in pools that are routed by cost.
+std::string DescribeWork(const RelayState& relay) {
+  if (relay.costs.empty()) return "";
+  std::map<std::string, WorkAmount> by_pool;
+  for (const auto& [name, entry] : relay.fleet.entries()) {
+    if (!relay.costs.contains(entry.pool)) continue;
+    const WorkAmount own = relay.work.OwnOf(entry.upstream.name);
+    WorkAmount& sum = by_pool[MetricLabel("pool", entry.pool.text())];
+    sum.now += own.now;
+    sum.at_end += own.at_end;
+  }
+  std::string text = MetricType("relay_work", "gauge");
+  for (const auto& [pool, sum] : by_pool) {
+    const std::string labels = pool + ",";
+    text += MetricLine("relay_work", labels + MetricLabel("when", "now"),
+                       std::to_string(std::llround(sum.now))) +
+            MetricLine("relay_work", labels + MetricLabel("when", "end"),
+                       std::to_string(std::llround(sum.at_end)));
+  }
+  return text;
+}
+
 std::string DescribeBudgets(const RelayState& relay) {
   std::string text = MetricType("retry_budget", "gauge");
   for (const auto& [pool, budget] : relay.budgets) {
@@ -90,7 +113,7 @@
          Sample("peers", "gauge", state.peer_loads.CountPeers()) +
          Sample("suspect_requests", "gauge", state.quarantine.CountSuspects()) +
          DescribeUpstreams(state, now) + DescribeBudgets(relay) +
-         relay.metrics.Render();
+         DescribeWork(relay) + relay.metrics.Render();
 }
 
 }  // namespace
--- a/source/supervisor/context/relay_metrics.cc
+++ b/source/supervisor/context/relay_metrics.cc
@@ -1,5 +1,8 @@
 #include "supervisor/context/relay_metrics.h"
 
+#include <cmath>
+#include <string_view>
+
 #include "supervisor/context/metrics_text.h"
 
 namespace wisteriayoke {
@@ -30,6 +33,16 @@
   ++store_calls_[{kind, code}];
 }
 
+void RelayMetrics::RecordOutput(const PoolName& pool, double expected,
+                                double actual) {
+  const bool named =
+      outputs_.contains(pool.text()) || outputs_.size() < kMaxRoutePools;
+  OutputSums& sums = outputs_[named ? pool.text() : kOthers];
+  sums.expected += expected;
+  sums.actual += actual;
+  sums.error += std::abs(expected - actual);
+}
+
 std::uint64_t RelayMetrics::CountOf(TargetSearchKind kind) const {
   const auto found = target_searches_.find(kind);
   return found == target_searches_.end() ? 0 : found->second;
@@ -58,6 +71,18 @@
                        MetricLabel("kind", kTargetSearchKindNames.NameOf(kind)),
                        std::to_string(count));
   }
+  if (outputs_.empty()) return text;
+  text += MetricType("relay_output_tokens_total", "counter");
+  for (const auto& [pool, sums] : outputs_) {
+    const std::string labels = MetricLabel("pool", pool) + ",";
+    const auto line = [&labels](std::string_view kind, double tokens) {
+      return MetricLine("relay_output_tokens_total",
+                        labels + MetricLabel("kind", kind),
+                        std::to_string(std::llround(tokens)));
+    };
+    text += line("expected", sums.expected) + line("actual", sums.actual) +
+            line("error", sums.error);
+  }
   return text;
 }
 
--- a/source/supervisor/context/relay_metrics.h
+++ b/source/supervisor/context/relay_metrics.h
@@ -54,6 +54,10 @@
   /// pool.
   void CountTargetSearch(TargetSearchKind kind) { ++target_searches_[kind]; }
 
+  /// Adds a finished request of `pool` that was expected to have `expected`
+  /// output tokens and had `actual`.
+  void RecordOutput(const PoolName& pool, double expected, double actual);
+
   /// Returns the number of searches for `kind`.
   std::uint64_t CountOf(TargetSearchKind kind) const;
 
@@ -64,6 +68,14 @@
   /// Labels of a route and its pool.
   using RouteAndPool = std::pair<std::string, std::string>;
 
+  /// Sums over the finished requests of a pool, in tokens.
+  struct OutputSums {
+    double expected = 0;
+    double actual = 0;
+    double error = 0;  ///< Of the absolute differences.
+  };
+
+  std::map<std::string, OutputSums> outputs_;  ///< By pool.
   std::map<RouteAndPool, std::map<ResultCode, std::uint64_t>> answers_;
   std::map<std::pair<StoreCallKind, ResultCode>, std::uint64_t> store_calls_;
   std::map<TargetSearchKind, std::uint64_t> target_searches_;
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -11,9 +11,11 @@
 #include "decisions/link_budget.h"
 #include "decisions/place_queue.h"
 #include "decisions/relay_tables.h"
+#include "decisions/request_cost.h"
 #include "decisions/retry_budget.h"
 #include "decisions/segment_quarantine.h"
 #include "decisions/store_view.h"
+#include "decisions/upstream_work.h"
 #include "supervisor/context/peer_view_exchange.h"
 #include "supervisor/context/relay_metrics.h"
 
@@ -42,7 +44,10 @@
   RetryLimits retry_limits;  ///< This daemon's share of each pool's limits.
   std::map<PoolName, RetryBudget> budgets;
   std::map<PoolName, PlaceQueue> places;  ///< Requests without a place.
-  LinkBudget links;  ///< Budget of the links between data centres.
+  /// Learned costs of the requests of pools that are routed by cost.
+  std::map<PoolName, RequestCosts> costs;
+  UpstreamWork work;  ///< Work on the upstreams of these pools.
+  LinkBudget links;   ///< Budget of the links between data centres.
   SegmentQuarantine segments;
   double max_members_seen = 1;  ///< Most members that were seen at a time.
   RelayMetrics metrics;
--- a/source/supervisor/context/setting_key.cc
+++ b/source/supervisor/context/setting_key.cc
@@ -78,6 +78,9 @@
      "Repeated sends that all daemons together may add to a pool's requests."},
     {kRetrySlack, "relay", "retry_slack", kDecimal, "200", false,
      "Repeated sends that all daemons together may make beyond the ratio."},
+    {kCostRouting, "relay", "cost_routing", kCostRoutingMode, "off", false,
+     "Which pools are routed by the expected cost of requests; ranked: those "
+     "whose requests have more than one priority."},
     {kSuspectLifetime, "quarantine", "lifetime_ms", kMilliseconds, "3600000",
      false, "Time until a request that crashed upstreams is forgotten."},
 });
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -43,6 +43,7 @@
   kStopGrace,
   kRetryRatio,
   kRetrySlack,
+  kCostRouting,
 };
 
 /// The form of a setting's value.
@@ -55,6 +56,7 @@
   kCount,
   kDecimal,
   kInterface,
+  kCostRoutingMode,
 };
 
 inline constexpr auto kSettingTypeNames = MakeNamesTable<SettingType>({
@@ -66,6 +68,7 @@
     {SettingType::kCount, "whole number"},
     {SettingType::kDecimal, "number"},
     {SettingType::kInterface, "completions|relay"},
+    {SettingType::kCostRoutingMode, "off|ranked|on"},
 });
 
 /// The interface that a daemon offers to callers; it also decides where its
@@ -80,6 +83,19 @@
     {FrontInterface::kRelay, "relay"},
 });
 
+/// Which pools of the relay are routed by the expected cost of requests.
+enum class CostRouting {
+  kOff,     ///< None; load is counted in requests.
+  kRanked,  ///< Those whose requests have more than one priority.
+  kOn,      ///< All.
+};
+
+inline constexpr auto kCostRoutingNames = MakeNamesTable<CostRouting>({
+    {CostRouting::kOff, "off"},
+    {CostRouting::kRanked, "ranked"},
+    {CostRouting::kOn, "on"},
+});
+
 /// One row of the table of settings. A setting with an empty default is
 /// required unless `optional` is set.
 struct SettingInfo {
--- a/source/supervisor/context/settings.cc
+++ b/source/supervisor/context/settings.cc
@@ -59,6 +59,8 @@
       return ParseDecimal(value).has_value();
     case SettingType::kInterface:
       return kFrontInterfaceNames.Find(value).has_value();
+    case SettingType::kCostRoutingMode:
+      return kCostRoutingNames.Find(value).has_value();
   }
   return false;
 }
@@ -117,6 +119,11 @@
       .value_or(FrontInterface::kCompletions);
 }
 
+CostRouting Settings::CostRoutingMode() const {
+  return kCostRoutingNames.Find(Text(SettingKey::kCostRouting))
+      .value_or(CostRouting::kOff);
+}
+
 double Settings::Decimal(SettingKey key) const {
   return ParseDecimal(values_.at(key)).value_or(0);
 }
--- a/source/supervisor/context/settings.h
+++ b/source/supervisor/context/settings.h
@@ -30,6 +30,9 @@
   /// Returns the interface offered to callers.
   FrontInterface Interface() const;
 
+  /// Returns which pools are routed by cost.
+  CostRouting CostRoutingMode() const;
+
   /// Returns a setting of type kDecimal.
   double Decimal(SettingKey key) const;
 
--- a/source/supervisor/relay/attempt_answer.cc
+++ b/source/supervisor/relay/attempt_answer.cc
@@ -47,6 +47,7 @@
     if (event.id && last_event_id && *event.id <= *last_event_id) continue;
     if (event.id) last_event_id = event.id;
     text += event.text;
+    ++event_count_;
   }
   return text;
 }
--- a/source/supervisor/relay/attempt_answer.h
+++ b/source/supervisor/relay/attempt_answer.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAYOKE_SUPERVISOR_RELAY_ATTEMPT_ANSWER_H_
 #define WISTERIAYOKE_SUPERVISOR_RELAY_ATTEMPT_ANSWER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,6 +42,10 @@
   std::optional<std::string> PushEvents(
       std::string_view data, std::optional<std::uint64_t>& last_event_id);
 
+  /// Returns the number of events that `PushEvents` returned since the last
+  /// call.
+  std::size_t TakeEventCount() { return std::exchange(event_count_, 0); }
+
   /// Adds a part of the body of any other answer.
   void PushBody(std::string_view data) { body_ += data; }
 
@@ -60,6 +65,7 @@
   bool is_stream_;
   std::string body_;
   EventSplitter splitter_;
+  std::size_t event_count_ = 0;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/path_search.cc
+++ b/source/supervisor/relay/path_search.cc
@@ -62,7 +62,7 @@
                                        double tokens,
                                        TargetSearchKind kind) const {
   context_.state.relay.metrics.CountTargetSearch(kind);
-  return ChooseTarget(context_, pool, excluded, tokens);
+  return ChooseTarget(context_, pool, excluded, tokens, request_);
 }
 
 bool PathSearch::IsKnownVain(const std::set<UpstreamName>& avoided) const {
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -98,7 +98,7 @@
 }
 
 void RelaySession::Send(const RelayTarget& target) {
-  attempt_.emplace(context_, target);
+  attempt_.emplace(context_, target, request_);
   answer_.reset();
   stall_.RecordProgress(attempt_->sent_at());
   keep_recorded_ = false;
@@ -162,7 +162,8 @@
 void RelaySession::ForwardEvents(std::string_view data) {
   const auto text = answer_->PushEvents(data, last_event_id_);
   if (!text) return;
-  if (attempt_->BeginAnswer()) segment_guard_.HandleBegun();
+  const bool begun = attempt_->RecordEvents(answer_->TakeEventCount());
+  if (begun) segment_guard_.HandleBegun();
   RecordProgress();
   Forward(*text);
 }
--- a/source/supervisor/relay/relay_target.cc
+++ b/source/supervisor/relay/relay_target.cc
@@ -3,32 +3,17 @@
 #include <algorithm>
 
 #include "decisions/layer_path.h"
+#include "decisions/upstream_capacity.h"
+#include "supervisor/relay/cost_routing.h"
 #include "supervisor/relay/relay_refusal.h"
 
 namespace wisteriayoke {
 namespace {
 
-/// Memory that requests of usual length may fill, as a multiple of the memory
-/// beside the layers; above 1, it overcommits that memory.
-constexpr double kMemoryFactor = 1.05;
 /// Part of the links between data centres that the hidden states of prompts may
 /// fill; the rest is for those of generated tokens.
 constexpr double kLinkShare = 0.7;
 
-/// Returns the number of usual requests for which `upstream` has memory.
-std::uint32_t CountCapacity(const LayeredModel& model,
-                            const Accelerator& accelerator,
-                            const UpstreamSpec& upstream, double slowdown) {
-  const std::uint32_t layers = upstream.layers.end - upstream.layers.first;
-  const double tokens =
-      TokensBesideLayers(model, accelerator.memory_mb, layers);
-  // An upstream that is slower than any usual one holds each request for
-  // longer.
-  const double capacity = kMemoryFactor * tokens / model.mean_request_tokens /
-                          RelativeSlowdown(model, accelerator, slowdown);
-  return std::clamp(static_cast<std::uint32_t>(capacity), 1U, upstream.slots);
-}
-
 std::vector<PathCandidate> ListCandidates(
     const DaemonContext& context, const RelayPool& pool,
     const std::set<UpstreamName>& excluded) {
@@ -79,8 +64,11 @@
 TargetChoice ChooseChainTarget(const DaemonContext& context,
                                const RelayPool& pool,
                                const std::set<UpstreamName>& excluded,
-                               double tokens) {
-  const auto candidates = ListCandidates(context, pool, excluded);
+                               double tokens, const RelayedRequest& request) {
+  auto candidates = ListCandidates(context, pool, excluded);
+  if (IsCostRouted(context.settings, *request.tables, pool.name)) {
+    SetWork(context, pool, request, candidates);
+  }
   PathChoice choice = ChoosePath(pool.model->layer_count, candidates);
   const bool busy =
       choice.outcome == PathOutcome::kBusy ||
@@ -97,7 +85,8 @@
 
 TargetChoice ChooseServiceTarget(const DaemonContext& context,
                                  const RelayPool& pool,
-                                 const std::set<UpstreamName>& excluded) {
+                                 const std::set<UpstreamName>& excluded,
+                                 const RelayedRequest& request) {
   DaemonState& state = context.state;
   const TimePoint now = context.loop.Now();
   Pool members;
@@ -107,8 +96,11 @@
   auto usable = state.upstreams.ListUsable(members, excluded, now);
   // An upstream that just failed is better than none.
   if (usable.empty()) usable = state.upstreams.ListUsable(members, {}, now);
-  const auto candidates =
+  auto candidates =
       BuildCandidates(usable, state.upstreams, state.peer_loads, now);
+  if (IsCostRouted(context.settings, *request.tables, pool.name)) {
+    SetServiceWork(context, candidates);
+  }
   const auto chosen =
       ChooseUpstream(state.routing, candidates, {}, state.random);
   if (!chosen) return {};
@@ -152,10 +144,11 @@
 }
 
 TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
-                          const std::set<UpstreamName>& excluded,
-                          double tokens) {
-  return pool.model ? ChooseChainTarget(context, pool, excluded, tokens)
-                    : ChooseServiceTarget(context, pool, excluded);
+                          const std::set<UpstreamName>& excluded, double tokens,
+                          const RelayedRequest& request) {
+  return pool.model
+             ? ChooseChainTarget(context, pool, excluded, tokens, request)
+             : ChooseServiceTarget(context, pool, excluded, request);
 }
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/relay_target.h
+++ b/source/supervisor/relay/relay_target.h
@@ -10,6 +10,8 @@
 
 namespace wisteriayoke {
 
+struct RelayedRequest;
+
 /// Destination of one attempt.
 struct RelayTarget {
   UpstreamName upstream;  ///< Upstream that gets the request.
@@ -32,10 +34,11 @@
 
 /// Chooses where to send a request for `pool`, without `excluded`; a plain
 /// service falls back to these if no other upstream is usable. The stages read
-/// `tokens` tokens before the first new one.
+/// `tokens` tokens before the first new one. Where requests are routed by cost,
+/// `request` is one to send, or one like it.
 TargetChoice ChooseTarget(const DaemonContext& context, const RelayPool& pool,
-                          const std::set<UpstreamName>& excluded,
-                          double tokens);
+                          const std::set<UpstreamName>& excluded, double tokens,
+                          const RelayedRequest& request);
 
 /// Returns after what time a caller that was refused for want of an upstream
 /// should retry: when the first upstream of `pool` wants work again if all
--- a/source/supervisor/relay/relayed_request.h
+++ b/source/supervisor/relay/relayed_request.h
@@ -22,6 +22,7 @@
   WorkspaceName workspace;  ///< Empty if the caller sent no key.
   CallerFields fields;
   HttpRequest request;
+  double events = 0;  ///< Events of the answer so far, of all attempts.
   std::shared_ptr<HttpServerSession> caller;
 
   bool is_stream() const { return route.kind == RelayKind::kStreaming; }
--- a/source/supervisor/relay/running_attempt.h
+++ b/source/supervisor/relay/running_attempt.h
@@ -9,6 +9,7 @@
 #include "runtime/http_client_call.h"
 #include "supervisor/context/daemon_context.h"
 #include "supervisor/relay/relay_target.h"
+#include "supervisor/relay/relayed_request.h"
 
 namespace wisteriayoke {
 
@@ -19,7 +20,9 @@
 /// load that it puts on its upstreams. Ends with `End`.
 class RunningAttempt {
  public:
-  RunningAttempt(DaemonContext context, RelayTarget target);
+  /// `request` must outlive the attempt.
+  RunningAttempt(DaemonContext context, RelayTarget target,
+                 RelayedRequest& request);
 
   void set_call(std::shared_ptr<HttpClientCall> call) {
     call_ = std::move(call);
@@ -44,8 +47,9 @@
   void Pause();
   void Resume();
 
-  /// Records that the answer has begun. Returns whether that is new.
-  bool BeginAnswer();
+  /// Records that `events` more events of the answer have arrived, so that it
+  /// has begun. Returns whether that is new.
+  bool RecordEvents(std::size_t events);
 
   /// Ends the call and frees the upstreams. A poor answer counts as one that
   /// took `poor_time`.
@@ -53,11 +57,20 @@
 
  private:
   void EndPrefill();
+  void AddWork();
+  void UpdateWork();
+  void RemoveWork();
+  void LearnCost();
   void Release(const UpstreamName& upstream, UpstreamFeedback feedback,
                Duration poor_time);
 
   DaemonContext context_;
   RelayTarget target_;
+  RelayedRequest& request_;
+  const RelayPool* pool_;        ///< Null unless it is routed by cost.
+  WorkAmount work_;              ///< Per layer, as it counts for the upstreams.
+  double expected_output_ = 0;   ///< When it was sent.
+  double work_known_until_ = 0;  ///< Events after which work is estimated anew.
   std::shared_ptr<HttpClientCall> call_;
   TimePoint sent_at_;
   bool prefilling_ = true;  ///< Whether the prompt may still be in prefill.
--- a/tests/decisions/engine_simulation.h
+++ b/tests/decisions/engine_simulation.h
@@ -9,8 +9,8 @@
 #include <random>
 #include <set>
 #include <string>
-#include <utility>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "decisions/layer_path.h"
@@ -29,7 +29,7 @@
   std::size_t daemons = 28;
   bool by_cost = false;
   double requests_per_s = 100;
-  double seconds = 15;
+  double seconds = 30;
   /// Returns the traits and the output tokens of a new request.
   std::function<std::pair<RequestTraits, double>(std::mt19937_64&, double)>
       make_request;
@@ -143,8 +143,8 @@
               .accelerators = {{"large", {72'000, 1.4, 1}},
                                {"middle", {21'600, 16, 8}},
                                {"small", {14'400, 15, 8}}}};
-    const std::vector<std::string> kinds = {"large", "middle", "small",
-                                            "middle", "small", "small",
+    const std::vector<std::string> kinds = {"large",  "middle", "small",
+                                            "middle", "small",  "small",
                                             "middle", "small"};
     std::vector<LayerHost> hosts;
     for (std::size_t i = 0; i < kEngines; ++i) {
@@ -178,7 +178,8 @@
       if ((step_ + static_cast<int>(i * 7)) % kCountSteps != 0) continue;
       InFlightCounts counts;
       for (const auto& engine : engines_) {
-        const auto own = daemons_[i].tracker.StateOf(engine.spec.name).in_flight;
+        const auto own =
+            daemons_[i].tracker.StateOf(engine.spec.name).in_flight;
         if (own == 0) continue;
         counts.push_back(
             {DigestOf(engine.spec.name), static_cast<std::uint16_t>(own)});
@@ -215,6 +216,7 @@
                                       daemon.costs.EstimateAny(Now()));
     peers.scale = daemon.peers.Scale();
     std::vector<PathCandidate> candidates;
+    std::vector<WorkSample> samples;
     for (const auto& engine : engines_) {
       const UpstreamName& name = engine.spec.name;
       if (request.excluded.contains(name)) continue;
@@ -229,19 +231,22 @@
           .in_flight = daemon.tracker.CountInFlight(name, daemon.peers),
           .prefilling = daemon.tracker.StateOf(name).prefilling};
       if (load_.by_cost) {
-        const double layers =
-            engine.spec.layers.end - engine.spec.layers.first;
+        const double layers = engine.spec.layers.end - engine.spec.layers.first;
         peers.requests = daemon.peers.InFlightOf(name);
         peers.layers = layers;
         candidate.limit = engine.spec.slots;
-        candidate.work =
-            DrawWorkLoad(daemon.work.Estimate(name, peers, Now()),
-                         engine.capacity,
-                         (request.traits.prompt_tokens + output.high) * layers,
-                         daemon.random);
+        samples.push_back(
+            {.estimate = daemon.work.Estimate(name, peers, Now()),
+             .capacity = engine.capacity,
+             .need = (request.traits.prompt_tokens + output.high) * layers,
+             .kind = engine.spec.accelerator});
       }
       candidates.push_back(candidate);
     }
+    const auto loads = DrawWorkLoads(std::move(samples), daemon.random);
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+      candidates[i].work = loads[i];
+    }
     return candidates;
   }
 
@@ -302,9 +307,9 @@
            (request.traits.prompt_tokens + output.mean) * layers});
       request.token_ms +=
           kTokenMs * engine.kind->step_factor * engine.slow * layers / kLayers;
-      request.reading_ms += kPromptMs * engine.kind->read_factor * engine.slow *
-                            layers / kLayers *
-                            (1 + daemon.tracker.StateOf(stage.upstream).prefilling);
+      request.reading_ms +=
+          kPromptMs * engine.kind->read_factor * engine.slow * layers /
+          kLayers * (1 + daemon.tracker.StateOf(stage.upstream).prefilling);
       engine.used += request.traits.prompt_tokens * layers;
       engine.running.push_back(index);
       daemon.tracker.RecordStart(stage.upstream);
@@ -338,8 +343,8 @@
           EndPrefill(request);
         }
       }
-      const double tokens = std::min(time / request.token_ms,
-                                     request.output - request.produced);
+      const double tokens =
+          std::min(time / request.token_ms, request.output - request.produced);
       request.produced += tokens;
       Occupy(request, tokens);
       if (request.produced < request.output) {
--- a/tests/platform/store_codecs_test.cc
+++ b/tests/platform/store_codecs_test.cc
@@ -72,6 +72,7 @@
   const LayeredModel& model = spec->pools[0].model.value();
   CHECK(model.layer_count == 80);
   CHECK(model.mean_request_tokens == 946);
+  CHECK(model.mean_output_tokens == 174);
   CHECK(model.accelerators.at("h100").memory_mb == 72000);
   CHECK(model.link_tokens_per_s == doctest::Approx(46610).epsilon(0.001));
 }
