--- a/source/decisions/upstream_work.cc
+++ b/source/decisions/upstream_work.cc
@@ -19,6 +19,13 @@
 /// Factor on the effect of a rejection once a request was accepted.
 constexpr double kAcceptanceFactor = 0.7;
 
+/// Changes of the capacity factor by an accepted stage and by a rejected
+/// request, and its bounds. A path has two or three stages.
+constexpr double kFactorRise = 0.001;
+constexpr double kFactorFall = 0.2;
+constexpr double kLeastCapacityFactor = 0.95;
+constexpr double kMostCapacityFactor = 1.3;
+
 double SecondsBetween(TimePoint from, TimePoint to) {
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
@@ -66,11 +73,15 @@
 void UpstreamWork::RecordRejection(const UpstreamName& name, double capacity,
                                    TimePoint now) {
   State& state = states_[name];
-  state.excess = std::max(0.0, capacity - state.estimated);
+  capacity_factor_ =
+      std::max(kLeastCapacityFactor, capacity_factor_ - kFactorFall);
+  state.excess = std::max(0.0, capacity * capacity_factor_ - state.estimated);
   state.excess_at = now;
 }
 
 void UpstreamWork::RecordAcceptance(const UpstreamName& name) {
+  capacity_factor_ =
+      std::min(kMostCapacityFactor, capacity_factor_ + kFactorRise);
   const auto found = states_.find(name);
   if (found != states_.end()) found->second.excess *= kAcceptanceFactor;
 }
--- a/source/decisions/upstream_work.h
+++ b/source/decisions/upstream_work.h
@@ -50,8 +50,8 @@
               const WorkAmount& amount);
   void Remove(const UpstreamName& name, const WorkAmount& amount);
 
-  /// Records that `name` had no room: whatever was estimated, it was full up to
-  /// `capacity` at `now`. The effect fades.
+  /// Records that `name`, which has `capacity`, had no room: whatever was
+  /// estimated, it was full at `now`. The effect fades.
   void RecordRejection(const UpstreamName& name, double capacity,
                        TimePoint now);
 
@@ -63,6 +63,12 @@
   WorkEstimate Estimate(const UpstreamName& name, const PeerWork& peers,
                         TimePoint now);
 
+  /// Returns the factor on the capacity of upstreams up to which they are
+  /// filled by the estimate. It rises while upstreams accept what is sent and
+  /// falls with each rejection, so that about one in 100 requests is rejected
+  /// where there is more work than room.
+  double capacity_factor() const { return capacity_factor_; }
+
   /// Returns the work of this daemon's own requests on `name`.
   WorkAmount OwnOf(const UpstreamName& name) const;
 
@@ -81,6 +87,7 @@
   void Prune();
 
   std::map<UpstreamName, State> states_;
+  double capacity_factor_ = 1;
 };
 
 }  // namespace wisteriayoke
--- a/source/supervisor/relay/cost_routing.cc
+++ b/source/supervisor/relay/cost_routing.cc
@@ -74,7 +74,8 @@
     peers.layers = layers;
     const double capacity =
         TokenLayersOf(model, model.accelerators.at(upstream.accelerator),
-                      upstream, candidate.slowdown);
+                      upstream, candidate.slowdown) *
+        state.relay.work.capacity_factor();
     const double need = (request.fields.prompt_tokens + output.high) * layers;
     // An idle upstream may take a request of any size.
     samples.push_back(
--- a/tests/decisions/cost_routing_test.cc
+++ b/tests/decisions/cost_routing_test.cc
@@ -9,6 +9,9 @@
 namespace wisteriayoke {
 namespace {
 
+/// Faults are rare, so that one seed alone tells little.
+constexpr unsigned kSeeds = 4;
+
 /// Prompts of 700 to 800 tokens, outputs of 225 on average with a heavy tail.
 std::pair<RequestTraits, double> MakeUsual(std::mt19937_64& random,
                                            double /*seconds*/) {
@@ -59,16 +62,25 @@
       result.peak);
 }
 
-/// Runs `load` with today's choice by counts and with the choice by work.
+/// Returns the sums of runs of `load` with several seeds, and prints them.
+EngineResult RunSeeds(const char* name, EngineLoad load) {
+  EngineResult sum;
+  for (load.seed = 0; load.seed < kSeeds; ++load.seed) {
+    sum.Add(EngineSimulation(load).Run());
+  }
+  sum.use /= kSeeds;
+  sum.peak /= kSeeds;
+  Print(name, load, sum);
+  return sum;
+}
+
+/// Runs `load` with the choice by counts and with the choice by work.
 std::pair<EngineResult, EngineResult> Compare(const char* name,
                                               EngineLoad load) {
   load.by_cost = false;
-  const EngineResult counts = EngineSimulation(load).Run();
-  Print(name, load, counts);
+  const EngineResult counts = RunSeeds(name, load);
   load.by_cost = true;
-  const EngineResult work = EngineSimulation(load).Run();
-  Print(name, load, work);
-  return {counts, work};
+  return {counts, RunSeeds(name, load)};
 }
 
 /// Rejections and preemptions per arrival that the operators accept.
--- a/tests/decisions/engine_simulation.h
+++ b/tests/decisions/engine_simulation.h
@@ -33,6 +33,7 @@
   /// Returns the traits and the output tokens of a new request.
   std::function<std::pair<RequestTraits, double>(std::mt19937_64&, double)>
       make_request;
+  unsigned seed = 0;
   double slow_factor = 1;  ///< Of the first engine, unknown to the daemons.
 };
 
@@ -45,6 +46,15 @@
   double finished = 0;
   double use = 0;   ///< Mean share of the engines' memory that was occupied.
   double peak = 0;  ///< Mean over time of the busiest engine to the mean.
+  void Add(const EngineResult& other) {
+    arrivals += other.arrivals;
+    rejected += other.rejected;
+    preempted += other.preempted;
+    refused += other.refused;
+    finished += other.finished;
+    use += other.use;
+    peak += other.peak;
+  }
   double RejectedShare() const { return rejected / arrivals; }
   double PreemptedShare() const { return preempted / arrivals; }
 };
@@ -56,9 +66,10 @@
   explicit EngineSimulation(EngineLoad load)
       : load_(std::move(load)), daemons_(load_.daemons) {
     MakeEngines();
+    random_.seed(20261206 + load_.seed);
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       daemons_[i].name = DaemonName("d" + std::to_string(i));
-      daemons_[i].random.seed(i + 1);
+      daemons_[i].random.seed(1000 * load_.seed + i + 1);
       daemons_[i].peers.SetPeerCount(load_.daemons - 1);
     }
   }
@@ -237,7 +248,7 @@
         candidate.limit = engine.spec.slots;
         samples.push_back(
             {.estimate = daemon.work.Estimate(name, peers, Now()),
-             .capacity = engine.capacity,
+             .capacity = engine.capacity * daemon.work.capacity_factor(),
              .need = (request.traits.prompt_tokens + output.high) * layers,
              .kind = engine.spec.accelerator});
       }
@@ -450,7 +461,7 @@
   std::vector<Request> requests_;
   std::vector<std::size_t> waiting_;
   std::vector<std::size_t> running_;
-  std::mt19937_64 random_{20261206};
+  std::mt19937_64 random_;
   int step_ = 0;
   bool measured_ = false;
   EngineResult result_;
--- a/tests/decisions/upstream_work_test.cc
+++ b/tests/decisions/upstream_work_test.cc
@@ -50,7 +50,8 @@
   const double before = work.Estimate(kEngine, peers, kStart).used;
   work.RecordRejection(kEngine, kCapacity, kStart);
   const auto full = work.Estimate(kEngine, peers, kStart);
-  CHECK(full.used + full.excess == doctest::Approx(kCapacity));
+  CHECK(full.used + full.excess ==
+        doctest::Approx(kCapacity * work.capacity_factor()));
   work.RecordAcceptance(kEngine);
   const auto accepted = work.Estimate(kEngine, peers, kStart);
   CHECK(accepted.excess < full.excess);
