--- a/source/supervisor/relay/path_search.cc
+++ b/source/supervisor/relay/path_search.cc
@@ -80,7 +80,7 @@
                                        double tokens, TargetSearchKind kind,
                                        double room_share) const {
   context_.state.relay.metrics.CountTargetSearch(kind);
-  return ChooseTarget(context_, pool, excluded, tokens, room_share);
+  return ChooseTarget(context_, pool, excluded, tokens, request_, room_share);
 }
 
 bool PathSearch::IsKnownVain(const std::set<UpstreamName>& avoided) const {
--- a/source/supervisor/relay/relay_session_attempt.cc
+++ b/source/supervisor/relay/relay_session_attempt.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 void RelaySession::Send(const RelayTarget& target) {
-  attempt_.emplace(context_, target);
+  attempt_.emplace(context_, target, request_);
   answer_.reset();
   stall_.RecordProgress(attempt_->sent_at());
   keep_recorded_ = false;
--- a/source/supervisor/relay/relay_session_stream.cc
+++ b/source/supervisor/relay/relay_session_stream.cc
@@ -6,7 +6,8 @@
 void RelaySession::ForwardEvents(std::string_view data) {
   const auto text = answer_->PushEvents(data, last_event_id_);
   if (!text) return;
-  if (attempt_->BeginAnswer()) segment_guard_.HandleBegun();
+  const bool begun = attempt_->RecordEvents(answer_->TakeEventCount());
+  if (begun) segment_guard_.HandleBegun();
   RecordProgress();
   Forward(*text);
 }
--- a/source/supervisor/relay/relayed_request.h
+++ b/source/supervisor/relay/relayed_request.h
@@ -24,6 +24,7 @@
   std::optional<RequestRank> rank;
   CallerFields fields;
   HttpRequest request;
+  double events = 0;  ///< Events of the answer so far, of all attempts.
   std::shared_ptr<HttpServerSession> caller;
 
   bool is_stream() const { return route.kind == RelayKind::kStreaming; }
