--- a/source/decisions/request_cost.cc
+++ b/source/decisions/request_cost.cc
@@ -22,9 +22,9 @@
 
 int SizeClassOf(const RequestTraits& traits) {
   const double bounded = std::clamp(traits.max_output_tokens, 0.0, 1e6);
-  return std::min(kMaxSizeClass,
-                  static_cast<int>(
-                      std::bit_width(static_cast<std::uint32_t>(bounded))));
+  return std::min(
+      kMaxSizeClass,
+      static_cast<int>(std::bit_width(static_cast<std::uint32_t>(bounded))));
 }
 
 double SquaredLogError(double actual, double expected) {
