--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -45,20 +45,18 @@
 }
 
 std::size_t Membership::RankByName() const {
-  const std::vector<Member> present = members_.ListPresent();
-  return static_cast<std::size_t>(
-      std::count_if(present.begin(), present.end(),
-                    [this](const Member& m) { return m.name < self_.name; }));
+  return static_cast<std::size_t>(std::ranges::count_if(
+      members_.ListPresent(),
+      [this](const Member& m) { return m.name < self_.name; }));
 }
 
 std::size_t Membership::RankByDigest() const {
   const auto key = [](const Member& member) {
     return std::pair(DigestOf(member.name), member.name);
   };
-  const std::vector<Member> present = members_.ListPresent();
-  return static_cast<std::size_t>(
-      std::count_if(present.begin(), present.end(),
-                    [&](const Member& m) { return key(m) < key(self_); }));
+  return static_cast<std::size_t>(std::ranges::count_if(
+      members_.ListPresent(),
+      [&](const Member& m) { return key(m) < key(self_); }));
 }
 
 void Membership::HandleTick() {
--- a/source/supervisor/context/relay_metrics.cc
+++ b/source/supervisor/context/relay_metrics.cc
@@ -80,8 +80,9 @@
                        MetricLabel("kind", kTargetSearchKindNames.NameOf(kind)),
                        std::to_string(count));
   }
-  if (!rank_events_.empty())
+  if (!rank_events_.empty()) {
     text += MetricType("relay_ranked_total", "counter");
+  }
   for (const auto& [key, events] : rank_events_) {
     const std::string labels = MetricLabel("route", key.first) + "," +
                                MetricLabel("rank", std::to_string(key.second)) +
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -202,8 +202,9 @@
 void PeerLink::HandleMember(const Member& member) {
   const TimePoint now = context_.loop.Now();
   if (group_.Record(member, now)) ApplyGroup();
-  if (!group_.Contains(member.name))
+  if (!group_.Contains(member.name)) {
     context_.state.peer_loads.Drop(member.name);
+  }
   if (!changes_.Record(member.status, now)) return;
   context_.state.timeline.Record(
       LogLevel::kInfo, EventKind::kMemberChanged, ResultCode::kOk,
