relay, memory, membership: faults that the review of the four parts found

A request that had been sent once and was displaced while it waited for another upstream was answered 503, which promises that it has not run; it is 502 now. A stream that waits for its own reasons no longer holds up all new requests of the pool. An arrival with little time no longer displaces others that all get their places. Searches in vain are bounded at each pass. A priority beside requests without any gives a rank. Times that a pause moves on never pass now. Parsed header fields count with their nodes, a body with what has arrived of it; input that is pipelined during an answer is bounded; the departure of a caller that is served is seen over the budget; an idle connection makes way at the limit of connections as well; a whole request behind an unread answer is handled during a drain.

Tests: ranked_queue_test "an arrival that has little time", relay_tables_test "one priority beside requests", wire_test "held bytes follow".

--- a/source/decisions/membership.cc
+++ b/source/decisions/membership.cc
@@ -40,8 +40,7 @@
 
 std::optional<Endpoint> Membership::SampleMember() {
   const std::vector<Member> sample = members_.Sample(1);
-  if (sample.empty()) return std::nullopt;
-  return sample.front().endpoint;
+  return sample.empty() ? std::nullopt : std::optional(sample.front().endpoint);
 }
 
 std::size_t Membership::RankByName() const {
@@ -79,9 +78,10 @@
 }
 
 void Membership::Postpone(Duration pause) {
-  if (pause == Duration::zero()) return;
-  for (auto& [sequence, probe] : probes_) probe.started += pause;
-  suspicions_.Postpone(pause);
+  for (auto& [sequence, probe] : probes_) {
+    probe.started = std::min(now_, probe.started + pause);
+  }
+  suspicions_.Postpone(pause, now_);
 }
 
 void Membership::ContinueProbes() {
--- a/source/decisions/memory_budget.cc
+++ b/source/decisions/memory_budget.cc
@@ -60,7 +60,9 @@
   if (!IsLow() || id == granted_) return true;
   const auto it = holders_.find(id);
   if (it == holders_.end() || !it->second.closable) return true;
-  return !IsOver() && it->second.usage.input_bytes <= kSmallInputBytes;
+  const bool small = it->second.usage.input_bytes <= kSmallInputBytes;
+  // The departure of a caller that is being served must be noticed.
+  return small && (it->second.forwarded || !IsOver());
 }
 
 void MemoryBudget::Park(HolderId id) {
@@ -75,7 +77,8 @@
     left = CloseWorst(MemoryRule::kStalled, ResumeLevel(), now, decision);
   }
   if (limit_ > 0 && left > limit_) {
-    left = CloseWorst(MemoryRule::kOverBudget, limit_, now, decision);
+    // Some room is left, so that not each new connection needs a decision.
+    left = CloseWorst(MemoryRule::kOverBudget, limit_ / 16 * 15, now, decision);
   }
   if (limit_ > 0 && left > ResumeLevel()) {
     const auto granted = holders_.find(granted_);
--- a/source/decisions/ranked_queue.cc
+++ b/source/decisions/ranked_queue.cc
@@ -117,8 +117,13 @@
     if (!TryDisplaceFromLongerLine(request)) return PlaceRule::kWaitTooLong;
     return Insert(request);
   }
+  // A request that has less time than others doesn't make the queue full.
+  TimePoint latest = request.leaves_at;
+  for (const auto& [ticket, entry] : waiting_) {
+    latest = std::max(latest, entry.request.leaves_at);
+  }
   const bool full = waiting_.size() >= kMinWaiting &&
-                    !Suffices(rate, patience, waiting_.size() + 1);
+                    !Suffices(rate, latest - now, waiting_.size() + 1);
   if (full && !TryDisplace(request, now)) return PlaceRule::kQueueFull;
   return Insert(request);
 }
--- a/source/decisions/relay_tables.cc
+++ b/source/decisions/relay_tables.cc
@@ -29,17 +29,23 @@
     of_workspaces.insert(workspace.priority);
   }
   std::map<PoolName, std::set<PriorityPair>> pairs;
+  std::set<PoolName> with_unprioritized;
   for (const auto& route : spec_.routes) {
     auto priorities = of_workspaces;
     if (route.anonymous || priorities.empty()) priorities.insert(std::nullopt);
     for (const auto& priority : priorities) {
       const auto pair = CombinePriorities(priority, route.priority);
-      if (!pair) continue;
-      for (const auto& share : route.pools) pairs[share.pool].insert(*pair);
+      for (const auto& share : route.pools) {
+        if (pair) {
+          pairs[share.pool].insert(*pair);
+        } else {
+          with_unprioritized.insert(share.pool);
+        }
+      }
     }
   }
   for (const auto& [pool, distinct] : pairs) {
-    if (distinct.size() < 2) continue;
+    if (distinct.size() + with_unprioritized.count(pool) < 2) continue;
     ranks_[pool].assign(distinct.begin(), distinct.end());
   }
 }
--- a/source/decisions/suspicions.cc
+++ b/source/decisions/suspicions.cc
@@ -81,10 +81,12 @@
   return due;
 }
 
-void Suspicions::Postpone(Duration pause) {
+void Suspicions::Postpone(Duration pause, TimePoint now) {
   for (auto& [member, entry] : entries_) {
-    entry.first_heard += pause;
-    if (entry.own_since) *entry.own_since += pause;
+    entry.first_heard = std::min(now, entry.first_heard + pause);
+    if (entry.own_since) {
+      entry.own_since = std::min(now, *entry.own_since + pause);
+    }
   }
 }
 
--- a/source/decisions/suspicions.h
+++ b/source/decisions/suspicions.h
@@ -52,8 +52,9 @@
   /// Returns the members that this daemon has suspected for long enough.
   std::vector<DaemonName> ListDue(const SuspicionTimes& times,
                                   TimePoint now) const;
-  /// Leaves `pause`, in which this daemon didn't run, out of all times.
-  void Postpone(Duration pause);
+  /// Leaves `pause`, in which this daemon didn't run and which ended at `now`,
+  /// out of all times.
+  void Postpone(Duration pause, TimePoint now);
   /// Drops suspicions of others that are older than `kRetention`.
   void Expire(TimePoint now);
 
--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -37,6 +37,9 @@
   head_ = EncodeRequestHead(request, endpoint.ToString());
   body_ = std::move(request.body);
   UpdateMemory();
+  // A call takes the descriptor of an idle connection if there is no other.
+  MemoryGuard& memory = loop_.memory();
+  if (!memory.HasRoomForSession(true)) memory.CloseIdleSession();
   asio::error_code error;
   const auto address = asio::ip::make_address(endpoint.host, error);
   ArmTimer(limits_.connect_timeout);
--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -81,7 +81,12 @@
 void HttpServer::AddSession(asio::ip::tcp::socket socket) {
   auto session = std::make_shared<HttpServerSession>(
       loop_, std::move(socket), limits_, handler_, error_handler_);
-  if (CountSessions() >= limits_.connections) {
+  const auto is_full = [this] {
+    return CountSessions() >= limits_.connections;
+  };
+  // Connections without progress must not shut out all other callers.
+  if (is_full() && !limits_.reserved) loop_.memory().CloseIdleSession();
+  if (is_full()) {
     LastReason reason;
     reason.Set(ResultCode::kTooManyConnections,
                "all " + std::to_string(limits_.connections) +
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -130,7 +130,11 @@
   pipelined_bytes_ = 0;
   keep_alive_ = request->keep_alive;
   answers_head_ = request->method == "HEAD";
-  request_bytes_ = request->body.capacity();
+  request_bytes_ =
+      request->body.capacity() + request->fields.capacity() * sizeof(HttpField);
+  for (const auto& field : request->fields) {
+    request_bytes_ += field.name.capacity() + field.value.capacity();
+  }
   loop_.memory().SetForwarded(holder_, true);
   handler_(std::move(*request), shared_from_this());
 }
@@ -143,7 +147,8 @@
   keep_alive_ = false;
   parser_.Release();
   // Closing with unread input would discard the answer.
-  ResumeReading();
+  parked_ = false;
+  Read();
   Respond(error_handler_(reason));
 }
 
@@ -182,7 +187,7 @@
   next_posted_ = true;
   loop_.Post([self = shared_from_this()] {
     self->next_posted_ = false;
-    if (self->closed_ || self->answering_) return;
+    if (self->closed_ || self->answering_ || self->refused_) return;
     self->RunGuardedOrClose([&self] { self->HandleQueuedInput(); });
     self->UpdateMemory();
   });
@@ -200,7 +205,7 @@
 /// Returns whether the input holds requests that are still to be handled, so
 /// that more of them need not be read.
 bool HttpServerSession::HasEnoughInput() const {
-  return (next_posted_ || deferred_) && !refused_ &&
+  return (answering_ || next_posted_ || deferred_) && !refused_ &&
          parser_.CountUnparsedBytes() >= kReadBytes;
 }
 
@@ -245,6 +250,12 @@
     if (!pending_output_.empty()) Flush();
   }
   UpdateMemory();
+  if (deferred_ && CountBufferedBytes() < limits_.resume_bytes) {
+    deferred_ = false;
+    RunGuardedOrClose([this] { HandleQueuedInput(); });
+    if (closed_) return;
+    UpdateMemory();
+  }
   if (writing_.empty() && close_when_idle_ && !answering_) {
     return CloseAfterWrite();
   }
@@ -252,11 +263,6 @@
     const auto handler = on_writable_;
     handler();
   }
-  if (deferred_ && !closed_ && CountBufferedBytes() < limits_.resume_bytes) {
-    deferred_ = false;
-    RunGuardedOrClose([this] { HandleQueuedInput(); });
-    UpdateMemory();
-  }
 }
 
 void HttpServerSession::CloseAfterWrite() {
--- a/source/supervisor/relay/place_turns.cc
+++ b/source/supervisor/relay/place_turns.cc
@@ -9,6 +9,8 @@
 
 /// Most requests of a pool that search for a place at one call.
 constexpr unsigned kMaxTurns = 64;
+/// Most of these searches that may be in vain; each goes over all upstreams.
+constexpr unsigned kMaxVainTurns = 4;
 
 /// The sessions of one pool that wait for a place.
 struct WaitingSessions {
@@ -34,9 +36,10 @@
 /// Lets streams go on. Returns whether none waits any longer.
 bool Resume(const std::vector<std::shared_ptr<RelaySession>>& sessions) {
   for (const auto& session : sessions) {
-    session->TakeTurn();
-    // Each search goes over all upstreams; the others have their own times.
-    if (session->WaitsToResume()) return false;
+    const bool others_may_search = session->TakeTurn();
+    // Each search goes over all upstreams; the others have their own times. A
+    // stream that avoids some upstreams says nothing about the room of others.
+    if (session->WaitsToResume()) return others_may_search;
   }
   return true;
 }
@@ -52,14 +55,15 @@
     WaitingSessions& waiting = pools[pool];
     queue.set_resuming(!Resume(waiting.resuming));
     std::set<PlaceTicket> passed;
-    while (passed.size() < kMaxTurns) {
+    unsigned vain = 0;
+    while (passed.size() < kMaxTurns && vain < kMaxVainTurns) {
       const auto next = queue.Next(context.loop.Now(), passed);
       if (!next) break;
       passed.insert(*next);
       const auto session = waiting.queued.find(*next);
-      if (session != waiting.queued.end() && !session->second->TakeTurn()) {
-        break;
-      }
+      if (session == waiting.queued.end()) continue;
+      if (!session->second->TakeTurn()) break;
+      if (session->second->FindTicket()) ++vain;
     }
   }
 }
--- a/source/supervisor/relay/relay_session_answer.cc
+++ b/source/supervisor/relay/relay_session_answer.cc
@@ -61,7 +61,8 @@
   EndAttempt(UpstreamFeedback::kNone);
   HttpResponse refusal =
       BuildRefusal(request_.fields.attempt_id, code, retry_after);
-  if (search_.ranked().rule() == PlaceRule::kDisplaced) {
+  if (search_.ranked().rule() == PlaceRule::kDisplaced &&
+      !decider_.may_have_run()) {
     // It made way for another request, so its own rate isn't the reason.
     refusal.head.status = DescribeResultCode(ResultCode::kNotReady).http_status;
   }
--- a/source/wire/http_request_parser.cc
+++ b/source/wire/http_request_parser.cc
@@ -22,6 +22,25 @@
 /// Capacity of the input that is kept between requests.
 constexpr std::size_t kKeptCapacity = 1024;
 
+/// Memory of a parsed header field besides its text: Beast keeps each in a node
+/// of its own.
+constexpr std::size_t kFieldBytes = 96;
+
+/// A body that grows as it arrives. Beast's reserves the announced length, so
+/// that a mere header would count as a whole body.
+struct GrowingBody : http::string_body {
+  class reader : public http::string_body::reader {  // NOLINT: Beast's name.
+   public:
+    using http::string_body::reader::reader;
+
+    // NOLINTNEXTLINE(readability-identifier-naming): Beast's name.
+    static void init(const boost::optional<std::uint64_t>& /*length*/,
+                     boost::system::error_code& error) {
+      error = {};
+    }
+  };
+};
+
 void SetReason(const boost::system::error_code& error, LastReason& reason) {
   if (error == http::error::header_limit) {
     reason.Set(ResultCode::kHeaderTooLarge, "the header is over the limit");
@@ -57,9 +76,9 @@
     return request;
   }
 
-  http::request_parser<http::string_body> parser;
+  http::request_parser<GrowingBody> parser;
   std::uint64_t body_bytes_used = 0;  ///< Input bytes parsed after the header.
-  std::size_t header_bytes = 0;       ///< Size of the parsed header.
+  std::size_t header_bytes = 0;       ///< Memory of the parsed header.
   /// Input bytes in which the end of the header does not begin.
   std::size_t searched_bytes = 0;
 };
@@ -109,7 +128,8 @@
   }
   boost::system::error_code error;
   PutInput(state_->parser, header, error);
-  state_->header_bytes = size;
+  const auto lines = std::count(header.begin(), header.end(), '\n');
+  state_->header_bytes = size + kFieldBytes * static_cast<std::size_t>(lines);
   Consume(size);
   // If Beast doesn't see the end of the header, it is part of a malformed line.
   if (!error && !state_->parser.is_header_done()) {
--- a/tests/decisions/ranked_queue_test.cc
+++ b/tests/decisions/ranked_queue_test.cc
@@ -59,6 +59,20 @@
         std::vector<PlaceTicket>{timely, second, late, other});
 }
 
+// Guards against requests that are refused although all get their places: an
+// arrival with little time measured the whole queue by its own time.
+TEST_CASE("an arrival that has little time displaces nobody in vain") {
+  RankedQueue queue;
+  constexpr double kRate = 10;
+  for (int i = 0; i < 8; ++i) {
+    CHECK_FALSE(RuleOf(queue, MakeRequest(2), kRate).has_value());
+  }
+  PlaceRequest hurried = MakeRequest(0);
+  hurried.leaves_at = kNow + milliseconds(400);
+  CHECK_FALSE(RuleOf(queue, hurried, kRate).has_value());
+  CHECK(queue.waiting() == 9);
+}
+
 TEST_CASE("the workspaces of a rank take turns") {
   RankedQueue queue;
   const auto a1 = Join(queue, MakeRequest(0, "a"));
--- a/tests/decisions/relay_tables_test.cc
+++ b/tests/decisions/relay_tables_test.cc
@@ -112,6 +112,14 @@
   CHECK_FALSE(RankOf(tables, "/b/", "k2").has_value());
 }
 
+// Guards against an urgent route that counts like one without a priority.
+TEST_CASE("one priority beside requests without any gives a rank") {
+  const RelayTables tables =
+      MakeRanked(0, std::nullopt, std::nullopt, std::nullopt);
+  CHECK(RankOf(tables, "/a/", "k1") == RequestRank{0});
+  CHECK_FALSE(RankOf(tables, "/b/", "k1").has_value());
+}
+
 // Guards against changed decisions on deployments whose priorities are all
 // equal or absent.
 TEST_CASE("a pool with one distinct priority has no ranks") {
--- a/tests/wire/http_parser_test.cc
+++ b/tests/wire/http_parser_test.cc
@@ -167,6 +167,20 @@
   CHECK(parser.CountHeldBytes() <= kOverhead);
 }
 
+// Guards against memory that a header takes and the budget doesn't see, and
+// against a body that counts before it has arrived.
+TEST_CASE("held bytes follow the header fields and the body so far") {
+  HttpRequestParser parser({.header_bytes = 65'536, .body_bytes = 8'000'000});
+  LastReason reason;
+  std::string header = "POST / HTTP/1.1\r\nContent-Length: 8000000\r\n";
+  for (int i = 0; i < 1000; ++i) header += "a:\r\n";
+  parser.Push(header + "\r\n");
+  CHECK_FALSE(parser.Next(reason).has_value());
+  CHECK(reason.code() == ResultCode::kOk);
+  CHECK(parser.CountHeldBytes() >= 64'000);
+  CHECK(parser.CountHeldBytes() <= 400'000);
+}
+
 TEST_CASE(
     "a chunked response returns data as it arrives and needs its last chunk") {
   HttpResponseParser parser({});
