--- a/tests/wire/http_parser_test.cc
+++ b/tests/wire/http_parser_test.cc
@@ -137,7 +137,7 @@
       const std::string bytes = header + start + std::string(4000, 'e');
       for (std::size_t i = 0;
            i < bytes.size() && reason.code() == ResultCode::kOk; i += piece) {
-        parser.Push(std::string_view(bytes).substr(i, piece));
+        parser.Push(bytes.substr(i, piece));
         CHECK_FALSE(parser.Next(reason).has_value());
       }
       CHECK(reason.code() == ResultCode::kHeaderTooLarge);
