--- a/tests/decisions/engine_simulation.h
+++ b/tests/decisions/engine_simulation.h
@@ -220,7 +220,7 @@
       }
       candidates.push_back(candidate);
     }
-    const auto loads = DrawWorkLoads(std::move(samples), daemon.random);
+    const auto loads = DrawWorkLoads(samples, daemon.random);
     for (std::size_t i = 0; i < loads.size(); ++i) {
       candidates[i].work = loads[i];
     }
