relay: one function tells how long a request may wait and be in time

path_search.cc and ranked_wait.cc each had the constant of 0.3 of the latency objective and its use.

--- a/source/supervisor/relay/path_search.cc
+++ b/source/supervisor/relay/path_search.cc
@@ -11,9 +11,6 @@
 /// Time for which a search in vain for a stalled attempt isn't repeated. Each
 /// goes over all upstreams, and all streams of one upstream stall at once.
 constexpr Duration kVainSearchLifetime = std::chrono::milliseconds(200);
-/// Part of the latency objective, in thousandths, for which a request waits for
-/// a place; the rest is for its first event.
-constexpr int kPlaceWaitPerMille = 300;
 
 }  // namespace
 
@@ -117,8 +114,7 @@
     return code == ResultCode::kOverloaded && ranked_.MayWait(searched_);
   }
   const TimePoint now = context_.loop.Now();
-  const Duration limit =
-      request_.route.latency_objective * kPlaceWaitPerMille / 1000;
+  const Duration limit = TimelyWaitOf(request_);
   if (code != ResultCode::kOverloaded || !request_.is_stream()) return false;
   if (now - arrived_ >= limit) return false;
   queued_ = queued_ || Places().TryJoin(limit, now);
--- a/source/supervisor/relay/ranked_wait.cc
+++ b/source/supervisor/relay/ranked_wait.cc
@@ -24,12 +24,12 @@
       request.TimeLimit());
 }
 
+}  // namespace
+
 Duration TimelyWaitOf(const RelayedRequest& request) {
   return request.route.latency_objective * kPlaceWaitPerMille / 1000;
 }
 
-}  // namespace
-
 bool RecordArrival(const DaemonContext& context,
                    const RelayedRequest& request) {
   if (!request.is_ranked()) return true;
--- a/source/supervisor/relay/ranked_wait.h
+++ b/source/supervisor/relay/ranked_wait.h
@@ -13,6 +13,10 @@
 /// or its pool has no ranks.
 bool RecordArrival(const DaemonContext& context, const RelayedRequest& request);
 
+/// Returns how long `request` may wait for a place and still be answered in
+/// time.
+Duration TimelyWaitOf(const RelayedRequest& request);
+
 /// The wait of one request in the queue of its pool, if the pool has ranks.
 /// `request` must outlive it.
 class RankedWait {
