--- a/source/base/result_code.cc
+++ b/source/base/result_code.cc
@@ -57,6 +57,9 @@
      "Retry after Retry-After; the workspace is over its share."},
     {kUpstreamRefused, "upstream-refused", 503, kNotRun,
      "Retry later; the upstream declined before it ran anything."},
+    {kMemoryLimit, "memory-limit", 503, kNotRun,
+     "Send the whole request without pauses; raise front.memory_mb if the "
+     "machine has more memory."},
     {kOutcomeUnknown, "outcome-unknown", 504, kUnknown,
      "Resend with the same Idempotency-Key or ask the service."},
     {kStreamBroken, "stream-broken", 502, kUnknown,
--- a/source/base/result_code.h
+++ b/source/base/result_code.h
@@ -38,6 +38,7 @@
   kClaimAbandoned = 208,
   kWorkspaceLimit = 209,
   kUpstreamRefused = 210,
+  kMemoryLimit = 211,
   kOutcomeUnknown = 301,
   kStreamBroken = 302,
   kUpstreamFailed = 303,
--- a/source/daemon/wisteriayoked_main.cc
+++ b/source/daemon/wisteriayoked_main.cc
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <popt.h>
 
 #include <cstdio>
@@ -86,10 +87,19 @@
                          {{"reason", reason.message()}});
 }
 
+/// Returns freed buffers to the system. By default the allocator keeps larger
+/// and larger ones once some were freed, and a crowd's memory never comes back.
+void ReturnFreedMemory() {
+  constexpr int kLargeBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kLargeBytes);
+  mallopt(M_TRIM_THRESHOLD, kLargeBytes);
+}
+
 int RunDaemon(const Settings& settings, const std::string& path) {
   const auto level = kLogLevelNames.Find(settings.Text(SettingKey::kLogLevel));
   ConfigureLog(level.value_or(LogLevel::kInfo),
                settings.Text(SettingKey::kDaemonName));
+  ReturnFreedMemory();
   EventLoop loop;
   LastReason end;
   RootSupervisor root(loop, settings, [&loop, &end](const LastReason& reason) {
--- a/source/runtime/event_loop.cc
+++ b/source/runtime/event_loop.cc
@@ -37,7 +37,7 @@
 
 EventLoop::EventLoop() : context_(1) {}
 
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop() { memory_.Stop(); }
 
 void EventLoop::Run() {
   const auto guard = asio::make_work_guard(context_);
--- a/source/runtime/event_loop.h
+++ b/source/runtime/event_loop.h
@@ -9,6 +9,7 @@
 #include "base/time_types.h"
 #include "decisions/boot_time.h"
 #include "runtime/loop_timer.h"
+#include "runtime/memory_guard.h"
 
 namespace wisteriayoke {
 
@@ -46,9 +47,14 @@
 
   asio::io_context& context() { return context_; }
 
+  /// Returns the guard of the memory that the loop's connections hold.
+  MemoryGuard& memory() { return memory_; }
+  const MemoryGuard& memory() const { return memory_; }
+
  private:
   class SignalWatcher;
 
+  MemoryGuard memory_{*this};  ///< Outlives the sessions that `context_` holds.
   asio::io_context context_;
   std::unique_ptr<SignalWatcher> stop_signals_;
   std::unique_ptr<SignalWatcher> reload_signal_;
--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -1,5 +1,6 @@
 #include "runtime/http_client_call.h"
 
+#include <array>
 #include <asio/write.hpp>
 #include <utility>
 
@@ -27,13 +28,15 @@
       handler_(std::move(handler)),
       socket_(loop.context()),
       parser_(limits.message, sends_head),
-      read_buffer_() {}
+      holder_(loop.memory().AddCall()) {}
 
-HttpClientCall::~HttpClientCall() = default;
+HttpClientCall::~HttpClientCall() { loop_.memory().Remove(holder_); }
 
 void HttpClientCall::Connect(const Endpoint& endpoint, HttpRequest request) {
   request.keep_alive = false;
-  output_ = EncodeRequest(request, endpoint.ToString());
+  head_ = EncodeRequestHead(request, endpoint.ToString());
+  body_ = std::move(request.body);
+  UpdateMemory();
   asio::error_code error;
   const auto address = asio::ip::make_address(endpoint.host, error);
   ArmTimer(limits_.connect_timeout);
@@ -63,11 +66,15 @@
   if (limits_.reset_on_close) {
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   }
+  socket_.non_blocking(true, ignored);
   sent_ = true;
   ArmTimer(limits_.idle_timeout);
-  asio::async_write(socket_, asio::buffer(output_),
+  const std::array<asio::const_buffer, 2> output = {asio::buffer(head_),
+                                                    asio::buffer(body_)};
+  asio::async_write(socket_, output,
                     [self = shared_from_this()](const asio::error_code& error,
                                                 std::size_t /*size*/) {
+                      self->ReleaseOutput();
                       if (self->closed_ || !error) return;
                       self->RunGuardedOrClose([&self, &error] {
                         self->Fail(ResultCode::kConnectionBroken,
@@ -92,19 +99,45 @@
 
 void HttpClientCall::Read() {
   reading_ = true;
-  socket_.async_read_some(
-      asio::buffer(read_buffer_),
-      [self = shared_from_this()](const asio::error_code& error,
-                                  std::size_t size) {
+  // Waiting needs no buffer, so a call that waits holds none.
+  socket_.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const asio::error_code& error) {
         self->reading_ = false;
         if (self->closed_) return;
-        self->RunGuardedOrClose([&self, &error, size] {
+        self->RunGuardedOrClose([&self, &error] {
           if (error) return self->HandleReadEnd(error);
-          self->HandleRead({self->read_buffer_.data(), size});
+          self->HandleReadable();
         });
       });
 }
 
+void HttpClientCall::HandleReadable() {
+  std::array<char, kReadBytes> buffer;  // NOLINT: bytes are read into it.
+  asio::error_code error;
+  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) return Read();
+  if (error) return HandleReadEnd(error);
+  HandleRead({buffer.data(), size});
+  UpdateMemory();
+}
+
+/// Frees the request once it was sent.
+void HttpClientCall::ReleaseOutput() {
+  head_ = {};
+  body_ = {};
+  UpdateMemory();
+}
+
+/// Tells the budget what this call holds.
+void HttpClientCall::UpdateMemory() {
+  if (closed_) return;
+  const std::uint64_t input = parser_.CountHeldBytes();
+  loop_.memory().Update(holder_, {.total_bytes = kCallBytes + head_.capacity() +
+                                                 body_.capacity() + input,
+                                  .input_bytes = input});
+}
+
 void HttpClientCall::HandleRead(std::string_view data) {
   LastReason reason;
   if (!parser_.Push(data, reason)) {
@@ -165,6 +198,7 @@
 void HttpClientCall::Close() {
   if (closed_) return;
   closed_ = true;
+  loop_.memory().Remove(holder_);
   timer_.reset();
   total_timer_.reset();
   // The handler may be running, so it is destroyed on a later turn of the loop.
--- a/source/runtime/http_client_call.h
+++ b/source/runtime/http_client_call.h
@@ -1,7 +1,6 @@
 #ifndef WISTERIAYOKE_RUNTIME_HTTP_CLIENT_CALL_H_
 #define WISTERIAYOKE_RUNTIME_HTTP_CLIENT_CALL_H_
 
-#include <array>
 #include <asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
@@ -83,12 +82,17 @@
 
  private:
   static constexpr std::size_t kReadBytes = 16 * 1024;
+  /// What a call holds besides its input and output.
+  static constexpr std::size_t kCallBytes = 4 * 1024;
 
   void Connect(const Endpoint& endpoint, HttpRequest request);
   template <typename Call>
   void RunGuardedOrClose(const Call& call);
   void Send();
   void Read();
+  void HandleReadable();
+  void ReleaseOutput();
+  void UpdateMemory();
   void HandleRead(std::string_view data);
   void HandleReadEnd(const asio::error_code& error);
   void Deliver();
@@ -103,8 +107,9 @@
   Handler handler_;
   asio::ip::tcp::socket socket_;
   HttpResponseParser parser_;
-  std::array<char, kReadBytes> read_buffer_;
-  std::string output_;
+  MemoryGuard::HolderId holder_;
+  std::string head_;
+  std::string body_;
   LoopTimerPtr timer_;
   LoopTimerPtr total_timer_;
   bool sent_ = false;
--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -42,16 +42,39 @@
       acceptor_(loop.context()) {}
 
 void HttpServer::Accept() {
+  if (!loop_.memory().HasRoomForSession(limits_.reserved)) {
+    return AcceptWithoutRoom();
+  }
   acceptor_.async_accept(
       [self = shared_from_this()](const asio::error_code& error,
                                   asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
         if (!self->acceptor_.is_open()) return;
-        if (!error) self->AddSession(std::move(socket));
+        if (error) return self->AcceptLater();
+        self->AddSession(std::move(socket));
         self->Accept();
       });
 }
 
+/// Waits for a connection in the backlog, which then takes the descriptor of an
+/// idle one.
+void HttpServer::AcceptWithoutRoom() {
+  acceptor_.async_wait(
+      asio::ip::tcp::acceptor::wait_read,
+      [self = shared_from_this()](const asio::error_code& error) {
+        if (error == asio::error::operation_aborted) return;
+        if (!self->acceptor_.is_open()) return;
+        const bool closed = !error && self->loop_.memory().CloseIdleSession();
+        return closed ? self->Accept() : self->AcceptLater();
+      });
+}
+
+/// Accepts again after a while. An error, such as a lack of descriptors, would
+/// otherwise return at once, again and again.
+void HttpServer::AcceptLater() {
+  accept_timer_ = loop_.Schedule(kAcceptRetryInterval, [this] { Accept(); });
+}
+
 void HttpServer::AddSession(asio::ip::tcp::socket socket) {
   auto session = std::make_shared<HttpServerSession>(
       loop_, std::move(socket), limits_, handler_, error_handler_);
@@ -77,6 +100,7 @@
 }
 
 void HttpServer::StopAccepting() {
+  accept_timer_.reset();
   asio::error_code ignored;
   acceptor_.non_blocking(true, ignored);
   // Connections in the kernel's backlog still get an answer.
--- a/source/runtime/http_server.h
+++ b/source/runtime/http_server.h
@@ -47,7 +47,12 @@
   void Accept();
   void AddSession(asio::ip::tcp::socket socket);
   void CheckDrained();
+  void AcceptWithoutRoom();
+  void AcceptLater();
 
+  /// Time until the server accepts again after it could not.
+  static constexpr Duration kAcceptRetryInterval =
+      std::chrono::milliseconds(50);
   /// Interval at which a drain checks whether all sessions are closed.
   static constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(10);
 
@@ -58,6 +63,7 @@
   asio::ip::tcp::acceptor acceptor_;
   std::vector<std::weak_ptr<HttpServerSession>> sessions_;
   bool close_after_answers_ = false;
+  LoopTimerPtr accept_timer_;
   std::function<void()> on_drained_;
   LoopTimerPtr drain_timer_;
 };
--- a/source/runtime/http_server_session.cc
+++ b/source/runtime/http_server_session.cc
@@ -1,5 +1,6 @@
 #include "runtime/http_server_session.h"
 
+#include <array>
 #include <asio/buffer.hpp>
 #include <utility>
 
@@ -17,31 +18,78 @@
       limits_(limits),
       handler_(std::move(handler)),
       error_handler_(std::move(error_handler)),
-      parser_(limits.message),
-      read_buffer_() {}
+      parser_(limits.message) {}
 
-HttpServerSession::~HttpServerSession() = default;
+HttpServerSession::~HttpServerSession() { loop_.memory().Remove(holder_); }
 
 void HttpServerSession::Start() {
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  holder_ = loop_.memory().AddSession(shared_from_this());
+  UpdateMemory();
   ArmReadTimer();
   Read();
 }
 
 void HttpServerSession::Read() {
-  socket_.async_read_some(
-      asio::buffer(read_buffer_),
-      [self = shared_from_this()](const asio::error_code& error,
-                                  std::size_t size) {
+  if (reading_) return;
+  reading_ = true;
+  // Waiting needs no buffer, so an idle connection holds none.
+  socket_.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const asio::error_code& error) {
+        self->reading_ = false;
         if (self->closed_) return;
         if (error) return self->HandleReadEnd();
-        self->RunGuardedOrClose([&self, size] {
-          self->HandleRead({self->read_buffer_.data(), size});
-        });
+        self->HandleReadable();
       });
 }
 
+void HttpServerSession::HandleReadable() {
+  if (!refused_ && !loop_.memory().MayRead(holder_)) {
+    parked_ = true;
+    return loop_.memory().Park(holder_);
+  }
+  std::array<char, kReadBytes> buffer;  // NOLINT: bytes are read into it.
+  asio::error_code error;
+  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) return Read();
+  if (error) return HandleReadEnd();
+  if (!refused_) loop_.memory().RecordProgress(holder_, size);
+  RunGuardedOrClose([&] { HandleRead({buffer.data(), size}); });
+  UpdateMemory();
+}
+
+void HttpServerSession::ResumeReading() {
+  if (!std::exchange(parked_, false) || closed_) return;
+  Read();
+}
+
+void HttpServerSession::CloseForMemory(MemoryRule rule) {
+  if (closed_) return;
+  const bool may_answer = !answering_ && !refused_ && parser_.InMessage() &&
+                          CountBufferedBytes() == 0;
+  if (!may_answer) return Close();
+  LastReason reason;
+  reason.Set(ResultCode::kMemoryLimit,
+             "the request is incomplete and memory is low (" +
+                 std::string(kMemoryRuleNames.NameOf(rule)) + ")");
+  Refuse(reason);
+  // The answer is read only if the input behind it is read as well.
+  ResumeReading();
+}
+
+/// Tells the budget what this connection holds.
+void HttpServerSession::UpdateMemory() {
+  if (closed_) return;
+  const std::uint64_t input = parser_.CountHeldBytes();
+  loop_.memory().Update(
+      holder_, {.total_bytes = kSessionBytes + input + request_bytes_ +
+                               pending_output_.capacity() + writing_.capacity(),
+                .input_bytes = input});
+}
+
 /// Runs `call`, and closes the connection if it throws.
 template <typename Call>
 void HttpServerSession::RunGuardedOrClose(const Call& call) {
@@ -55,10 +103,10 @@
   if (answering_) {
     pipelined_bytes_ += data.size();
     if (pipelined_bytes_ > MaxPipelinedBytes()) return Close();
-  } else {
+  } else if (!deferred_) {
     HandleNextRequest();
   }
-  if (closed_) return;
+  if (closed_ || HasEnoughInput()) return;
   if (!IsReadyToClose() || refused_) return Read();
   if (writing_.empty()) Close();
 }
@@ -84,6 +132,8 @@
   pipelined_bytes_ = 0;
   keep_alive_ = request->keep_alive;
   answers_head_ = request->method == "HEAD";
+  request_bytes_ = request->body.capacity();
+  loop_.memory().SetForwarded(holder_, true);
   handler_(std::move(*request), shared_from_this());
 }
 
@@ -93,6 +143,7 @@
   answers_head_ = false;
   refused_ = true;
   keep_alive_ = false;
+  parser_.Release();
   Respond(error_handler_(reason));
 }
 
@@ -122,15 +173,37 @@
 
 void HttpServerSession::FinishAnswer() {
   answering_ = false;
+  request_bytes_ = 0;
+  loop_.memory().SetForwarded(holder_, false);
+  UpdateMemory();
   ClearHandlers();
   if (!keep_alive_) close_when_idle_ = true;
   if (close_when_idle_) return;
+  next_posted_ = true;
   loop_.Post([self = shared_from_this()] {
+    self->next_posted_ = false;
     if (self->closed_ || self->answering_) return;
-    self->RunGuardedOrClose([&self] { self->HandleNextRequest(); });
+    self->RunGuardedOrClose([&self] { self->HandleQueuedInput(); });
+    self->UpdateMemory();
   });
 }
 
+/// Handles the request behind an answer, once the caller has taken most of that
+/// answer.
+void HttpServerSession::HandleQueuedInput() {
+  deferred_ = ShouldPause();
+  if (deferred_) return;
+  HandleNextRequest();
+  if (!closed_ && !reading_ && !parked_ && !HasEnoughInput()) Read();
+}
+
+/// Returns whether the input holds requests that are still to be handled, so
+/// that more of them need not be read.
+bool HttpServerSession::HasEnoughInput() const {
+  return (next_posted_ || deferred_) && !refused_ &&
+         parser_.CountUnparsedBytes() >= kReadBytes;
+}
+
 void HttpServerSession::Write(const std::string& data) {
   if (CountBufferedBytes() + data.size() >
       limits_.buffered_bytes + limits_.message.body_bytes) {
@@ -138,6 +211,7 @@
   }
   pending_output_ += data;
   if (writing_.empty()) Flush();
+  UpdateMemory();
 }
 
 void HttpServerSession::Flush() {
@@ -161,14 +235,16 @@
   write_timer_.reset();
   if (closed_) return;
   if (error) return Close();
+  loop_.memory().RecordProgress(holder_, size);
   written_ += size;
   if (written_ < writing_.size()) {
     WriteSome();
   } else {
-    writing_.clear();
+    writing_ = {};
     written_ = 0;
     if (!pending_output_.empty()) Flush();
   }
+  UpdateMemory();
   if (writing_.empty() && close_when_idle_ && !answering_) {
     return CloseAfterWrite();
   }
@@ -176,6 +252,11 @@
     const auto handler = on_writable_;
     handler();
   }
+  if (deferred_ && !closed_ && CountBufferedBytes() < limits_.resume_bytes) {
+    deferred_ = false;
+    RunGuardedOrClose([this] { HandleQueuedInput(); });
+    UpdateMemory();
+  }
 }
 
 void HttpServerSession::CloseAfterWrite() {
@@ -188,6 +269,8 @@
 void HttpServerSession::BreakStream() {
   if (closed_) return;
   answering_ = false;
+  request_bytes_ = 0;
+  loop_.memory().SetForwarded(holder_, false);
   ClearHandlers();
   close_when_idle_ = true;
   if (writing_.empty()) Close();
@@ -241,6 +324,8 @@
   if (closed_) return;
   const auto self = shared_from_this();
   closed_ = true;
+  loop_.memory().Remove(holder_);
+  parser_.Release();
   read_timer_.reset();
   write_timer_.reset();
   close_timer_.reset();
--- a/source/runtime/http_server_session.h
+++ b/source/runtime/http_server_session.h
@@ -1,7 +1,6 @@
 #ifndef WISTERIAYOKE_RUNTIME_HTTP_SERVER_SESSION_H_
 #define WISTERIAYOKE_RUNTIME_HTTP_SERVER_SESSION_H_
 
-#include <array>
 #include <asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
@@ -16,6 +15,9 @@
 struct HttpServerLimits {
   HttpLimits message;
   std::size_t connections = 4096;
+  /// Whether connections may use the descriptors kept for calls to other
+  /// processes.
+  bool reserved = false;
   /// Longest time from the first byte of a request to its last.
   Duration request_timeout = std::chrono::seconds(10);
   /// Longest wait between requests of one connection.
@@ -73,6 +75,13 @@
   /// Closes the connection at once.
   void Abort();
 
+  /// Closes the connection because of `rule` of the memory budget. An
+  /// incomplete request is refused first; it never runs.
+  void CloseForMemory(MemoryRule rule);
+
+  /// Reads again after the memory budget has stopped it.
+  void ResumeReading();
+
   /// Terminates the current request: calls the handler of `set_on_terminate`,
   /// which may still complete the answer. Closes the connection when the answer
   /// is written, at the latest after `kTerminateTimeout`, or at once if it is
@@ -102,9 +111,12 @@
     on_writable_ = std::move(handler);
   }
 
-  /// Returns whether more than `HttpServerLimits::pause_bytes` are unsent.
+  /// Returns whether more than `HttpServerLimits::pause_bytes` are unsent, or
+  /// `resume_bytes` while memory is low.
   bool ShouldPause() const {
-    return CountBufferedBytes() > limits_.pause_bytes;
+    return CountBufferedBytes() > (loop_.memory().budget().IsLow()
+                                       ? limits_.resume_bytes
+                                       : limits_.pause_bytes);
   }
 
   bool closed() const { return closed_; }
@@ -114,6 +126,9 @@
 
  private:
   static constexpr std::size_t kReadBytes = 16 * 1024;
+  /// What a connection holds besides its input and output: this object, its
+  /// timer, its parser and its place in the lists of the loop and the server.
+  static constexpr std::size_t kSessionBytes = 4 * 1024;
   /// Time during a drain in which a new connection may send its first bytes.
   static constexpr Duration kFirstRequestGrace = std::chrono::milliseconds(200);
   /// Longest time to send the rest of the answer of a terminated request.
@@ -130,7 +145,11 @@
   template <typename Call>
   void RunGuardedOrClose(const Call& call);
   void Read();
+  void HandleReadable();
   void HandleRead(std::string_view data);
+  void HandleQueuedInput();
+  bool HasEnoughInput() const;
+  void UpdateMemory();
   void HandleReadEnd();
   bool IsReadyToClose() const;
   void HandleNextRequest();
@@ -153,7 +172,6 @@
   Handler handler_;
   ErrorHandler error_handler_;
   HttpRequestParser parser_;
-  std::array<char, kReadBytes> read_buffer_;
   std::string pending_output_;
   std::string writing_;
   std::size_t written_ = 0;  ///< Bytes of `writing_` that were written.
@@ -163,7 +181,13 @@
   LoopTimerPtr read_timer_;
   LoopTimerPtr write_timer_;
   LoopTimerPtr close_timer_;
+  MemoryGuard::HolderId holder_ = 0;
   std::size_t pipelined_bytes_ = 0;
+  std::size_t request_bytes_ = 0;  ///< Memory of the request being answered.
+  bool reading_ = false;
+  bool parked_ = false;    ///< Whether the budget has stopped reading.
+  bool deferred_ = false;  ///< Whether input waits for the last answer.
+  bool next_posted_ = false;
   bool awaiting_first_request_ = true;
   bool answering_ = false;
   bool keep_alive_ = true;
--- a/source/supervisor/context/event_kind.h
+++ b/source/supervisor/context/event_kind.h
@@ -54,6 +54,7 @@
   kKeysStale,
   kKeysFresh,
   kReloaded,
+  kMemoryLow,
 };
 
 inline constexpr auto kEventKindNames = MakeNamesTable<EventKind>({
@@ -104,6 +105,7 @@
     {EventKind::kKeysStale, "keys-stale"},
     {EventKind::kKeysFresh, "keys-fresh"},
     {EventKind::kReloaded, "reloaded"},
+    {EventKind::kMemoryLow, "memory-low"},
 });
 
 }  // namespace wisteriayoke
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -8,6 +8,7 @@
 #include "base/fault.h"
 #include "base/invariant.h"
 #include "supervisor/context/log.h"
+#include "supervisor/context/memory_report.h"
 #include "supervisor/context/metrics_text.h"
 
 namespace wisteriayoke {
@@ -107,7 +108,8 @@
       Sample("invariants_broken_total", "counter", CountBrokenInvariants()) +
       Sample("faults_caught_total", "counter", CountFaults()) +
       Sample("log_lines_dropped_total", "counter", CountDroppedLogLines()) +
-      DescribeRelay(context) + state.metrics.Render();
+      DescribeMemory(context.loop.memory().budget()) + DescribeRelay(context) +
+      state.metrics.Render();
   return page;
 }
 
--- a/source/supervisor/context/setting_key.cc
+++ b/source/supervisor/context/setting_key.cc
@@ -32,6 +32,11 @@
      "Longest header of a request, in bytes."},
     {kMaxBodyBytes, "front", "max_body_bytes", kCount, "1048576", false,
      "Longest body of a request, in bytes."},
+    {kMemoryMb, "front", "memory_mb", kCount, "0", false,
+     "Memory of this machine in MiB, half of which requests and answers may "
+     "use; 0 takes what the system reports."},
+    {kMaxDescriptors, "front", "max_descriptors", kCount, "0", false,
+     "Most descriptors that the process opens; 0 takes the system's limit."},
     {kMaxQueueWait, "front", "max_queue_wait_ms", kMilliseconds, "1000", false,
      "Longest expected wait at which a request is still queued."},
     {kMaxQueued, "front", "max_queued", kCount, "4096", false,
--- a/source/supervisor/context/setting_key.h
+++ b/source/supervisor/context/setting_key.h
@@ -27,6 +27,8 @@
   kMaxConnections,
   kMaxHeaderBytes,
   kMaxBodyBytes,
+  kMemoryMb,
+  kMaxDescriptors,
   kMaxQueueWait,
   kMaxQueued,
   kRequestTimeout,
--- a/source/supervisor/operators/operators_server.cc
+++ b/source/supervisor/operators/operators_server.cc
@@ -45,7 +45,7 @@
   server_ = HttpServer::Create(
       context_.loop,
       context_.settings.EndpointOf(SettingKey::kOperatorsAddress),
-      {.connections = kMaxConnections},
+      {.connections = kMaxConnections, .reserved = true},
       [weak = weak_from_this()](
           const HttpRequest& request,
           const std::shared_ptr<HttpServerSession>& session) {
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -68,7 +68,8 @@
       reason);
   if (!udp_) return false;
   server_ = HttpServer::Create(
-      context_.loop, local, {.connections = kMaxContentConnections},
+      context_.loop, local,
+      {.connections = kMaxContentConnections, .reserved = true},
       [weak = weak_from_this()](
           const HttpRequest& request,
           const std::shared_ptr<HttpServerSession>& session) {
--- a/source/supervisor/relay/readiness_server.cc
+++ b/source/supervisor/relay/readiness_server.cc
@@ -16,7 +16,7 @@
 bool ReadinessServer::Start(LastReason& reason) {
   server_ = HttpServer::Create(
       context_.loop, context_.settings.EndpointOf(SettingKey::kReadyAddress),
-      {.connections = kMaxConnections},
+      {.connections = kMaxConnections, .reserved = true},
       [weak = weak_from_this()](
           const HttpRequest& /*request*/,
           const std::shared_ptr<HttpServerSession>& session) {
--- a/source/supervisor/root/root_supervisor.cc
+++ b/source/supervisor/root/root_supervisor.cc
@@ -7,6 +7,7 @@
 #include "supervisor/context/child_path.h"
 #include "supervisor/context/child_record.h"
 #include "supervisor/context/log.h"
+#include "supervisor/context/server_limits.h"
 
 namespace wisteriayoke {
 namespace {
@@ -29,6 +30,8 @@
       on_end_(std::move(on_end)),
       children_(loop, MakeChildObserver(state_.timeline),
                 [this](const LastReason& reason) { End(reason); }) {
+  const ProcessLimits limits = ReadProcessLimits(settings);
+  loop.memory().SetLimits(limits.memory_bytes, limits.descriptors);
   QuarantineLimits suspects{
       .lifetime = settings.Milliseconds(SettingKey::kSuspectLifetime)};
   if (settings.Interface() == FrontInterface::kRelay) {
--- a/source/supervisor/root/root_supervisor.h
+++ b/source/supervisor/root/root_supervisor.h
@@ -9,6 +9,7 @@
 #include "decisions/stop_sequence.h"
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/context/memory_report.h"
 #include "supervisor/front/front_end.h"
 #include "supervisor/instances/instance_watcher.h"
 #include "supervisor/layer_placement/layer_placement.h"
@@ -86,6 +87,7 @@
   const Settings& settings_;
   EndHandler on_end_;
   DaemonState state_;
+  MemoryReport memory_report_{loop_, state_.timeline};
   Supervisor<Child> children_;
   StopSequence stop_sequence_;
   LoopTimerPtr drain_timer_;
--- a/source/wire/http_encode.cc
+++ b/source/wire/http_encode.cc
@@ -43,22 +43,26 @@
 
 }  // namespace
 
-std::string EncodeRequest(const HttpRequest& request, std::string_view host) {
-  http::request<http::string_body> message;
+std::string EncodeRequestHead(const HttpRequest& request,
+                              std::string_view host) {
+  http::request<http::empty_body> message;
   message.version(kHttp11);
   message.method_string(request.method);
   message.target(request.target);
   CopyFields(request.fields, message);
   if (message[http::field::host].empty()) message.set(http::field::host, host);
   message.keep_alive(request.keep_alive);
-  message.body() = request.body;
   // Beast's prepare_payload() throws for a body that the method doesn't allow.
   if (request.body.empty() && !ExpectsBody(message.method())) {
     message.content_length(boost::none);
   } else {
     message.content_length(request.body.size());
   }
-  return ToText(message);
+  return ToText(message.base());
+}
+
+std::string EncodeRequest(const HttpRequest& request, std::string_view host) {
+  return EncodeRequestHead(request, host) + request.body;
 }
 
 std::string EncodeResponse(const HttpResponse& response, bool keep_alive,
--- a/source/wire/http_encode.h
+++ b/source/wire/http_encode.h
@@ -8,6 +8,11 @@
 
 namespace wisteriayoke {
 
+/// Returns the bytes of a request without its body. Its Host field is set to
+/// `host` unless the request has one.
+std::string EncodeRequestHead(const HttpRequest& request,
+                              std::string_view host);
+
 /// Returns the bytes of a complete request. Its Host field is set to `host`
 /// unless the request has one.
 std::string EncodeRequest(const HttpRequest& request, std::string_view host);
--- a/source/wire/http_request_parser.cc
+++ b/source/wire/http_request_parser.cc
@@ -1,8 +1,10 @@
 #include "wire/http_request_parser.h"
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <utility>
 
 #include "wire/http_framing.h"
 #include "wire/http_parser_input.h"
@@ -17,6 +19,9 @@
 /// Chunked framing may at most double the bytes of a body.
 constexpr std::uint64_t kFramingFactor = 2;
 
+/// Capacity of the input that is kept between requests.
+constexpr std::size_t kKeptCapacity = 1024;
+
 void SetReason(const boost::system::error_code& error, LastReason& reason) {
   if (error == http::error::header_limit) {
     reason.Set(ResultCode::kHeaderTooLarge, "the header is over the limit");
@@ -54,6 +59,9 @@
 
   http::request_parser<http::string_body> parser;
   std::uint64_t body_bytes_used = 0;  ///< Input bytes parsed after the header.
+  std::size_t header_bytes = 0;       ///< Size of the parsed header.
+  /// Input bytes in which the end of the header does not begin.
+  std::size_t searched_bytes = 0;
 };
 
 HttpRequestParser::HttpRequestParser(HttpLimits limits)
@@ -61,7 +69,11 @@
 
 HttpRequestParser::~HttpRequestParser() = default;
 
-void HttpRequestParser::Push(std::string_view data) { input_.append(data); }
+void HttpRequestParser::Push(std::string_view data) {
+  // Parsed bytes are dropped once they outweigh the others.
+  if (parsed_ > input_.size() / 2) DropParsed();
+  input_.append(data);
+}
 
 std::optional<HttpRequest> HttpRequestParser::Next(LastReason& reason) {
   reason.Clear();
@@ -75,16 +87,20 @@
 }
 
 bool HttpRequestParser::ParseHeader(LastReason& reason) {
-  const std::size_t end = input_.find(kHeaderEnd);
-  const bool complete = end != std::string::npos;
-  const std::size_t size = complete ? end + kHeaderEnd.size() : input_.size();
+  const std::string_view input = Unparsed();
+  const std::size_t end = input.find(kHeaderEnd, state_->searched_bytes);
+  const bool complete = end != std::string_view::npos;
+  const std::size_t size = complete ? end + kHeaderEnd.size() : input.size();
   if (size > limits_.header_bytes) {
     SetReason(http::error::header_limit, reason);
     return false;
   }
-  if (!complete) return false;
+  if (!complete) {
+    // The end may have arrived in part.
+    state_->searched_bytes = size - std::min(size, kHeaderEnd.size() - 1);
+    return false;
+  }
   // A field continued on the next line is obsolete, and parsers differ on it.
-  const std::string_view input = input_;
   const std::string_view header = input.substr(0, size);
   if (header.find("\r\n ") != std::string_view::npos ||
       header.find("\r\n\t") != std::string_view::npos) {
@@ -93,7 +109,8 @@
   }
   boost::system::error_code error;
   PutInput(state_->parser, header, error);
-  input_.erase(0, size);
+  state_->header_bytes = size;
+  Consume(size);
   // If Beast doesn't see the end of the header, it is part of a malformed line.
   if (!error && !state_->parser.is_header_done()) {
     error = http::error::bad_value;
@@ -114,23 +131,57 @@
 
 bool HttpRequestParser::ParseBody(LastReason& reason) {
   boost::system::error_code error;
-  if (!state_->parser.is_done() && !input_.empty()) {
-    const std::size_t used = PutInput(state_->parser, input_, error);
-    input_.erase(0, used);
+  while (!error && !state_->parser.is_done() && !Unparsed().empty()) {
+    // Beast leaves a line between chunks or a trailer until it is complete. One
+    // that doesn't fit into the window is refused however its bytes arrive.
+    const std::string_view window = Unparsed().substr(0, limits_.header_bytes);
+    const std::size_t used = PutInput(state_->parser, window, error);
+    Consume(used);
     state_->body_bytes_used += used;
+    if (error == http::error::need_more) error.clear();
+    if (used > 0 || error || state_->parser.is_done()) continue;
+    if (window.size() < limits_.header_bytes) break;
+    error = http::error::header_limit;
   }
   const std::uint64_t received =
-      state_->body_bytes_used + (state_->parser.is_done() ? 0 : input_.size());
+      state_->body_bytes_used +
+      (state_->parser.is_done() ? 0 : Unparsed().size());
   if (received > kFramingFactor * limits_.body_bytes + limits_.header_bytes) {
     error = http::error::body_limit;
   }
-  if (!error || error == http::error::need_more) return true;
+  if (!error) return true;
+  if (error == http::error::header_limit) {
+    reason.Set(ResultCode::kHeaderTooLarge,
+               "a line between chunks or the trailer is over the limit");
+    return false;
+  }
   SetReason(error, reason);
   return false;
 }
 
 bool HttpRequestParser::InMessage() const {
-  return !input_.empty() || state_->parser.got_some();
+  return !Unparsed().empty() || state_->parser.got_some();
+}
+
+std::size_t HttpRequestParser::CountHeldBytes() const {
+  return input_.capacity() + state_->header_bytes +
+         state_->parser.get().body().capacity();
+}
+
+void HttpRequestParser::Release() {
+  input_ = {};
+  parsed_ = 0;
+  state_ = std::make_unique<State>(limits_);
+}
+
+void HttpRequestParser::Consume(std::size_t bytes) {
+  parsed_ += bytes;
+  if (parsed_ == input_.size()) DropParsed();
+}
+
+void HttpRequestParser::DropParsed() {
+  input_.erase(0, std::exchange(parsed_, 0));
+  if (input_.empty() && input_.capacity() > kKeptCapacity) input_ = {};
 }
 
 }  // namespace wisteriayoke
--- a/source/wire/http_request_parser.h
+++ b/source/wire/http_request_parser.h
@@ -43,14 +43,30 @@
   /// Returns whether bytes were received that `Next` has not returned yet.
   bool InMessage() const;
 
+  /// Returns the number of received bytes that are not parsed yet.
+  std::size_t CountUnparsedBytes() const { return input_.size() - parsed_; }
+
+  /// Returns the memory held for requests that `Next` has not returned yet;
+  /// buffers count by their capacity.
+  std::size_t CountHeldBytes() const;
+
+  /// Drops all input and the request it belongs to.
+  void Release();
+
  private:
   struct State;
 
   bool ParseHeader(LastReason& reason);
   bool ParseBody(LastReason& reason);
+  std::string_view Unparsed() const {
+    return std::string_view(input_).substr(parsed_);
+  }
+  void Consume(std::size_t bytes);
+  void DropParsed();
 
   HttpLimits limits_;
   std::string input_;
+  std::size_t parsed_ = 0;  ///< Bytes of `input_` that were parsed.
   std::unique_ptr<State> state_;
 };
 
--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -89,4 +89,8 @@
   return std::exchange(state_->parser.get().body(), {});
 }
 
+std::size_t HttpResponseParser::CountHeldBytes() const {
+  return input_.capacity() + state_->parser.get().body().capacity();
+}
+
 }  // namespace wisteriayoke
--- a/source/wire/http_response_parser.h
+++ b/source/wire/http_response_parser.h
@@ -39,6 +39,9 @@
   /// Returns the body bytes received since the last call.
   std::string TakeBody();
 
+  /// Returns the memory held for received bytes, by the buffers' capacity.
+  std::size_t CountHeldBytes() const;
+
  private:
   struct State;
 
