--- a/review/standins-2/crashing.cc
+++ b/review/standins-2/crashing.cc
@@ -573,4 +573,94 @@
   co_return added_share * 4 < first_share ? 1 : 0;
 }
 
+/// A server that asked for no work for longer than a minute gets work again.
+Async<int> HeldOffServer() {
+  constexpr double kHoldOffS = 90;
+  Store store(1, 8223);
+  store.Put("op", "config",
+            Config(7,
+                   Json::array({PlainRoute("r-hold", "/puxa403/",
+                                           "non_idempotent", "booking", 800,
+                                           300, 1)}),
+                   Json::array({{{"Name", "booking"},
+                                 {"HealthPath", "/health"},
+                                 {"MaxConnections", 110},
+                                 {"Protocol", "h1"},
+                                 {"Tls", false}}})));
+  struct State {
+    bool turns_away = false;
+    std::map<std::string, std::string> daemon_of;  ///< By attempt.
+    std::map<std::string, double> told;   ///< When a daemon was turned away.
+    std::map<std::string, int> arrivals;  ///< While it wants nothing.
+  };
+  auto state = std::make_shared<State>();
+  const Work plain = PlainWork(0.06);
+  const Work held_off = [=](Server& server, ChannelPtr channel,
+                            Message request) -> Task {
+    const std::string attempt = request.Field("Attempt-Id");
+    const std::string daemon = state->daemon_of[attempt];
+    const auto told = state->told.find(daemon);
+    if (told != state->told.end() && Now() > told->second + 0.5 &&
+        Now() < told->second + kHoldOffS) {
+      if (++state->arrivals[daemon] <= 5) {
+        Record("server " + server.id() + " gets a request from " + daemon +
+               " " + std::to_string(Now() - told->second) +
+               " s after it asked for none for 90 s");
+      }
+    }
+    if (!state->turns_away || told != state->told.end()) {
+      return plain(server, std::move(channel), std::move(request));
+    }
+    state->told[daemon] = Now();
+    Record("server " + server.id() + " turns " + daemon +
+           " away with Retry-After: 90");
+    return [](ChannelPtr channel, std::string answer) -> Task {
+      co_await Write(*channel, answer);
+    }(std::move(channel), Respond(503, "", {{"Attempt-Id", attempt},
+                                            {"Not-Executed", "1"},
+                                            {"Retry-After", "90"}}));
+  };
+  std::vector<std::shared_ptr<Server>> servers;
+  for (int n = 1; n <= 3; ++n) {
+    servers.push_back(std::make_shared<Server>(
+        store, "i-booking" + std::to_string(n), 50 + n, 8044,
+        Server::Options{.service = "booking", .slots = 6},
+        n == 1 ? held_off : plain));
+    servers.back()->Start();
+  }
+  Daemons daemons;
+  if (!co_await StartDaemons(daemons, 4, store)) co_return 2;
+  bool stop = false;
+  int served = 0;
+  for (auto& daemon : daemons) {
+    Spawn([](Daemon& daemon, std::shared_ptr<State> state, const bool& stop,
+             int& served) -> Task {
+      Caller caller(daemon.front_host(), daemon.front_port());
+      while (!stop) {
+        const std::string attempt = NewAttempt();
+        state->daemon_of[attempt] = daemon.name();
+        const Answer answer = co_await caller.Send(
+            "POST", "/puxa403/2f", PlainFields(attempt, 1500), "hold", 1.5);
+        if (answer.complete && answer.status == 200) ++served;
+        co_await Sleep(0.5);
+      }
+    }(*daemon, state, stop, served));
+  }
+  co_await Sleep(kStabilityS + 1);
+  state->turns_away = Trouble();
+  co_await Sleep(4);
+  state->turns_away = false;
+  co_await Sleep(kHoldOffS);
+  stop = true;
+  int most = 0;
+  for (const auto& [daemon, count] : state->arrivals) {
+    Record("requests from " + daemon + " in that time: " +
+           std::to_string(count) + " (BUDGET allows 2)");
+    most = std::max(most, count);
+  }
+  Record("holds served: " + std::to_string(served));
+  if (served < 300 || (Trouble() && state->told.empty())) co_return 2;
+  co_return most > 2 ? 1 : 0;
+}
+
 }  // namespace rig
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -13,6 +13,8 @@
       {"crashing-request", rig::CrashingRequestAfterRestarts},
       {"crashing-part", rig::CrashingPartAtLowTraffic},
       {"sound-reads", rig::SoundReadsBlocked},
+      {"held-off", rig::HeldOffServer},
+      {"large-bodies", rig::LargeBodies},
       {"shared-part", rig::SharedPartBlocked},
       {"endless-bodies", rig::EndlessBodies},
   };
--- a/review/standins-2/scenarios.h
+++ b/review/standins-2/scenarios.h
@@ -23,9 +23,11 @@
 
 Async<int> CrashingRequestAfterRestarts();
 Async<int> CrashingPartAtLowTraffic();
+Async<int> HeldOffServer();
 Async<int> SharedPartBlocked();
 Async<int> SoundReadsBlocked();
 Async<int> EndlessBodies();
+Async<int> LargeBodies();
 
 }  // namespace rig
 
