http_response_parser: a status outside 100 to 599 is no answer

Seen: an upstream's answer with the status 000, 001, 099, 600 or 999 reached callers with its seal and body; the completions front passed a service's 000 on as done. Cause: HttpResponseParser took every three digits for a status, as Beast's parser does. Only 1xx to 5xx are classes (RFC 9110, 15), and all readers of answers in the daemon share this parser: the relay, the completions front, the ledger and the calls to the store, to peers and to upstreams. Change: the parser refuses such a status as malformed, before any reader sees the head. What may be repeated then runs elsewhere; a call that may have run gets a 502 of the router, without a seal.

--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -13,6 +13,14 @@
 
 namespace http = boost::beast::http;
 
+/// Returns whether `status` has one of the classes of RFC 9110, 15. Beast takes
+/// any three digits.
+bool IsValidStatus(unsigned status) {
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kLast = 599;
+  return status >= kFirst && status <= kLast;
+}
+
 }  // namespace
 
 struct HttpResponseParser::State {
@@ -37,9 +45,12 @@
     const bool head_was_done = head_done();
     const std::size_t used = PutInput(state_->parser, input_, error);
     input_.erase(0, used);
-    if (!head_was_done && head_done() &&
-        !HasClearFraming(head, head.version())) {
-      error = http::error::bad_transfer_encoding;
+    if (!head_was_done && head_done()) {
+      if (!IsValidStatus(head.result_int())) {
+        error = http::error::bad_status;
+      } else if (!HasClearFraming(head, head.version())) {
+        error = http::error::bad_transfer_encoding;
+      }
     }
     if (error == http::error::need_more || (!error && used == 0)) {
       if (input_.size() <= limits_.header_bytes) return true;
--- a/tests/front/front_end_test.cc
+++ b/tests/front/front_end_test.cc
@@ -2,7 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
+#include <utility>
+
 #include "support/daemon_fixture.h"
+#include "support/raw_server.h"
 #include "wire/table_codec.h"
 
 namespace wisteriayoke {
@@ -11,12 +15,13 @@
 /// A front end with tables and one service as its upstream.
 struct FrontFixture : DaemonFixture {
   HttpRequest seen;
-  FakeServer service{loop, TestPorts::kUpstream,
-                     [this](HttpRequest request,
-                            const std::shared_ptr<HttpServerSession>& caller) {
-                       seen = std::move(request);
-                       caller->Respond({{200, {{"Seats", "12"}}}, "twelve"});
-                     }};
+  std::optional<FakeServer> service{
+      std::in_place, loop, TestPorts::kUpstream,
+      [this](HttpRequest request,
+             const std::shared_ptr<HttpServerSession>& caller) {
+        seen = std::move(request);
+        caller->Respond({{200, {{"Seats", "12"}}}, "twelve"});
+      }};
   std::shared_ptr<FrontEnd> front = std::make_shared<FrontEnd>(
       Context(), [] { return nullptr; }, [](const LastReason&) {});
 
@@ -59,6 +64,18 @@
         FindField(answer.head.fields, "Wisteriayoke-Request"));
 }
 
+TEST_CASE_FIXTURE(FrontFixture, "a broken answer of a service is none") {
+  service.reset();
+  const RawServer broken(loop, LocalEndpoint(TestPorts::kUpstream),
+                         "HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\nbody",
+                         64);
+  const auto answer = Call("/seats/7", "volta");
+  CHECK(answer.head.status >= 500);
+  CHECK(CodeOf(answer) != "0");
+  CHECK(answer.body.find("body") == std::string::npos);
+  CHECK(broken.CountRequests("GET /seats/7 ") == 1);
+}
+
 TEST_CASE_FIXTURE(FrontFixture,
                   "requests that can't be routed are refused as not run") {
   CHECK(CodeOf(Call("/seats", "nobody")) == "106");
--- /dev/null
+++ b/tests/wire/http_response_parser_test.cc
@@ -0,0 +1,77 @@
+#include "wire/http_response_parser.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace wisteriayoke {
+namespace {
+
+constexpr HttpLimits kLimits{.header_bytes = 512,
+                             .allow_close_delimited = true};
+
+/// What the parser makes of some bytes and the end of their connection.
+struct Parsed {
+  ResultCode code = ResultCode::kOk;
+  HttpResponseHead head;
+  std::string body;
+};
+
+Parsed ParsePieces(std::string_view bytes, std::size_t size) {
+  HttpResponseParser parser(kLimits);
+  LastReason reason;
+  Parsed parsed;
+  for (std::size_t at = 0; at < bytes.size(); at += size) {
+    if (!parser.Push(bytes.substr(at, size), reason)) break;
+    parsed.body += parser.TakeBody();
+  }
+  if (reason.code() == ResultCode::kOk) parser.PushEnd(reason);
+  parsed.code = reason.code();
+  if (parser.head_done()) parsed.head = parser.Head();
+  return parsed;
+}
+
+/// Parses `bytes` at once and one by one, which must make no difference.
+Parsed Parse(const std::string& bytes) {
+  const Parsed whole = ParsePieces(bytes, bytes.size());
+  const Parsed pieces = ParsePieces(bytes, 1);
+  CHECK(whole.code == pieces.code);
+  if (whole.code != ResultCode::kOk) return whole;
+  CHECK(whole.body == pieces.body);
+  CHECK(whole.head.status == pieces.head.status);
+  REQUIRE(whole.head.fields.size() == pieces.head.fields.size());
+  for (std::size_t i = 0; i < whole.head.fields.size(); ++i) {
+    CHECK(whole.head.fields[i].name == pieces.head.fields[i].name);
+    CHECK(whole.head.fields[i].value == pieces.head.fields[i].value);
+  }
+  return whole;
+}
+
+std::string MakeAnswer(const std::string& status) {
+  return "HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+}  // namespace
+
+TEST_CASE("only a status from 100 to 599 is one") {
+  for (int status = 0; status < 1000; ++status) {
+    if (status / 100 == 1) continue;
+    CAPTURE(status);
+    std::array<char, 4> digits{};
+    std::snprintf(digits.data(), digits.size(), "%03d", status);
+    const Parsed parsed = Parse(MakeAnswer(digits.data()));
+    const bool valid = status >= 200 && status < 600;
+    CHECK(parsed.code ==
+          (valid ? ResultCode::kOk : ResultCode::kMalformedHttp));
+    if (valid) CHECK(parsed.head.status == status);
+  }
+  for (const char* status : {"", "2", "20", "2000", "2x0", "+20", " 200"}) {
+    CAPTURE(status);
+    CHECK(Parse(MakeAnswer(status)).code == ResultCode::kMalformedHttp);
+  }
+}
+
+}  // namespace wisteriayoke
