http_response_parser: the fields of a trailer are none of the head

Seen: an answer without a receipt in its head, but with one in the trailer of its chunked body, reached callers as sealed if its bytes came in one piece, and was dropped if they came one by one. Cause: the head was read from Beast's message after all received bytes were parsed, and Beast adds the fields of a trailer to those of the head. RFC 9110, 6.5.1, allows that for no field whose definition doesn't say so. Change: HttpHeadScanner finds the end of the head, which is parsed and copied by itself. The header limit counts all of its bytes; what can't be a head is still refused before its end has arrived.

--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "wire/http_framing.h"
+#include "wire/http_head_scanner.h"
 #include "wire/http_parser_input.h"
 
 namespace wisteriayoke {
@@ -13,6 +14,8 @@
 
 namespace http = boost::beast::http;
 
+using Parser = http::response_parser<http::string_body>;
+
 /// Returns whether `status` has one of the classes of RFC 9110, 15. Beast takes
 /// any three digits.
 bool IsValidStatus(unsigned status) {
@@ -21,54 +24,103 @@
   return status >= kFirst && status <= kLast;
 }
 
+/// Returns why the head that `parser` was given can't be used, if it can't.
+boost::system::error_code CheckHead(const Parser& parser) {
+  // If Beast doesn't see the end of the head, it is part of a malformed line.
+  if (!parser.is_header_done()) return http::error::bad_value;
+  const auto& head = parser.get();
+  if (!IsValidStatus(head.result_int())) return http::error::bad_status;
+  if (!HasClearFraming(head, head.version())) {
+    return http::error::bad_transfer_encoding;
+  }
+  return {};
+}
+
+HttpResponseHead CopyHead(const Parser& parser) {
+  const auto& message = parser.get();
+  HttpResponseHead head;
+  head.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    head.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return head;
+}
+
 }  // namespace
 
 struct HttpResponseParser::State {
-  http::response_parser<http::string_body> parser;
+  State(const HttpLimits& limits, bool answers_head) {
+    // `ParseHead` enforces the limit; Beast's check depends on how input is
+    // split.
+    parser.header_limit(limits.header_bytes + 1);
+    parser.body_limit(limits.body_bytes);
+    parser.eager(true);
+    parser.skip(answers_head);
+  }
+
+  Parser parser;
+  HttpHeadScanner scanner;
+  std::size_t scanned_input = 0;  ///< Bytes of the input that were scanned.
 };
 
 HttpResponseParser::HttpResponseParser(HttpLimits limits, bool answers_head)
-    : limits_(limits), state_(std::make_unique<State>()) {
-  state_->parser.header_limit(limits.header_bytes);
-  state_->parser.body_limit(limits.body_bytes);
-  state_->parser.eager(true);
-  state_->parser.skip(answers_head);
-}
+    : limits_(limits), state_(std::make_unique<State>(limits, answers_head)) {}
 
 HttpResponseParser::~HttpResponseParser() = default;
 
 bool HttpResponseParser::Push(std::string_view data, LastReason& reason) {
   input_.append(data);
-  const auto& head = state_->parser.get();
-  while (!input_.empty() && !done()) {
-    boost::system::error_code error;
-    const bool head_was_done = head_done();
-    const std::size_t used = PutInput(state_->parser, input_, error);
-    input_.erase(0, used);
-    if (!head_was_done && head_done()) {
-      if (!IsValidStatus(head.result_int())) {
-        error = http::error::bad_status;
-      } else if (!HasClearFraming(head, head.version())) {
-        error = http::error::bad_transfer_encoding;
-      }
-    }
-    if (error == http::error::need_more || (!error && used == 0)) {
-      if (input_.size() <= limits_.header_bytes) return true;
-      error = http::error::header_limit;
-    }
-    if (error) {
-      reason.Set(ResultCode::kMalformedHttp,
-                 "the response is not HTTP/1.1: " + error.message());
-      return false;
-    }
+  boost::system::error_code error;
+  bool progress = true;
+  while (progress && !error && !input_.empty() && !done()) {
+    progress = head_ ? ParseBody(error) : ParseHead(error);
+  }
+  if (!error) return true;
+  reason.Set(ResultCode::kMalformedHttp,
+             "the response is not HTTP/1.1: " + error.message());
+  return false;
+}
+
+/// Parses the head by itself, since Beast adds the fields of a trailer to those
+/// of the head. Returns whether the head is complete.
+bool HttpResponseParser::ParseHead(boost::system::error_code& error) {
+  const std::string_view input = input_;
+  const std::size_t scanned =
+      state_->scanner.Scan(input.substr(state_->scanned_input));
+  state_->scanned_input += scanned;
+  head_bytes_ += scanned;
+  if (head_bytes_ > limits_.header_bytes) {
+    error = http::error::header_limit;
+    return false;
   }
+  // What can't be a head is refused before its end has arrived.
+  const std::size_t used =
+      PutInput(state_->parser, input.substr(0, state_->scanned_input), error);
+  input_.erase(0, used);
+  state_->scanned_input -= used;
+  if (error == http::error::need_more) error.clear();
+  if (error || !state_->scanner.ended()) return false;
+  error = CheckHead(state_->parser);
+  if (error) return false;
+  head_ = CopyHead(state_->parser);
   return true;
 }
 
+/// Returns whether any input was parsed.
+bool HttpResponseParser::ParseBody(boost::system::error_code& error) {
+  const std::size_t used = PutInput(state_->parser, input_, error);
+  input_.erase(0, used);
+  if (error == http::error::need_more) error.clear();
+  if (used == 0 && input_.size() > limits_.header_bytes) {
+    error = http::error::header_limit;
+  }
+  return used > 0;
+}
+
 bool HttpResponseParser::PushEnd(LastReason& reason) {
   if (done()) return true;
-  const bool close_delimited =
-      state_->parser.is_header_done() && state_->parser.need_eof();
+  const bool close_delimited = head_done() && state_->parser.need_eof();
   if (close_delimited && limits_.allow_close_delimited) return true;
   reason.Set(ResultCode::kConnectionBroken,
              close_delimited
@@ -79,23 +131,8 @@
   return false;
 }
 
-bool HttpResponseParser::head_done() const {
-  return state_->parser.is_header_done();
-}
-
 bool HttpResponseParser::done() const { return state_->parser.is_done(); }
 
-HttpResponseHead HttpResponseParser::Head() const {
-  const auto& message = state_->parser.get();
-  HttpResponseHead head;
-  head.status = static_cast<int>(message.result_int());
-  for (const auto& field : message) {
-    head.fields.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  return head;
-}
-
 std::string HttpResponseParser::TakeBody() {
   return std::exchange(state_->parser.get().body(), {});
 }
--- a/source/wire/http_response_parser.h
+++ b/source/wire/http_response_parser.h
@@ -1,7 +1,10 @@
 #ifndef WISTERIAYOKE_WIRE_HTTP_RESPONSE_PARSER_H_
 #define WISTERIAYOKE_WIRE_HTTP_RESPONSE_PARSER_H_
 
+#include <boost/system/error_code.hpp>
+#include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,11 +33,12 @@
   /// `HttpLimits::allow_close_delimited` is set.
   bool PushEnd(LastReason& reason);
 
-  bool head_done() const;
+  bool head_done() const { return head_.has_value(); }
   bool done() const;
 
-  /// Returns the head. Call it only if `head_done()`.
-  HttpResponseHead Head() const;
+  /// Returns the head, without the fields of a trailer. Call it only if
+  /// `head_done()`.
+  const HttpResponseHead& Head() const { return *head_; }
 
   /// Returns the body bytes received since the last call.
   std::string TakeBody();
@@ -45,8 +49,13 @@
  private:
   struct State;
 
+  bool ParseHead(boost::system::error_code& error);
+  bool ParseBody(boost::system::error_code& error);
+
   HttpLimits limits_;
   std::string input_;
+  std::size_t head_bytes_ = 0;  ///< Bytes that belong to the head so far.
+  std::optional<HttpResponseHead> head_;
   std::unique_ptr<State> state_;
 };
 
--- a/tests/relay/broken_answer_test.cc
+++ b/tests/relay/broken_answer_test.cc
@@ -21,6 +21,10 @@
       list.push_back("HTTP/1.1 " + std::string(status) + " Odd\r\n" + kSealed +
                      kBody);
     }
+    // A receipt belongs to the head, not to the trailer.
+    list.push_back(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n4\r\nbody\r\n0\r\nResponse-Seal: seal\r\n\r\n");
     return list;
   }();
   return answers;
--- a/tests/wire/http_response_parser_test.cc
+++ b/tests/wire/http_response_parser_test.cc
@@ -74,4 +74,23 @@
   }
 }
 
+TEST_CASE("fields of a trailer are none of the head") {
+  const Parsed parsed = Parse(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSeats: 12\r\n\r\n"
+      "4\r\nbody\r\n0\r\nResponse-Seal: seal\r\nSeats: 13\r\n\r\n");
+  CHECK(parsed.code == ResultCode::kOk);
+  CHECK(parsed.body == "body");
+  CHECK(parsed.head.fields.size() == 2);
+  CHECK(FindField(parsed.head.fields, "Seats") == "12");
+}
+
+TEST_CASE("the limit of the header holds however its fields arrive") {
+  for (const std::size_t size : {1U, 6U, 50U, 5000U}) {
+    CAPTURE(size);
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    while (head.size() < 5000) head += "A: b\r\n";
+    CHECK(ParsePieces(head, size).code == ResultCode::kMalformedHttp);
+  }
+}
+
 }  // namespace wisteriayoke
