http_response_parser: the answer follows interim responses

Seen: the statuses 100, 101, 103 and 199 reached callers as answers, and after a 103 the true answer was lost. Cause: the parser took the first head for that of the answer, whatever its class, and the connection was closed after it. A client has to read any number of interim responses before the final one, which none of them replaces (RFC 9110, 15.2); they end with their heads (RFC 9112, 6.3). Change: interim responses are parsed, checked like others and skipped; one that is all that arrives is a broken connection. They share the header limit with the head, so that they can't go on without an end. 101 is refused, since no request asks for another protocol. Bytes that no status line begins with, such as a body after an interim response, are refused before eight of them have arrived, as Beast would wait for.

--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -1,5 +1,6 @@
 #include "wire/http_response_parser.h"
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -16,6 +17,13 @@
 
 using Parser = http::response_parser<http::string_body>;
 
+/// Returns whether a status line may begin with `input`.
+bool MayBeStatusLine(std::string_view input) {
+  constexpr std::string_view kStart = "HTTP/";
+  const std::size_t size = std::min(input.size(), kStart.size());
+  return input.substr(0, size) == kStart.substr(0, size);
+}
+
 /// Returns whether `status` has one of the classes of RFC 9110, 15. Beast takes
 /// any three digits.
 bool IsValidStatus(unsigned status) {
@@ -30,6 +38,10 @@
   if (!parser.is_header_done()) return http::error::bad_value;
   const auto& head = parser.get();
   if (!IsValidStatus(head.result_int())) return http::error::bad_status;
+  // No request asks for another protocol, so that none may follow.
+  if (head.result() == http::status::switching_protocols) {
+    return http::error::bad_status;
+  }
   if (!HasClearFraming(head, head.version())) {
     return http::error::bad_transfer_encoding;
   }
@@ -62,10 +74,13 @@
   Parser parser;
   HttpHeadScanner scanner;
   std::size_t scanned_input = 0;  ///< Bytes of the input that were scanned.
+  bool has_status_line = false;   ///< Whether it was parsed.
 };
 
 HttpResponseParser::HttpResponseParser(HttpLimits limits, bool answers_head)
-    : limits_(limits), state_(std::make_unique<State>(limits, answers_head)) {}
+    : limits_(limits),
+      answers_head_(answers_head),
+      state_(std::make_unique<State>(limits, answers_head)) {}
 
 HttpResponseParser::~HttpResponseParser() = default;
 
@@ -83,7 +98,7 @@
 }
 
 /// Parses the head by itself, since Beast adds the fields of a trailer to those
-/// of the head. Returns whether the head is complete.
+/// of the head. Skips interim responses. Returns whether a head is complete.
 bool HttpResponseParser::ParseHead(boost::system::error_code& error) {
   const std::string_view input = input_;
   const std::size_t scanned =
@@ -94,16 +109,27 @@
     error = http::error::header_limit;
     return false;
   }
+  // Beast looks at no fewer bytes than the whole version.
+  if (!state_->has_status_line && !MayBeStatusLine(input)) {
+    error = http::error::bad_version;
+    return false;
+  }
   // What can't be a head is refused before its end has arrived.
   const std::size_t used =
       PutInput(state_->parser, input.substr(0, state_->scanned_input), error);
   input_.erase(0, used);
   state_->scanned_input -= used;
+  state_->has_status_line = state_->has_status_line || used > 0;
   if (error == http::error::need_more) error.clear();
   if (error || !state_->scanner.ended()) return false;
   error = CheckHead(state_->parser);
   if (error) return false;
-  head_ = CopyHead(state_->parser);
+  const unsigned status = state_->parser.get().result_int();
+  if (http::to_status_class(status) == http::status_class::informational) {
+    state_ = std::make_unique<State>(limits_, answers_head_);
+  } else {
+    head_ = CopyHead(state_->parser);
+  }
   return true;
 }
 
--- a/source/wire/http_response_parser.h
+++ b/source/wire/http_response_parser.h
@@ -14,7 +14,8 @@
 
 namespace wisteriayoke {
 
-/// Parses one response incrementally and returns its body as it arrives.
+/// Parses one response incrementally and returns its body as it arrives. Skips
+/// the interim responses before it, which share its header limit.
 class HttpResponseParser {
  public:
   /// `answers_head`: whether the request was a HEAD, so that no body follows.
@@ -53,8 +54,9 @@
   bool ParseBody(boost::system::error_code& error);
 
   HttpLimits limits_;
+  bool answers_head_;
   std::string input_;
-  std::size_t head_bytes_ = 0;  ///< Bytes that belong to the head so far.
+  std::size_t head_bytes_ = 0;  ///< Bytes of all heads so far.
   std::optional<HttpResponseHead> head_;
   std::unique_ptr<State> state_;
 };
--- a/tests/relay/broken_answer_test.cc
+++ b/tests/relay/broken_answer_test.cc
@@ -17,7 +17,8 @@
 const std::vector<std::string>& BrokenAnswers() {
   static const std::vector<std::string> answers = [] {
     std::vector<std::string> list;
-    for (const char* status : {"000", "001", "099", "600", "999"}) {
+    for (const char* status :
+         {"000", "001", "099", "100", "101", "103", "199", "600", "999"}) {
       list.push_back("HTTP/1.1 " + std::string(status) + " Odd\r\n" + kSealed +
                      kBody);
     }
@@ -30,6 +31,16 @@
   return answers;
 }
 
+/// Sound answers that follow interim responses.
+std::vector<std::string> LateAnswers(const std::string& body) {
+  const std::string answer = "HTTP/1.1 200 OK\r\n" + kSealed +
+                             "Content-Length: " + std::to_string(body.size()) +
+                             "\r\n\r\n" + body;
+  const std::string hints =
+      "HTTP/1.1 103 Early Hints\r\nNot-Executed: 1\r\n\r\n";
+  return {"HTTP/1.1 100 Continue\r\n\r\n" + answer, hints + hints + answer};
+}
+
 /// A relay before an upstream of each pool that always gives the same bytes.
 struct BrokenAnswerFixture : RelayFixture {
   std::optional<RawServer> broken;
@@ -84,6 +95,20 @@
   CHECK(broken->CountRequests("POST /hold/") == 1);
 }
 
+TEST_CASE_FIXTURE(BrokenAnswerFixture,
+                  "the answer after interim responses is relayed") {
+  Serve(LateAnswers(MakeEvent(1)));
+  for (const std::string target : {"/read/1", "/hold/1", "/tale/1"}) {
+    CAPTURE(target);
+    const HttpResponse answer = Call(target).response;
+    CHECK(answer.head.status == 200);
+    CHECK(answer.body == MakeEvent(1));
+    CHECK(FindField(answer.head.fields, "Response-Seal") == "seal");
+    CHECK(FindField(answer.head.fields, "Not-Executed").empty());
+    CHECK(broken->CountRequests("POST " + target) == 1);
+  }
+}
+
 TEST_CASE_FIXTURE(BrokenAnswerFixture,
                   "beside a sound upstream what may be repeated is answered") {
   AddSoundUpstreams();
--- a/tests/wire/http_response_parser_test.cc
+++ b/tests/wire/http_response_parser_test.cc
@@ -74,6 +74,52 @@
   }
 }
 
+TEST_CASE("an answer follows any number of interim responses") {
+  const std::string answer = MakeAnswer("200");
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string hints =
+      "HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\nNot-Executed: 1\r\n"
+      "\r\n";
+  for (const auto& before : {interim, hints, hints + interim + hints}) {
+    CAPTURE(before);
+    const Parsed parsed = Parse(before + answer);
+    CHECK(parsed.code == ResultCode::kOk);
+    CHECK(parsed.head.status == 200);
+    CHECK(parsed.body == "body");
+    CHECK(FindField(parsed.head.fields, "Not-Executed").empty());
+    CHECK(Parse(before).code == ResultCode::kConnectionBroken);
+    // An interim response has no body, whatever its fields say.
+    CHECK(Parse(before + "body").code == ResultCode::kMalformedHttp);
+    CHECK(Parse(before + MakeAnswer("000")).code == ResultCode::kMalformedHttp);
+  }
+  std::string endless;
+  while (endless.size() <= kLimits.header_bytes) endless += interim;
+  CHECK(Parse(endless + answer).code == ResultCode::kMalformedHttp);
+}
+
+TEST_CASE("only a final status ends the wait for an answer") {
+  for (int status = 100; status < 200; ++status) {
+    CAPTURE(status);
+    const std::string head =
+        "HTTP/1.1 " + std::to_string(status) + " Odd\r\n\r\n";
+    // No request asks for another protocol, so that none may follow.
+    const bool interim = status != 101;
+    CHECK(Parse(head + MakeAnswer("200")).code ==
+          (interim ? ResultCode::kOk : ResultCode::kMalformedHttp));
+  }
+}
+
+TEST_CASE("the answer to a HEAD follows an interim response") {
+  HttpResponseParser parser(kLimits, true);
+  LastReason reason;
+  CHECK(
+      parser.Push("HTTP/1.1 103 Early Hints\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+                  reason));
+  CHECK(parser.done());
+  CHECK(parser.Head().status == 200);
+}
+
 TEST_CASE("fields of a trailer are none of the head") {
   const Parsed parsed = Parse(
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSeats: 12\r\n\r\n"
