http_response_parser: a line that begins with a blank is no part of a head

Seen: of the answers in whose head a field's name held a blank or a control byte, callers got those where it was the first byte and another field came before: the line was added to the value above it and passed on. Cause: Beast takes such a line for a folded one. RFC 9112, 5.2, lets a gateway unfold it or answer 502 instead; the name of a field is a token (RFC 9110, 5.1), so the line may as well be a field whose name is none. Change: the head scanner finds such lines and the parser refuses the head, as the request parser does. The first line after the status line was refused before.

--- a/source/wire/http_head_scanner.cc
+++ b/source/wire/http_head_scanner.cc
@@ -6,6 +6,9 @@
   std::size_t scanned = 0;
   while (!ended_ && scanned < data.size()) {
     const char byte = data[scanned++];
+    if (line_bytes_ == 0 && (byte == ' ' || byte == '\t')) {
+      has_continued_line_ = true;
+    }
     ++line_bytes_;
     if (byte == '\n' && after_cr_) {
       ended_ = line_bytes_ == std::string_view("\r\n").size();
--- a/source/wire/http_response_parser.cc
+++ b/source/wire/http_response_parser.cc
@@ -109,6 +109,12 @@
     error = http::error::header_limit;
     return false;
   }
+  // Beast adds such a line to the field before. It is obsolete, and the name of
+  // a field that begins with a blank looks the same.
+  if (state_->scanner.has_continued_line()) {
+    error = http::error::bad_value;
+    return false;
+  }
   // Beast looks at no fewer bytes than the whole version.
   if (!state_->has_status_line && !MayBeStatusLine(input)) {
     error = http::error::bad_version;
--- a/tests/relay/broken_answer_test.cc
+++ b/tests/relay/broken_answer_test.cc
@@ -22,6 +22,13 @@
       list.push_back("HTTP/1.1 " + std::string(status) + " Odd\r\n" + kSealed +
                      kBody);
     }
+    for (const char* line :
+         {"Se ats: 12", "Se\tats: 12", "Seats : 12", "Seats\b: 12",
+          "\x1fSeats: 12", " Seats: 12", "\tSeats: 12"}) {
+      list.push_back("HTTP/1.1 200 OK\r\n" + kSealed + line + "\r\n" + kBody);
+      list.push_back("HTTP/1.1 200 OK\r\n" + std::string(line) + "\r\n" +
+                     kSealed + kBody);
+    }
     // A receipt belongs to the head, not to the trailer.
     list.push_back(
         "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nTransfer-Encoding: chunked\r\n"
--- a/tests/wire/http_response_parser_test.cc
+++ b/tests/wire/http_response_parser_test.cc
@@ -54,8 +54,62 @@
   return "HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nbody";
 }
 
+std::string MakeHead(const std::string& lines) {
+  return "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 4\r\n\r\nbody";
+}
+
 }  // namespace
 
+TEST_CASE("the name of a field is a token") {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  for (int value = 0; value < 256; ++value) {
+    CAPTURE(value);
+    const char byte = static_cast<char>(value);
+    const bool token = (byte >= '0' && byte <= '9') ||
+                       (byte >= 'A' && byte <= 'Z') ||
+                       (byte >= 'a' && byte <= 'z') ||
+                       kMarks.find(byte) != std::string_view::npos;
+    for (const std::size_t at : {0U, 1U, 2U}) {
+      std::string name = "Ab";
+      name.insert(at, 1, byte);
+      // A colon after the first byte ends the name.
+      const bool taken = token || (byte == ':' && at > 0);
+      for (const std::string& lines :
+           {name + ": x\r\n", "A: b\r\n" + name + ":\r\n"}) {
+        CAPTURE(lines);
+        CHECK(Parse(MakeHead(lines)).code ==
+              (taken ? ResultCode::kOk : ResultCode::kMalformedHttp));
+      }
+    }
+  }
+}
+
+TEST_CASE("a line that is no field is refused with its head") {
+  for (const std::string lines :
+       {"Seats\r\n", ": 12\r\n", "Seats 12\r\n", "Seats\t: 12\r\n",
+        "Seats : 12\r\n", "Content-Length : 2\r\n",
+        "Transfer-Encoding\v: chunked\r\n", "Seats: 12\rA: b\r\n",
+        "Seats: 12\nA: b\r\n", " Seats: 12\r\n", "A: b\r\n Seats: 12\r\n",
+        "A: b\r\n\tSeats: 12\r\n", "A:\r\n Seats: 12\r\n", "A: b\r\n \r\n",
+        "A: b\r\n 12\r\n c\r\n",
+        "Content-Length: 4\r\n Content-Length: 2\r\n"}) {
+    CAPTURE(lines);
+    CHECK(Parse(MakeHead(lines)).code == ResultCode::kMalformedHttp);
+    // The same holds for the head of an interim response.
+    const std::string interim = "HTTP/1.1 103 Hints\r\n" + lines + "\r\n";
+    CHECK(Parse(interim + MakeHead("")).code == ResultCode::kMalformedHttp);
+  }
+}
+
+TEST_CASE("a body may begin like a line of the head") {
+  for (const std::string body : {" x\r\n y", "\tx: y", "\r\n z"}) {
+    CAPTURE(body);
+    const Parsed parsed = Parse("HTTP/1.1 200 OK\r\n\r\n" + body);
+    CHECK(parsed.code == ResultCode::kOk);
+    CHECK(parsed.body == body);
+  }
+}
+
 TEST_CASE("only a status from 100 to 599 is one") {
   for (int status = 0; status < 1000; ++status) {
     if (status / 100 == 1) continue;
