ctl: the tool reads answers with the daemon's parser

Seen: the tool took an answer with the status 000, 099, 101, 199, 600 or 999, and one whose head held a line that is no field; below 400 a command counted as carried out. After an interim response the true answer was lost. Cause: the tool had a reader of its own. cpp-httplib's client checks neither the status nor the names of fields, skips lines that it can't split, and knows no interim response but a 100 without fields. It has no hook before that, so a check of its result can't mend it. The codes are as before, except that an answer that is none or breaks off is a broken connection (703) rather than a time-out.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build needs if any of them is missing.
-packages="g++ cmake ninja-build ccache curl libasio-dev libcpp-httplib-dev
+packages="g++ cmake ninja-build ccache curl libasio-dev
 libcereal-dev libboost1.81-dev libpopt-dev libeasyloggingpp-dev doctest-dev
 librapidcheck-dev libinih-dev nlohmann-json3-dev libssl-dev clang-format
 clang-tidy"
--- a/source/ctl/blocking_http.cc
+++ b/source/ctl/blocking_http.cc
@@ -1,41 +1,16 @@
 #include "ctl/blocking_http.h"
 
-#include <httplib.h>
+#include <utility>
+
+#include "runtime/http_client_call.h"
 
 namespace wisteriayoke {
 namespace {
 
-ResultCode ResultCodeOf(httplib::Error error) {
-  switch (error) {
-    case httplib::Error::Connection:
-    case httplib::Error::ConnectionTimeout:
-      return ResultCode::kConnectFailed;
-    case httplib::Error::Read:
-      return ResultCode::kTimedOut;
-    default:
-      return ResultCode::kConnectionBroken;
-  }
-}
-
-httplib::Request ToHttplibRequest(const HttpRequest& request) {
-  httplib::Request sent;
-  sent.method = request.method;
-  sent.path = request.target;
-  for (const auto& field : request.fields) {
-    sent.set_header(field.name, field.value);
-  }
-  sent.body = request.body;
-  return sent;
-}
-
-HttpResponse FromHttplibResponse(httplib::Response& received) {
-  HttpResponse response;
-  response.head.status = received.status;
-  for (const auto& [name, value] : received.headers) {
-    response.head.fields.push_back({name, value});
-  }
-  response.body = std::move(received.body);
-  return response;
+ResultCode CodeOfFailure(const FetchResult& result) {
+  if (!result.sent) return ResultCode::kConnectFailed;
+  return result.code == ResultCode::kTimedOut ? ResultCode::kTimedOut
+                                              : ResultCode::kConnectionBroken;
 }
 
 }  // namespace
@@ -44,15 +19,21 @@
                                           const HttpRequest& request,
                                           Duration timeout,
                                           LastReason& reason) {
-  httplib::Client client(endpoint.host, endpoint.port);
-  client.set_connection_timeout(timeout);
-  client.set_read_timeout(timeout);
-  client.set_write_timeout(timeout);
-  auto result = client.send(ToHttplibRequest(request));
-  if (result) return FromHttplibResponse(result.value());
-  reason.Set(ResultCodeOf(result.error()),
-             "no answer from " + endpoint.ToString() + ": " +
-                 httplib::to_string(result.error()) + ".");
+  HttpCallLimits limits;
+  limits.message.allow_close_delimited = true;
+  limits.connect_timeout = timeout;
+  limits.idle_timeout = timeout;
+  EventLoop loop;
+  FetchResult result;
+  FetchResponse(loop, endpoint, request, limits,
+                [&loop, &result](FetchResult fetched) {
+                  result = std::move(fetched);
+                  loop.Stop();
+                });
+  loop.Run();
+  if (result.code == ResultCode::kOk) return std::move(result.response);
+  reason.Set(CodeOfFailure(result), "no answer from " + endpoint.ToString() +
+                                        ": " + result.message + ".");
   return std::nullopt;
 }
 
