--- a/tests/wire/http_response_parser_test.cc
+++ b/tests/wire/http_response_parser_test.cc
@@ -128,6 +128,22 @@
   }
 }
 
+TEST_CASE("a status line is that of HTTP/1.0 or HTTP/1.1") {
+  const std::string rest = "\r\nContent-Length: 4\r\n\r\nbody";
+  for (const std::string line :
+       {"HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200 \t\xe9 "}) {
+    CAPTURE(line);
+    CHECK(Parse(line + rest).code == ResultCode::kOk);
+  }
+  for (const std::string line :
+       {"HTTP/1.2 200 OK", "HTTP/2.0 200 OK", "http/1.1 200 OK", "HTTP/1.1200",
+        "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\bK",
+        " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK"}) {
+    CAPTURE(line);
+    CHECK(Parse(line + rest).code == ResultCode::kMalformedHttp);
+  }
+}
+
 TEST_CASE("an answer follows any number of interim responses") {
   const std::string answer = MakeAnswer("200");
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/tests/wire/ledger_codec_test.cc
+++ b/tests/wire/ledger_codec_test.cc
@@ -35,4 +35,15 @@
   CHECK(kept->body == answer.body);
 }
 
+TEST_CASE("a kept answer that is none is refused") {
+  for (const std::string head :
+       {"000 Odd", "103 Early Hints", "200 OK\r\nA: b\r\n Seats: 12"}) {
+    CAPTURE(head);
+    LastReason reason;
+    CHECK_FALSE(ParseKeptAnswer(
+        "HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n", reason));
+    CHECK(reason.code() == ResultCode::kMalformedHttp);
+  }
+}
+
 }  // namespace wisteriayoke
