ctl: FetchBlocking on a given loop, so that its test needs no thread

Cause: the test of the tool's reader ran its server in a thread, while the shape of the code is one loop on one thread. Change: FetchBlocking has a form that takes the loop; the test's server shares it.

--- a/source/ctl/blocking_http.cc
+++ b/source/ctl/blocking_http.cc
@@ -19,11 +19,19 @@
                                           const HttpRequest& request,
                                           Duration timeout,
                                           LastReason& reason) {
+  EventLoop loop;
+  return FetchBlocking(loop, endpoint, request, timeout, reason);
+}
+
+std::optional<HttpResponse> FetchBlocking(EventLoop& loop,
+                                          const Endpoint& endpoint,
+                                          const HttpRequest& request,
+                                          Duration timeout,
+                                          LastReason& reason) {
   HttpCallLimits limits;
   limits.message.allow_close_delimited = true;
   limits.connect_timeout = timeout;
   limits.idle_timeout = timeout;
-  EventLoop loop;
   FetchResult result;
   FetchResponse(loop, endpoint, request, limits,
                 [&loop, &result](FetchResult fetched) {
--- a/tests/ctl/blocking_http_test.cc
+++ b/tests/ctl/blocking_http_test.cc
@@ -3,7 +3,6 @@
 #include <doctest/doctest.h>
 
 #include <string>
-#include <thread>
 
 #include "support/daemon_fixture.h"
 #include "support/raw_server.h"
@@ -13,18 +12,14 @@
 
 const std::string kSound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
 
-/// Fetches from a server that answers with `bytes`, in a thread of its own.
+/// Fetches from a server that answers with `bytes`.
 std::optional<HttpResponse> FetchFrom(const std::string& bytes,
                                       LastReason& reason) {
   EventLoop loop;
   const Endpoint endpoint = LocalEndpoint(TestPorts::kOperators);
   const RawServer server(loop, endpoint, bytes, 16);
-  std::thread thread([&loop] { loop.Run(); });
-  auto answer =
-      FetchBlocking(endpoint, {}, std::chrono::milliseconds(500), reason);
-  loop.Post([&loop] { loop.Stop(); });
-  thread.join();
-  return answer;
+  return FetchBlocking(loop, endpoint, {}, std::chrono::milliseconds(500),
+                       reason);
 }
 
 }  // namespace
