--- a/tests/ctl/blocking_http_test.cc
+++ b/tests/ctl/blocking_http_test.cc
@@ -39,6 +39,7 @@
   }
 }
 
+// Guards against a command that counts as carried out after a broken answer.
 TEST_CASE("a broken answer is none for the tool") {
   const std::string fields = "Content-Length: 4\r\n\r\nbody";
   for (const std::string head :
--- a/tests/front/front_end_test.cc
+++ b/tests/front/front_end_test.cc
@@ -64,6 +64,7 @@
         FindField(answer.head.fields, "Wisteriayoke-Request"));
 }
 
+// Guards against a service's answer with the status 000 that is passed on.
 TEST_CASE_FIXTURE(FrontFixture, "a broken answer of a service is none") {
   service.reset();
   const RawServer broken(loop, LocalEndpoint(TestPorts::kUpstream),
--- a/tests/relay/broken_answer_test.cc
+++ b/tests/relay/broken_answer_test.cc
@@ -88,6 +88,7 @@
 
 }  // namespace
 
+// Guards against a broken answer that reaches a caller with its receipt.
 TEST_CASE_FIXTURE(BrokenAnswerFixture, "a broken answer becomes a failure") {
   Serve(BrokenAnswers());
   for (const std::string target : {"/read/1", "/hold/1", "/tale/1"}) {
@@ -102,6 +103,7 @@
   CHECK(broken->CountRequests("POST /hold/") == 1);
 }
 
+// Guards against an interim response in place of the answer.
 TEST_CASE_FIXTURE(BrokenAnswerFixture,
                   "the answer after interim responses is relayed") {
   Serve(LateAnswers(MakeEvent(1)));
@@ -116,6 +118,8 @@
   }
 }
 
+// Guards against a broken answer that is taken where a sound one can be had,
+// and against a second run of a call that must not be repeated.
 TEST_CASE_FIXTURE(BrokenAnswerFixture,
                   "beside a sound upstream what may be repeated is answered") {
   AddSoundUpstreams();
--- a/tests/wire/http_response_parser_test.cc
+++ b/tests/wire/http_response_parser_test.cc
@@ -84,6 +84,7 @@
   }
 }
 
+// Guards against a line that is passed on as a part of the field above it.
 TEST_CASE("a line that is no field is refused with its head") {
   for (const std::string lines :
        {"Seats\r\n", ": 12\r\n", "Seats 12\r\n", "Seats\t: 12\r\n",
@@ -110,6 +111,7 @@
   }
 }
 
+// Guards against an answer with the status 000 that reaches a caller.
 TEST_CASE("only a status from 100 to 599 is one") {
   for (int status = 0; status < 1000; ++status) {
     if (status / 100 == 1) continue;
@@ -144,6 +146,7 @@
   }
 }
 
+// Guards against an interim response in place of the answer.
 TEST_CASE("an answer follows any number of interim responses") {
   const std::string answer = MakeAnswer("200");
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -190,6 +193,7 @@
   CHECK(parser.Head().status == 200);
 }
 
+// Guards against a receipt in the trailer that passes for one of the head.
 TEST_CASE("fields of a trailer are none of the head") {
   const Parsed parsed = Parse(
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSeats: 12\r\n\r\n"
