--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -73,8 +73,8 @@
   }
 
   static void Write(const ConnectionPtr& connection) {
-    const std::string_view rest =
-        std::string_view(connection->answer).substr(connection->sent);
+    const std::string_view answer = connection->answer;
+    const std::string_view rest = answer.substr(connection->sent);
     if (rest.empty()) return;
     asio::async_write(
         connection->socket,
--- a/tests/wire/http_response_parser_test.cc
+++ b/tests/wire/http_response_parser_test.cc
@@ -36,7 +36,7 @@
 
 /// Parses `bytes` at once and one by one, which must make no difference.
 Parsed Parse(const std::string& bytes) {
-  const Parsed whole = ParsePieces(bytes, bytes.size());
+  Parsed whole = ParsePieces(bytes, bytes.size());
   const Parsed pieces = ParsePieces(bytes, 1);
   CHECK(whole.code == pieces.code);
   if (whole.code != ResultCode::kOk) return whole;
