standins: the row store decodes targets as a server does

Cause: FakeRowStore compared the undecoded text of a query, so that no test could see a parameter that lacks its percent-encoding. The stand-in decodes paths and queries with it, refuses a target that isn't in origin-form and a key of more than 200 bytes, and pages by a size that tests set (PUT /page-rows).

--- a/source/standins/fake_row_store.cc
+++ b/source/standins/fake_row_store.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/parse_decimal.h"
 #include "platform/row_codec.h"
 
 namespace wisteriayoke {
@@ -10,19 +11,26 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kRowsPrefix = "/rows/";
-/// Most rows of a page, as at the platform.
-constexpr std::size_t kMaxRows = 500;
+/// Most bytes of a key, as at the platform.
+constexpr std::size_t kMaxKeyBytes = 200;
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
 constexpr int kConflict = 412;
 constexpr int kUnavailable = 503;
 
-std::string ReadParameter(const std::string& target, const std::string& name) {
-  const std::size_t at = target.find(name + "=");
-  if (at == std::string::npos) return "";
-  const std::size_t begin = at + name.size() + 1;
-  return target.substr(begin, target.find('&', begin) - begin);
+/// Returns the parameter `name`, or "" if there is none.
+std::string ReadParameter(const RequestTarget& target,
+                          const std::string& name) {
+  const auto found = target.parameters.find(name);
+  return found == target.parameters.end() ? "" : found->second;
+}
+
+/// Returns the parameter `name` as a number; 0 if it is none.
+std::uint64_t ReadNumber(const RequestTarget& target, const std::string& name) {
+  return static_cast<std::uint64_t>(
+      ParseDecimal(ReadParameter(target, name)).value_or(0));
 }
 
 }  // namespace
@@ -66,34 +74,47 @@
 }
 
 void FakeRowStore::Handle(const HttpRequest& request, const Caller& caller) {
-  if (HandleControl(request, caller)) return;
+  const auto target = ParseRequestTarget(request.target);
+  if (!target) return caller->Respond({{kBadRequest, {}}, ""});
+  if (HandleControl(*target, request, caller)) return;
   ++calls_;
   if (fault_ == StoreFault::kSilent) return unanswered_.push_back(caller);
   if (fault_ == StoreFault::kRefusing) {
     return caller->Respond({{kUnavailable, {}}, ""});
   }
-  const std::string_view path = PathOf(request.target);
-  if (path == "/-/rows-get") return AnswerGet(request, caller);
-  if (path == "/-/rows-feed") return AnswerFeed(request, caller);
-  if (path == "/-/rows-tx") return AnswerWrite(request, caller);
+  if (target->path == "/-/rows-get") return AnswerGet(*target, caller);
+  if (target->path == "/-/rows-feed") return AnswerFeed(*target, caller);
+  if (target->path == "/-/rows-tx") return AnswerWrite(request, caller);
   caller->Respond({{kNotFound, {}}, ""});
 }
 
-bool FakeRowStore::HandleControl(const HttpRequest& request,
+bool FakeRowStore::HandleControl(const RequestTarget& target,
+                                 const HttpRequest& request,
                                  const Caller& caller) {
-  if (request.target == "/fault") {
+  if (target.path == "/fault") {
     const auto fault = kStoreFaultNames.Find(request.body);
     if (fault) set_fault(*fault);
     caller->Respond({{fault ? kOk : kNotFound, {}}, ""});
     return true;
   }
-  if (!request.target.starts_with(kRowsPrefix)) return false;
-  HandleRow(request, caller);
+  if (target.path == "/page-rows") {
+    const auto rows = ParseDecimal(request.body);
+    if (rows) set_page_rows(static_cast<std::size_t>(*rows));
+    caller->Respond({{rows ? kOk : kNotFound, {}}, ""});
+    return true;
+  }
+  if (target.path == "/calls") {
+    caller->Respond({{kOk, {}}, std::to_string(calls_)});
+    return true;
+  }
+  if (!target.path.starts_with(kRowsPrefix)) return false;
+  HandleRow(target, request, caller);
   return true;
 }
 
-void FakeRowStore::HandleRow(const HttpRequest& request, const Caller& caller) {
-  const std::string name = request.target.substr(kRowsPrefix.size());
+void FakeRowStore::HandleRow(const RequestTarget& target,
+                             const HttpRequest& request, const Caller& caller) {
+  const std::string name = target.path.substr(kRowsPrefix.size());
   const std::size_t slash = name.find('/');
   if (slash == std::string::npos) return caller->Respond({{kNotFound, {}}, ""});
   const std::string table = name.substr(0, slash);
@@ -132,33 +153,36 @@
   caller->Respond({{status, {}}, body.dump()});
 }
 
-void FakeRowStore::AnswerGet(const HttpRequest& request,
+void FakeRowStore::AnswerGet(const RequestTarget& target,
                              const Caller& caller) const {
-  // A page begins after the last key of the one before, which a zero byte ends.
-  std::string from = ReadParameter(request.target, "From");
-  from = from.substr(0, from.find("%00"));
+  const std::string from = ReadParameter(target, "From");
+  if (from.size() > kMaxKeyBytes) {
+    return caller->Respond({{kBadRequest, {}}, ""});
+  }
   Json rows = Json::array();
-  for (auto& row : List(ReadParameter(request.target, "Table"), 0, false)) {
-    if (from.empty() || row["Key"] > from) rows.push_back(std::move(row));
+  for (auto& row : List(ReadParameter(target, "Table"), 0, false)) {
+    if (row["Key"] >= from) rows.push_back(std::move(row));
+  }
+  const bool has_more = rows.size() > page_rows_;
+  if (has_more) {
+    rows.erase(rows.begin() + static_cast<std::ptrdiff_t>(page_rows_),
+               rows.end());
   }
-  const bool has_more = rows.size() > kMaxRows;
-  if (has_more) rows.erase(rows.begin() + kMaxRows, rows.end());
   Answer(caller, kOk, rows, has_more);
   if (has_more && on_page_) on_page_();
 }
 
-void FakeRowStore::AnswerFeed(const HttpRequest& request,
+void FakeRowStore::AnswerFeed(const RequestTarget& target,
                               const Caller& caller) {
   if (fault_ == StoreFault::kForgetting) {
     fault_ = StoreFault::kNone;
     return caller->Respond({{kGone, {}}, ""});
   }
-  const std::string table = ReadParameter(request.target, "Table");
-  const auto after = std::stoull(ReadParameter(request.target, "After"));
+  const std::string table = ReadParameter(target, "Table");
+  const std::uint64_t after = ReadNumber(target, "After");
   const Json rows = List(table, after, true);
   if (!rows.empty()) return Answer(caller, kOk, rows);
-  const auto wait = std::chrono::milliseconds(
-      std::stoll(ReadParameter(request.target, "WaitMs")));
+  const auto wait = std::chrono::milliseconds(ReadNumber(target, "WaitMs"));
   // Callers that disconnected need no answer.
   std::erase_if(waiting_, [](const Waiter& w) { return w.caller->closed(); });
   waiting_.push_back({caller, table, after, nullptr});
--- a/source/standins/fake_row_store.h
+++ b/source/standins/fake_row_store.h
@@ -14,6 +14,7 @@
 #include "runtime/event_loop.h"
 #include "runtime/http_server_session.h"
 #include "standins/standin_options.h"
+#include "wire/uri_codec.h"
 
 namespace wisteriayoke {
 
@@ -37,8 +38,10 @@
 /// Stand-in for the platform's store of rows: reads, feeds by long polling, and
 /// conditional writes.
 ///
-/// PUT, GET and DELETE of /rows/TABLE/KEY act as the operator or an upstream
-/// would; PUT /fault sets the fault that its body names.
+/// PUT, GET and DELETE of /rows/TABLE/KEY act as the operator, an upstream or
+/// another writer would; PUT /fault sets the fault that its body names, and PUT
+/// /page-rows the number of rows of a page. GET /calls counts the requests of
+/// the platform's protocol.
 class FakeRowStore {
  public:
   explicit FakeRowStore(EventLoop& loop, const StandinOptions& options = {});
@@ -59,6 +62,8 @@
   /// Leaves the calls that wait for changes of `table` without an answer, as if
   /// their connections were lost.
   void LoseWaiting(const std::string& table);
+  /// Sets the most rows of a page.
+  void set_page_rows(std::size_t rows) { page_rows_ = rows; }
   /// Calls `handler` after each page of a table that more pages follow.
   void set_on_page(std::function<void()> handler) {
     on_page_ = std::move(handler);
@@ -85,14 +90,16 @@
     LoopTimerPtr timer;
   };
 
-  bool HandleControl(const HttpRequest& request, const Caller& caller);
-  void HandleRow(const HttpRequest& request, const Caller& caller);
+  bool HandleControl(const RequestTarget& target, const HttpRequest& request,
+                     const Caller& caller);
+  void HandleRow(const RequestTarget& target, const HttpRequest& request,
+                 const Caller& caller);
   Json List(const std::string& table, std::uint64_t after,
             bool include_removed) const;
   void Answer(const Caller& caller, int status, const Json& rows,
               bool has_more = false) const;
-  void AnswerGet(const HttpRequest& request, const Caller& caller) const;
-  void AnswerFeed(const HttpRequest& request, const Caller& caller);
+  void AnswerGet(const RequestTarget& target, const Caller& caller) const;
+  void AnswerFeed(const RequestTarget& target, const Caller& caller);
   void EndWait(Caller caller);
   void AnswerWaiting();
   void AnswerWrite(const HttpRequest& request, const Caller& caller);
@@ -102,6 +109,7 @@
   std::uint64_t version_ = 0;
   StoreFault fault_ = StoreFault::kNone;
   int calls_ = 0;
+  std::size_t page_rows_ = 500;  ///< As at the platform.
   std::function<void()> on_page_;
   std::vector<Waiter> waiting_;
   std::vector<Caller> unanswered_;  ///< Callers left without an answer.
