--- /dev/null
+++ b/tests/store_follower/odd_key_test.cc
@@ -0,0 +1,76 @@
+// Entries of other writers under keys that have a meaning in a URI or a header.
+#include "store_follower/follower_fixture.h"
+
+namespace wisteriayoke {
+namespace {
+
+using std::string_literals::operator""s;
+
+/// Endings of a key. Each was sent undecoded as the start of the next page.
+const std::vector<std::string> kOddEndings = {
+    " ",    " x",   "#",          "#x",  "&",        "&From=zz", "+",
+    "+x",   "%",    "%00",        "%zz", "\r\nA: b", "\0x"s,     "\"",
+    "?x=1", "/../", "\xc3\xbc\t", "=",   ";",        "\x7f",     "00"};
+
+const std::vector<std::string> kSound = {"i-1", "i-10", "i-2", "i-3", "i-9"};
+
+struct OddKeyFixture : FollowerFixture {
+  OddKeyFixture() {
+    store.Put("op", "config", MakeDocument(3, "k1"));
+    for (const auto& name : kSound) {
+      store.Put("servers", name, MakeEntry("ready"));
+    }
+  }
+  bool KnowsAll() const {
+    return Version() == 3 &&
+           std::all_of(kSound.begin(), kSound.end(),
+                       [this](const auto& name) { return IsKnown(name); });
+  }
+};
+
+}  // namespace
+
+// Guards against a page that begins at a key which isn't encoded: the store
+// refused the request, or returned the same page again and again.
+TEST_CASE("odd keys at any place of a page hide no other row") {
+  for (const std::size_t page_rows : {1U, 2U, 3U, 500U}) {
+    for (const auto& ending : kOddEndings) {
+      CAPTURE(page_rows);
+      CAPTURE(ending);
+      OddKeyFixture daemon;
+      daemon.store.set_page_rows(page_rows);
+      daemon.store.Put("servers", "i-1" + ending, "no entry");
+      daemon.store.Put("op", "conf" + ending, "no document");
+      daemon.store.Put("op", "config" + ending, "no document");
+      daemon.Start();
+      daemon.RunUntil([&] { return daemon.KnowsAll(); });
+      // Each page once, then the wait for changes of each table.
+      const auto pages = [page_rows](std::size_t rows) {
+        return (rows + page_rows - 1) / page_rows;
+      };
+      CHECK(static_cast<std::size_t>(daemon.store.calls()) <=
+            pages(kSound.size() + 1) + pages(3) + 2);
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(OddKeyFixture,
+                  "beside an odd key the others hold without the store and "
+                  "after it discards its history") {
+  store.set_page_rows(2);
+  store.Put("servers", "i-1 &#+", "no entry");
+  Start();
+  RunUntil([this] { return KnowsAll(); });
+  store.set_fault(StoreFault::kSilent);
+  const TimePoint later = loop.Now() + std::chrono::seconds(1);
+  RunUntil([&] { return loop.Now() >= later; });
+  CHECK(KnowsAll());
+  store.set_fault(StoreFault::kForgetting);
+  store.Put("servers", "i-4", MakeEntry("ready"));
+  store.Drop("servers", "i-9");
+  RunUntil([this] { return IsKnown("i-4"); });
+  CHECK(IsKnown("i-10"));
+  CHECK(IsKnown("i-3"));
+}
+
+}  // namespace wisteriayoke
