--- a/tests/store_follower/odd_key_test.cc
+++ b/tests/store_follower/odd_key_test.cc
@@ -54,6 +54,20 @@
   }
 }
 
+// The store refuses a key of more than 200 bytes, also as the start of a page.
+TEST_CASE("a page may end with a key of full length") {
+  for (const char* last : {"x", "\x7f", "\xc3\xbc", "\xc2\xbf"}) {
+    CAPTURE(std::string(last));
+    const std::size_t size = 200 - std::string_view(last).size();
+    OddKeyFixture daemon;
+    daemon.store.set_page_rows(3);
+    daemon.store.Put("servers", "i-1" + std::string(size - 3, '0') + last,
+                     "no entry");
+    daemon.Start();
+    daemon.RunUntil([&] { return daemon.KnowsAll(); });
+  }
+}
+
 TEST_CASE_FIXTURE(OddKeyFixture,
                   "beside an odd key the others hold without the store and "
                   "after it discards its history") {
