--- a/tests/store_follower/odd_key_test.cc
+++ b/tests/store_follower/odd_key_test.cc
@@ -87,4 +87,33 @@
   CHECK(IsKnown("i-3"));
 }
 
+// Guards against a store that is called as fast as it answers.
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a list whose next page doesn't advance ends in an error") {
+  int calls = 0;
+  std::string rows;
+  SUBCASE("the same page") {
+    rows = R"({"Table":"servers","part":"","Key":"i-1","Ver":4,"Value":""})";
+  }
+  SUBCASE("no row") {}
+  SUBCASE("no row with a key") { rows = R"({"Table":"servers","Ver":4})"; }
+  const FakeServer server(
+      loop, TestPorts::kUpstream,
+      [&](const HttpRequest&,
+          const std::shared_ptr<HttpServerSession>& caller) {
+        ++calls;
+        caller->Respond(
+            {{200, {}}, R"({"Ver":9,"HasMore":true,"Rows":[)" + rows + "]}"});
+      });
+  const auto client =
+      std::make_shared<RowStore>(loop, LocalEndpoint(TestPorts::kUpstream));
+  std::optional<RowReply> reply;
+  client->ReadTable("servers", [&](RowReply end) { reply = std::move(end); });
+  RunUntil([&] { return reply.has_value() || calls > 100; });
+  REQUIRE(reply.has_value());
+  CHECK(reply->code == ResultCode::kStoreUnreachable);
+  CHECK_FALSE(reply->message.empty());
+  CHECK(calls <= 2);
+}
+
 }  // namespace wisteriayoke
