table_codec: an address with a zero byte is none

Seen: by reading, while the causes of the odd entry were looked for elsewhere: an entry with the address 10.0.0.1, a zero byte, CR LF and a line was in use, and its line became one of the head of each request to it, in Host and in the chain. Cause: inet_pton() reads up to the zero byte, while the whole text was kept. Change: a host with a zero byte is refused. Result: wire_test "an address with a zero byte is none", two of its checks failed before.

--- a/source/wire/table_codec.cc
+++ b/source/wire/table_codec.cc
@@ -300,7 +300,9 @@
     const auto parsed =
         std::from_chars(text.data() + colon + 1, end, endpoint.port);
     std::array<unsigned char, sizeof(in6_addr)> ignored{};
+    // inet_pton() reads up to a zero byte, after which anything may follow.
     const bool is_ip =
+        endpoint.host.find('\0') == std::string::npos &&
         inet_pton(AF_INET, endpoint.host.c_str(), ignored.data()) == 1;
     if (is_ip && parsed.ec == std::errc() && parsed.ptr == end) {
       return endpoint;
--- a/tests/wire/table_codec_test.cc
+++ b/tests/wire/table_codec_test.cc
@@ -46,4 +46,15 @@
   CHECK_FALSE(ParseEndpoint("127.0.0.1", reason).has_value());
 }
 
+// Guards against an address that continues in the head of a request.
+TEST_CASE("an address with a zero byte is none") {
+  using std::string_literals::operator""s;
+  LastReason reason;
+  CHECK(ParseEndpoint("10.0.0.1:80", reason).has_value());
+  for (const auto& text :
+       {"10.0.0.1\0:80"s, "10.0.0.1\0\r\nA: b:80"s, "10.0.0.1:80\0"s}) {
+    CHECK_FALSE(ParseEndpoint(text, reason).has_value());
+  }
+}
+
 }  // namespace wisteriayoke
