http_encode: no text adds a line to a head

Seen: a text of others with CR LF in a target or in the value of a field, such as an upstream's name in Expect-Instance, a workspace's name or the id of an event, added lines to the head of a request or an answer, or ended it. Cause: Boost.Beast writes targets and values as they are, and no caller of the encoder checked them. Change: the one encoder of heads percent-encodes controls and blanks in a target and puts a blank in place of CR, LF and NUL in a value (RFC 9110, 5.5). A target that a parser accepted is sent as it came.

--- a/source/wire/http_encode.cc
+++ b/source/wire/http_encode.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/http/write.hpp>
 #include <sstream>
 
+#include "wire/uri_codec.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -36,9 +38,22 @@
          method == http::verb::options;
 }
 
+/// Returns `value` with blanks in place of the bytes that would end the field
+/// or the head (RFC 9110, 5.5).
+std::string CleanFieldValue(std::string value) {
+  constexpr std::string_view kForbidden("\r\n\0", 3);
+  std::size_t at = value.find_first_of(kForbidden);
+  for (; at != std::string::npos; at = value.find_first_of(kForbidden, at)) {
+    value[at] = ' ';
+  }
+  return value;
+}
+
 template <typename Message>
 void CopyFields(const HttpFields& fields, Message& message) {
-  for (const auto& field : fields) message.insert(field.name, field.value);
+  for (const auto& field : fields) {
+    message.insert(field.name, CleanFieldValue(field.value));
+  }
 }
 
 }  // namespace
@@ -48,9 +63,11 @@
   http::request<http::empty_body> message;
   message.version(kHttp11);
   message.method_string(request.method);
-  message.target(request.target);
+  message.target(EncodeTarget(request.target));
   CopyFields(request.fields, message);
-  if (message[http::field::host].empty()) message.set(http::field::host, host);
+  if (message[http::field::host].empty()) {
+    message.set(http::field::host, CleanFieldValue(std::string(host)));
+  }
   message.keep_alive(request.keep_alive);
   // Beast's prepare_payload() throws for a body that the method doesn't allow.
   if (request.body.empty() && !ExpectsBody(message.method())) {
--- a/source/wire/http_encode.h
+++ b/source/wire/http_encode.h
@@ -8,6 +8,9 @@
 
 namespace wisteriayoke {
 
+// Targets and field values may hold any text: what would end the request line,
+// a field or the head is percent-encoded in a target and a blank in a value.
+
 /// Returns the bytes of a request without its body. Its Host field is set to
 /// `host` unless the request has one.
 std::string EncodeRequestHead(const HttpRequest& request,
--- a/source/wire/uri_codec.cc
+++ b/source/wire/uri_codec.cc
@@ -11,6 +11,15 @@
 
 namespace urls = boost::urls;
 
+/// The bytes that a target may hold in a request line.
+struct TargetChars {
+  constexpr bool operator()(char c) const noexcept {
+    constexpr unsigned char kDelete = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return byte > ' ' && byte != kDelete;
+  }
+};
+
 urls::string_view ToUrlText(std::string_view text) {
   return {text.data(), text.size()};
 }
@@ -27,6 +36,10 @@
   return urls::encode(ToUrlText(path), kPathChars);
 }
 
+std::string EncodeTarget(std::string_view target) {
+  return urls::encode(ToUrlText(target), TargetChars());
+}
+
 std::optional<std::string> PercentDecode(std::string_view text) {
   const auto encoded = urls::make_pct_string_view(ToUrlText(text));
   if (!encoded) return std::nullopt;
--- a/source/wire/uri_codec.h
+++ b/source/wire/uri_codec.h
@@ -16,6 +16,10 @@
 /// Like `PercentEncode`, but leaves "/" between the segments of `path`.
 std::string PercentEncodePath(std::string_view path);
 
+/// Percent-encodes the bytes that would end `target` in a request line: control
+/// characters and blanks. Any other target is returned unchanged.
+std::string EncodeTarget(std::string_view target);
+
 /// Decodes `text`, which isn't part of a form: a "+" stays one. Returns nullopt
 /// for a character that must be encoded or an incomplete escape.
 std::optional<std::string> PercentDecode(std::string_view text);
