--- a/source/wire/http_message.cc
+++ b/source/wire/http_message.cc
@@ -33,6 +33,14 @@
   return target.substr(0, target.find('?'));
 }
 
+bool IsFieldValue(std::string_view text) {
+  constexpr unsigned char kDelete = 0x7f;
+  if (text.empty() || text.front() == ' ' || text.back() == ' ') return false;
+  return std::all_of(text.begin(), text.end(), [](unsigned char byte) {
+    return byte >= ' ' && byte != kDelete;
+  });
+}
+
 bool IsHopByHop(std::string_view name) {
   return std::any_of(kHopByHopFields.begin(), kHopByHopFields.end(),
                      [name](std::string_view field) {
--- a/source/wire/http_message.h
+++ b/source/wire/http_message.h
@@ -46,6 +46,11 @@
 /// Returns the path of `target`, without the query.
 std::string_view PathOf(std::string_view target);
 
+/// Returns whether a header field can have exactly `text` as its value: it
+/// isn't empty, has no control character and no blank at its ends (RFC
+/// 9110, 5.5).
+bool IsFieldValue(std::string_view text);
+
 /// Returns whether the field called `name` must not be forwarded: it is a
 /// hop-by-hop field, Content-Length or Host.
 bool IsHopByHop(std::string_view name);
--- a/tests/platform/store_codecs_test.cc
+++ b/tests/platform/store_codecs_test.cc
@@ -118,6 +118,34 @@
   CHECK(reason.code() == ResultCode::kFieldInvalid);
 }
 
+// Guards against a request that is sent without the name of its upstream or to
+// another process, and against a name that no datagram holds.
+TEST_CASE("an entry to which no request can be sent is rejected") {
+  using std::string_literals::operator""s;
+  LastReason reason;
+  CHECK(ParseFleetEntry(std::string(200, 'x'), kEntry, reason).has_value());
+  CHECK(ParseFleetEntry("a b&\"\xc3\xbc", kEntry, reason).has_value());
+  for (const auto& id : {""s, " a"s, "a "s, "a\tb"s, "a\r\nb"s, "a\0b"s,
+                         "\x7f"s, std::string(201, 'x')}) {
+    CAPTURE(id);
+    CHECK_FALSE(ParseFleetEntry(id, kEntry, reason).has_value());
+    CHECK(reason.code() == ResultCode::kFieldInvalid);
+  }
+  auto json = nlohmann::json::parse(kEntry);
+  for (const auto& address :
+       {"10.1.0.9:0"s, "0.0.0.0:80"s, "10.1.0.9"s, "host:80"s, "[::1]:80"s,
+        "10.1.0.9:80 "s, "10.1.0.9\0:80"s, "10.1.0.9:65536"s}) {
+    CAPTURE(address);
+    json["Address"] = address;
+    CHECK_FALSE(ParseFleetEntry("i", json.dump(), reason).has_value());
+  }
+  json = nlohmann::json::parse(kEntry);
+  for (const auto& slots : {"0", "-1", "1.5", "4294967296", "\"8\"", "null"}) {
+    json["Slots"] = nlohmann::json::parse(slots);
+    CHECK_FALSE(ParseFleetEntry("i", json.dump(), reason).has_value());
+  }
+}
+
 TEST_CASE("reports are decoded and orders encoded in the platform's format") {
   LastReason reason;
   const auto report = ParseReport(
