fleet_updater: an entry that can't be used costs one line of the log

Seen: an entry of another writer that is written again and again adds a warning each time, and for some defects without the name of the entry. Cause: each change of a row was recorded by itself, with the parser's reason alone. Change: a refusal is recorded with the key, the version and the source, once until the entry can be used or is removed. Result: store_follower_test "an entry that can't be used costs itself and one line of the log" (22 entries, at a start and over the feed) and "an entry that is mended is used again" failed before; "an entry that can't be used hides no other of a peer's page" passed before and is kept.

--- a/source/supervisor/store_follower/fleet_updater.cc
+++ b/source/supervisor/store_follower/fleet_updater.cc
@@ -23,6 +23,7 @@
   RecordStoreAge();
   for (const auto& row : rows) {
     if (row.removed) {
+      refused_.erase(row.key);
       RemoveEntry(UpstreamName(row.key), source);
     } else {
       ApplyEntry(row, source);
@@ -37,11 +38,10 @@
   LastReason reason;
   const auto entry = ParseFleetEntry(row.key, row.value, reason);
   if (!entry) {
-    context_.state.timeline.Record(LogLevel::kWarning, EventKind::kEntryRefused,
-                                   reason.code(),
-                                   {{"reason", reason.message()}});
+    RecordRefusal(row, reason, source);
     return RemoveEntry(UpstreamName(row.key), source);
   }
+  refused_.erase(row.key);
   DaemonState& state = context_.state;
   const FleetChange change = state.relay.fleet.Apply(*entry);
   if (change == FleetChange::kNone) return;
@@ -62,6 +62,19 @@
        {"entries_age_us", source.age_us}});
 }
 
+/// Records an entry that can't be used, once until it changes into one that can
+/// or is removed.
+void FleetUpdater::RecordRefusal(const MirrorRow& row, const LastReason& reason,
+                                 const EntriesSource& source) {
+  if (!refused_.insert(row.key).second) return;
+  context_.state.timeline.Record(LogLevel::kWarning, EventKind::kEntryRefused,
+                                 reason.code(),
+                                 {{"upstream", row.key},
+                                  {"reason", reason.message()},
+                                  {"version", std::to_string(row.version)},
+                                  {"source", source.name}});
+}
+
 void FleetUpdater::RemoveEntry(const UpstreamName& name,
                                const EntriesSource& source) {
   Fleet& fleet = context_.state.relay.fleet;
--- a/source/supervisor/store_follower/fleet_updater.h
+++ b/source/supervisor/store_follower/fleet_updater.h
@@ -2,9 +2,11 @@
 #define WISTERIAYOKE_SUPERVISOR_STORE_FOLLOWER_FLEET_UPDATER_H_
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "base/last_reason.h"
 #include "decisions/row_mirror.h"
 #include "supervisor/context/daemon_context.h"
 
@@ -33,12 +35,15 @@
 
  private:
   void ApplyEntry(const MirrorRow& row, const EntriesSource& source);
+  void RecordRefusal(const MirrorRow& row, const LastReason& reason,
+                     const EntriesSource& source);
   void RemoveEntry(const UpstreamName& name, const EntriesSource& source);
   void ForgetUpstream(const UpstreamName& name, const EntriesSource& source);
   void RecordStoreAge();
 
   DaemonContext context_;
   std::optional<TimePoint> store_answered_;  ///< This daemon, last.
+  std::set<std::string> refused_;  ///< Keys of the entries that can't be used.
 };
 
 }  // namespace wisteriayoke
