http_client_call: a call to no address fails

Seen: a call to an endpoint whose host isn't an address, as a peer's datagram may hold one, connected to this machine at that port. Cause: the error of parsing the address was ignored, which left 0.0.0.0. Change: the call fails with kConnectFailed on a later turn of the loop.

--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -42,6 +42,13 @@
   if (!memory.HasRoomForSession(true)) memory.CloseIdleSession();
   asio::error_code error;
   const auto address = asio::ip::make_address(endpoint.host, error);
+  if (error) {
+    // On a later turn of the loop, as `Start` promises.
+    return loop_.Post([self = shared_from_this(), error] {
+      if (!self->closed_)
+        self->Fail(ResultCode::kConnectFailed, error.message());
+    });
+  }
   ArmTimer(limits_.connect_timeout);
   if (limits_.total_timeout > Duration::zero()) {
     total_timer_ = ScheduleTimeout(limits_.total_timeout);
--- a/tests/runtime/http_client_call_test.cc
+++ b/tests/runtime/http_client_call_test.cc
@@ -12,11 +12,12 @@
 const Endpoint kServer{"127.0.0.1", 29913};
 const std::string kSound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
 
-FetchResult FetchFrom(const std::string& bytes, std::size_t write_bytes) {
+FetchResult FetchFrom(const std::string& bytes, std::size_t write_bytes,
+                      const Endpoint& endpoint = kServer) {
   EventLoop loop;
   const RawServer server(loop, kServer, bytes, write_bytes);
   FetchResult result;
-  FetchResponse(loop, kServer, {}, {}, [&](FetchResult fetched) {
+  FetchResponse(loop, endpoint, {}, {}, [&](FetchResult fetched) {
     result = std::move(fetched);
     loop.Stop();
   });
@@ -55,4 +56,14 @@
   }
 }
 
+// Guards against a call to this machine in place of an address that is none.
+TEST_CASE("a call to no address fails") {
+  for (const char* host : {"", "nowhere", "127.0.0.1 ", "127.0.0.256"}) {
+    CAPTURE(std::string(host));
+    const FetchResult result = FetchFrom(kSound, 1000, {host, kServer.port});
+    CHECK(result.code == ResultCode::kConnectFailed);
+    CHECK_FALSE(result.sent);
+  }
+}
+
 }  // namespace wisteriayoke
