instance_list_codec: a malformed instance is refused alone

Seen: one instance without a name, or with a field of another type, hid the whole list, so that no upstream's leaving and no new daemon was learned from it. Cause: the exception of the first odd entry ended the parsing. Change: each entry is read by itself; those that can't be used are counted in one warning with the first reason.

--- a/source/supervisor/instances/instance_watcher.cc
+++ b/source/supervisor/instances/instance_watcher.cc
@@ -69,6 +69,13 @@
     return;
   }
   revision_ = reply.version;
+  if (!list->refused.empty()) {
+    context_.state.timeline.Record(
+        LogLevel::kWarning, EventKind::kEntryRefused, ResultCode::kFieldInvalid,
+        {{"instances", std::to_string(list->refused.size())},
+         {"reason", list->refused.front()},
+         {"version", std::to_string(revision_)}});
+  }
   if (const auto peers = peers_()) peers->SetListedPeers(list->daemons);
   HandleLeavingEvent(
       context_, InstanceListRead{reply.version, std::move(list->upstreams)});
--- a/source/wire/instance_list_codec.cc
+++ b/source/wire/instance_list_codec.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 
 #include "wire/table_codec.h"
 
@@ -14,35 +15,50 @@
 constexpr std::string_view kDaemonRole = "daemon";
 constexpr std::string_view kLeavingState = "leaving";
 
+/// Returns the string `name` of `json`, or "" if it isn't an object with one.
+std::string ReadText(const Json& json, const char* name) {
+  if (!json.is_object()) return "";
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
+
+void Refuse(std::string why, InstanceList& list) {
+  list.refused.push_back(std::move(why));
+}
+
 void AddInstance(const Json& json, InstanceList& list) {
-  const auto role = json.value("role", std::string());
+  const std::string role = ReadText(json, "role");
   if (role == kUpstreamRole) {
+    const std::string name = ReadText(json, "name");
+    if (name.empty()) return Refuse("an upstream has no name", list);
     list.upstreams.push_back(
-        {UpstreamName(json.at("name").get<std::string>()),
-         json.value("state", std::string()) == kLeavingState});
+        {UpstreamName(name), ReadText(json, "state") == kLeavingState});
+  } else if (role == kDaemonRole) {
+    LastReason reason;
+    const auto endpoint = ParseEndpoint(ReadText(json, "address"), reason);
+    if (!endpoint) return Refuse("a daemon: " + reason.message(), list);
+    list.daemons.push_back(*endpoint);
+  } else if (role.empty()) {
+    Refuse("an entry is not an object with a role", list);
   }
-  if (role != kDaemonRole) return;
-  LastReason ignored;
-  const auto endpoint =
-      ParseEndpoint(json.at("address").get<std::string>(), ignored);
-  if (endpoint) list.daemons.push_back(*endpoint);
 }
 
 }  // namespace
 
 std::optional<InstanceList> ParseInstanceList(std::string_view text,
                                               LastReason& reason) {
-  try {
-    InstanceList list;
-    const Json json = Json::parse(text);
-    for (const auto& instance : json.at("instances")) {
-      AddInstance(instance, list);
-    }
-    return list;
-  } catch (const Json::exception& error) {
-    reason.Set(ResultCode::kMalformedJson, error.what());
+  const Json json = Json::parse(text, nullptr, false);
+  const bool has_list = json.is_object() && json.contains("instances") &&
+                        json["instances"].is_array();
+  if (!has_list) {
+    reason.Set(ResultCode::kMalformedJson,
+               "the list is not a JSON object with instances");
     return std::nullopt;
   }
+  InstanceList list;
+  for (const auto& instance : json["instances"]) AddInstance(instance, list);
+  return list;
 }
 
 }  // namespace wisteriayoke
--- a/source/wire/instance_list_codec.h
+++ b/source/wire/instance_list_codec.h
@@ -2,6 +2,7 @@
 #define WISTERIAYOKE_WIRE_INSTANCE_LIST_CODEC_H_
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -15,11 +16,13 @@
 struct InstanceList {
   std::vector<ListedUpstream> upstreams;
   std::vector<Endpoint> daemons;  ///< Peer addresses of the daemons.
+  std::vector<std::string>
+      refused;  ///< Why each entry without use is left out.
 };
 
 /// Parses {"instances": [{"role": "upstream", "name": "engine1", "state":
 /// "live"}, {"role": "daemon", "address": "IP:PORT"}]}. Entries of other roles
-/// and daemons with an invalid address are ignored. Fails with kMalformedJson.
+/// are ignored, malformed ones refused. Fails with kMalformedJson.
 std::optional<InstanceList> ParseInstanceList(std::string_view json,
                                               LastReason& reason);
 
