datagram_codec: an address that is none refuses the datagram

Seen: the host of an endpoint in a peer's datagram could be any text, and went into the address of calls and the Host field of their heads. Cause: the text was taken over as it came. Change: a datagram with such an endpoint is malformed, as one with another damage. Result: wire_test "a datagram with an address that is none is refused", 8 checks failed before.

--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -7,6 +7,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "wire/table_codec.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -78,6 +80,10 @@
 
   void Serialize(Endpoint& endpoint) {
     SerializeAll(endpoint.host, endpoint.port);
+    LastReason reason;
+    if (kIsInput && !ParseEndpoint(endpoint.ToString(), reason)) {
+      throw cereal::Exception(reason.message());
+    }
   }
   void Serialize(TableVersion& version) {
     SerializeAll(version.number, version.hash);
--- a/tests/wire/datagram_codec_test.cc
+++ b/tests/wire/datagram_codec_test.cc
@@ -119,4 +119,21 @@
   CHECK(ParseDatagram(*data, reason)->updates == message.updates);
 }
 
+// Guards against an address of a peer that continues in the head of a request,
+// or is none and so means this machine.
+TEST_CASE("a datagram with an address that is none is refused") {
+  using std::string_literals::operator""s;
+  for (const auto& host :
+       {""s, "nowhere"s, "127.0.0.1\0"s, "127.0.0.1\r\nA: b"s}) {
+    CAPTURE(host);
+    LastReason reason;
+    PeerMessage message = MakeMessage();
+    message.members[0].endpoint.host = host;
+    const auto data = EncodeDatagram(message, reason);
+    REQUIRE(data.has_value());
+    CHECK_FALSE(ParseDatagram(*data, reason).has_value());
+    CHECK(reason.code() == ResultCode::kMalformedDatagram);
+  }
+}
+
 }  // namespace wisteriayoke
