datagram_codec: an update that no datagram holds is left out alone

Seen: once a request whose Attempt-Id has over 255 bytes had crashed an upstream, the daemon sent its peers nothing while the update was due, neither pings nor answers, so that they took it for dead. Cause: a text that is too long for its length byte made the encoding of the whole message fail, and gossip repeats an update in many messages. Change: updates with such a text are left out, and the rest is sent. Result: wire_test "an update that no datagram holds is left out alone" got no datagram before.

--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -189,38 +189,55 @@
              detail + "; run the same release on every daemon.");
 }
 
-std::string Encode(PeerMessage& message) {
-  std::ostringstream stream;
-  Output archive(stream);
-  std::uint16_t magic = kMagic;
-  std::uint8_t version = kVersion;
-  Serializer<Output>(archive).SerializeAll(magic, version, message);
-  return stream.str();
+std::optional<std::string> Encode(PeerMessage& message, LastReason& reason) {
+  try {
+    std::ostringstream stream;
+    Output archive(stream);
+    std::uint16_t magic = kMagic;
+    std::uint8_t version = kVersion;
+    Serializer<Output>(archive).SerializeAll(magic, version, message);
+    return stream.str();
+  } catch (const cereal::Exception& error) {
+    SetMalformed(reason, error.what());
+    return std::nullopt;
+  }
+}
+
+/// Returns whether `update` has a text that no datagram holds.
+bool IsTooLong(GossipUpdate& update) {
+  try {
+    std::ostringstream stream;
+    Output archive(stream);
+    Serializer<Output>(archive).Serialize(update);
+    return false;
+  } catch (const cereal::Exception&) {
+    return true;
+  }
 }
 
 }  // namespace
 
 std::optional<std::string> EncodeDatagram(PeerMessage message,
                                           LastReason& reason) {
-  try {
-    std::string data = Encode(message);
-    while (data.size() > kMaxDatagramBytes) {
-      if (!message.updates.empty()) {
-        message.updates.pop_back();
-      } else if (!message.members.empty()) {
-        message.members.pop_back();
-      } else {
-        SetMalformed(reason,
-                     "a datagram is too long even without members and updates");
-        return std::nullopt;
-      }
-      data = Encode(message);
+  auto data = Encode(message, reason);
+  if (!data) {
+    // Updates carry texts of callers, such as the id of a request.
+    std::erase_if(message.updates, IsTooLong);
+    data = Encode(message, reason);
+  }
+  while (data && data->size() > kMaxDatagramBytes) {
+    if (!message.updates.empty()) {
+      message.updates.pop_back();
+    } else if (!message.members.empty()) {
+      message.members.pop_back();
+    } else {
+      SetMalformed(reason,
+                   "a datagram is too long even without members and updates");
+      return std::nullopt;
     }
-    return data;
-  } catch (const cereal::Exception& error) {
-    SetMalformed(reason, error.what());
-    return std::nullopt;
+    data = Encode(message, reason);
   }
+  return data;
 }
 
 std::optional<PeerMessage> ParseDatagram(std::string_view data,
--- a/tests/wire/datagram_codec_test.cc
+++ b/tests/wire/datagram_codec_test.cc
@@ -119,6 +119,20 @@
   CHECK(ParseDatagram(*data, reason)->updates == message.updates);
 }
 
+// Guards against a daemon that falls silent for its peers once a caller's id of
+// a request that crashed an upstream is too long.
+TEST_CASE("an update that no datagram holds is left out alone") {
+  LastReason reason;
+  PeerMessage message = MakeMessage();
+  const auto updates = message.updates;
+  message.updates.insert(
+      message.updates.begin(),
+      SegmentCrashUpdate{RequestId(std::string(256, 'r')), UpstreamName("e")});
+  const auto data = EncodeDatagram(message, reason);
+  REQUIRE(data.has_value());
+  CHECK(ParseDatagram(*data, reason)->updates == updates);
+}
+
 // Guards against an address of a peer that continues in the head of a request,
 // or is none and so means this machine.
 TEST_CASE("a datagram with an address that is none is refused") {
