wire: names in the paths of requests are percent-encoded

Seen: a digest of the tables from a record or a peer that holds ?, # or a blank asked for another object or broke the request line; so did a child's name given to wisteriayokectl restart. Cause: targets were put together from texts as they were, in the daemon and in the tool. Change: the targets of records, objects and the content of tables are built in one place for both, with the codec of URIs; the operators' server and the stand-in of the platform decode what they get.

--- a/source/ctl/daemon_commands.cc
+++ b/source/ctl/daemon_commands.cc
@@ -8,6 +8,7 @@
 #include "ctl/blocking_http.h"
 #include "supervisor/context/operators_codec.h"
 #include "supervisor/context/timeline_merge.h"
+#include "wire/uri_codec.h"
 
 namespace wisteriayoke {
 namespace {
@@ -159,14 +160,15 @@
 
 CommandResult RestartChildren(const CtlOptions& options) {
   std::size_t restarted = 0;
-  CommandResult result =
-      CallDaemons(options,
-                  {.method = "POST",
-                   .target = "/children/" + options.operands[0] + "/restart"},
-                  [&restarted](const std::string&, LastReason&) {
-                    ++restarted;
-                    return true;
-                  });
+  CommandResult result = CallDaemons(
+      options,
+      {.method = "POST",
+       .target =
+           "/children/" + PercentEncodePath(options.operands[0]) + "/restart"},
+      [&restarted](const std::string&, LastReason&) {
+        ++restarted;
+        return true;
+      });
   result.output =
       options.json ? "{\"restarted\":" + std::to_string(restarted) + "}\n"
                    : "restarted on " + std::to_string(restarted) + " daemons\n";
--- a/source/ctl/store_client.cc
+++ b/source/ctl/store_client.cc
@@ -18,7 +18,7 @@
 
 StoreRecord StoreClient::ReadRecord(const std::string& key) {
   LastReason ignored;
-  return ToRecord(FetchBlocking(endpoint_, {.target = "/records/" + key},
+  return ToRecord(FetchBlocking(endpoint_, {.target = RecordTarget(key)},
                                 timeout_, ignored));
 }
 
@@ -29,7 +29,7 @@
   return ToRecord(
       FetchBlocking(endpoint_,
                     {.method = "PUT",
-                     .target = "/records/" + key,
+                     .target = RecordTarget(key),
                      .fields = {{"Expected-Version", std::to_string(expected)}},
                      .body = value},
                     timeout_, ignored));
@@ -37,7 +37,7 @@
 
 std::optional<std::string> StoreClient::ReadObject(const std::string& hash,
                                                    LastReason& reason) {
-  auto response = FetchBlocking(endpoint_, {.target = "/objects/" + hash},
+  auto response = FetchBlocking(endpoint_, {.target = ObjectTarget(hash)},
                                 timeout_, reason);
   if (!response) {
     reason.Set(ResultCode::kStoreUnreachable, reason.message());
@@ -62,7 +62,7 @@
   LastReason ignored;
   const auto response = FetchBlocking(
       endpoint_,
-      {.method = "PUT", .target = "/objects/" + hash, .body = content},
+      {.method = "PUT", .target = ObjectTarget(hash), .body = content},
       timeout_, ignored);
   return response ? ResultCodeOfStoreStatus(response->head.status)
                   : ResultCode::kStoreUnreachable;
--- a/source/standins/fake_platform.cc
+++ b/source/standins/fake_platform.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "wire/uri_codec.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -89,7 +91,9 @@
 }
 
 HttpResponse FakePlatform::BuildAnswer(const HttpRequest& request) {
-  const std::string& target = request.target;
+  const auto decoded = ParseRequestTarget(request.target);
+  if (!decoded) return {{400, {}}, ""};
+  const std::string& target = decoded->path;
   if (target.starts_with(kRecords)) {
     return HandleRecord(request, target.substr(kRecords.size()));
   }
--- a/source/supervisor/operators/operators_server.cc
+++ b/source/supervisor/operators/operators_server.cc
@@ -6,6 +6,7 @@
 #include "supervisor/context/metrics_page.h"
 #include "supervisor/context/operators_codec.h"
 #include "wire/completion_codec.h"
+#include "wire/uri_codec.h"
 
 namespace wisteriayoke {
 namespace {
@@ -115,7 +116,9 @@
 
 HttpResponse OperatorsServer::RestartChild(std::string_view path) {
   LastReason reason;
-  if (!hooks_.restart_child(std::string(path), reason)) {
+  const auto child = PercentDecode(path);
+  if (!child) return BuildUnknownPath(path);
+  if (!hooks_.restart_child(*child, reason)) {
     return BuildError(reason);
   }
   return BuildJson(kStatusAccepted, R"({"restarting":true})");
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -10,6 +10,7 @@
 #include "supervisor/context/log.h"
 #include "wire/datagram_codec.h"
 #include "wire/mirror_codec.h"
+#include "wire/store_codec.h"
 
 namespace wisteriayoke {
 namespace {
@@ -21,7 +22,6 @@
 constexpr std::size_t kMaxContentConnections = 32;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
-constexpr std::string_view kContentPrefix = "/tables/";
 
 /// Returns an incarnation above that of any earlier run on this instance: the
 /// Unix time in microseconds.
@@ -292,8 +292,8 @@
 
 HttpResponse PeerLink::ServeContent(const HttpRequest& request) const {
   const DaemonState& state = context_.state;
-  const std::string path = std::string(kContentPrefix) + state.version.hash;
-  if (state.version.number == 0 || request.target != path) {
+  const std::string target = TableContentTarget(state.version.hash);
+  if (state.version.number == 0 || request.target != target) {
     return {{kStatusNotFound, {}}, ""};
   }
   return {{kStatusOk, {{"Content-Type", "application/json"}}},
--- a/source/supervisor/table_service/table_service_client.cc
+++ b/source/supervisor/table_service/table_service_client.cc
@@ -35,14 +35,14 @@
 void TableServiceClient::Stop(const std::function<void()>& done) { done(); }
 
 void TableServiceClient::ReadRecord(const std::string& key, Done done) {
-  Send({.method = "GET", .target = "/records/" + key}, std::move(done));
+  Send({.method = "GET", .target = RecordTarget(key)}, std::move(done));
 }
 
 void TableServiceClient::WriteRecord(const std::string& key,
                                      const std::string& value,
                                      std::uint64_t expected, Done done) {
   Send({.method = "PUT",
-        .target = "/records/" + key,
+        .target = RecordTarget(key),
         .fields = {{std::string(kExpectedField), std::to_string(expected)}},
         .body = value},
        std::move(done));
@@ -53,7 +53,7 @@
 }
 
 void TableServiceClient::ReadObject(const std::string& hash, Done done) {
-  Send({.method = "GET", .target = "/objects/" + hash}, std::move(done));
+  Send({.method = "GET", .target = ObjectTarget(hash)}, std::move(done));
 }
 
 void TableServiceClient::Send(HttpRequest request, Done done) {
--- a/source/supervisor/tables/table_manager.cc
+++ b/source/supervisor/tables/table_manager.cc
@@ -6,6 +6,7 @@
 #include "decisions/poll_interval.h"
 #include "supervisor/context/log.h"
 #include "wire/digest.h"
+#include "wire/store_codec.h"
 #include "wire/table_codec.h"
 
 namespace wisteriayoke {
@@ -115,7 +116,7 @@
   const auto holder = peers ? peers->ChooseContentPeer(hash) : std::nullopt;
   if (!holder) return FailFetch(hash);
   FetchResponse(context_.loop, *holder,
-                {.method = "GET", .target = "/tables/" + hash},
+                {.method = "GET", .target = TableContentTarget(hash)},
                 {.connect_timeout = kPeerTimeout, .idle_timeout = kPeerTimeout},
                 [self = shared_from_this(), hash](const FetchResult& result) {
                   if (self->stopped_) return;
--- a/source/wire/store_codec.cc
+++ b/source/wire/store_codec.cc
@@ -2,8 +2,22 @@
 
 #include <charconv>
 
+#include "wire/uri_codec.h"
+
 namespace wisteriayoke {
 
+std::string RecordTarget(std::string_view key) {
+  return "/records/" + PercentEncodePath(key);
+}
+
+std::string ObjectTarget(std::string_view hash) {
+  return "/objects/" + PercentEncode(hash);
+}
+
+std::string TableContentTarget(std::string_view hash) {
+  return "/tables/" + PercentEncode(hash);
+}
+
 ResultCode ResultCodeOfStoreStatus(int status) {
   switch (status) {
     case 200:
--- a/tests/operators/operators_server_test.cc
+++ b/tests/operators/operators_server_test.cc
@@ -98,6 +98,10 @@
   CHECK(refused.head.status == 404);
   CHECK(refused.body.find("114") != std::string::npos);
   CHECK(Send("POST", "/children//restart").head.status == 404);
+  CHECK(Send("POST", "/children/a%20b%2F%3F/restart").head.status == 404);
+  CHECK(restarted == "a b/?");
+  CHECK(Send("POST", "/children/a%zz/restart").head.status == 404);
+  CHECK(restarted == "a b/?");
   CHECK(Send("GET", "/drain").head.status == 404);
 }
 
--- a/tests/table_service/table_service_client_test.cc
+++ b/tests/table_service/table_service_client_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "support/daemon_fixture.h"
+#include "wire/uri_codec.h"
 
 namespace wisteriayoke {
 namespace {
@@ -64,4 +65,24 @@
   CHECK(reply->code == ResultCode::kStoreUnreachable);
 }
 
+// Guards against a digest, which a record of another writer may give as any
+// text, that changes which object is read or breaks the request.
+TEST_CASE_FIXTURE(PlatformFixture, "an odd digest names one object") {
+  for (const std::string hash :
+       {"a?b=c", "a#b", "a b", "a/../b", "a\r\nA: b"}) {
+    CAPTURE(hash);
+    answer = {{404, {}}, ""};
+    seen = {};
+    bool done = false;
+    client->ReadObject(hash, [&done](const StoreReply&) { done = true; });
+    RunUntil([&done] { return done; });
+    const auto target = ParseRequestTarget(seen.target);
+    REQUIRE(target.has_value());
+    CHECK(target->path == "/objects/" + hash);
+    CHECK(seen.target.find('/', std::string("/objects/").size()) ==
+          std::string::npos);
+    CHECK(FindField(seen.fields, "A").empty());
+  }
+}
+
 }  // namespace wisteriayoke
