log: a value with control characters stays in its line

Seen: a carriage return, an escape sequence or another control character in a name or a reason reached the log as it was, so that readers saw further lines. Cause: only line feeds were replaced, by a blank that lost the value. Change: a value that isn't a plain word is written as a JSON string in ASCII; the reader of saved logs decodes it, and takes lines of earlier releases as before.

--- a/source/ctl/saved_log.cc
+++ b/source/ctl/saved_log.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "supervisor/context/event_kind.h"
+#include "supervisor/context/quoted_text.h"
 
 namespace wisteriayoke {
 namespace {
@@ -39,19 +40,16 @@
 
 /// Parses the value at `at`, quoted or not, and moves `at` past it.
 std::string ParseValue(std::string_view text, std::size_t& at) {
-  std::string value;
-  if (at >= text.size() || text[at] != '"') {
-    const std::size_t end = std::min(text.find(' ', at), text.size());
-    value = text.substr(at, end - at);
-    at = end;
-    return value;
+  const std::size_t begin = at;
+  if (at < text.size() && text[at] == '"') {
+    for (++at; at < text.size() && text[at] != '"'; ++at) {
+      if (text[at] == '\\') ++at;
+    }
+    at = std::min(at + 1, text.size());
+  } else {
+    at = std::min(text.find(' ', at), text.size());
   }
-  for (++at; at < text.size() && text[at] != '"'; ++at) {
-    if (text[at] == '\\' && at + 1 < text.size()) ++at;
-    value += text[at];
-  }
-  ++at;
-  return value;
+  return UnquoteIfQuoted(text.substr(begin, at - begin));
 }
 
 /// Parses a time such as "2026-12-04T13:06:17.661" as UTC, to milliseconds
--- a/source/supervisor/context/log.cc
+++ b/source/supervisor/context/log.cc
@@ -7,24 +7,13 @@
 #include <chrono>
 
 #include "supervisor/context/log_limiter.h"
+#include "supervisor/context/quoted_text.h"
 
 INITIALIZE_EASYLOGGINGPP
 
 namespace wisteriayoke {
 namespace {
 
-std::string QuoteIfNeeded(const std::string& value) {
-  if (!value.empty() && value.find_first_of(" \"=\n") == std::string::npos) {
-    return value;
-  }
-  std::string quoted = "\"";
-  for (const char c : value) {
-    if (c == '"' || c == '\\') quoted += '\\';
-    quoted += c == '\n' ? ' ' : c;
-  }
-  return quoted + "\"";
-}
-
 LogLevel g_min_level = LogLevel::kInfo;
 LogLimiter g_limiter;
 
--- a/tests/ctl/saved_log_test.cc
+++ b/tests/ctl/saved_log_test.cc
@@ -47,6 +47,12 @@
   CHECK(line.FieldOf("reason") == "reset \"by\" peer");
   CHECK(line.FieldOf("table") == "op");
   CHECK(line.FieldOf("none").empty());
+  const auto odd = Parse(MakeLine(0, R"(event=entry-refused code=107 )"
+                                     R"(upstream="a\r\n\u0000 b=\"" x=1)"));
+  CHECK(odd.FieldOf("upstream") == std::string("a\r\n\0 b=\"", 8));
+  CHECK(odd.FieldOf("x") == "1");
+  const auto cut = Parse(MakeLine(0, "event=ended code=0 reason=\"cut \\"));
+  CHECK(cut.FieldOf("reason") == "cut \\");
   CHECK(line.time_ms % 100000 == 10250);
   CHECK_FALSE(ParseLogLine("no line of a daemon"));
   CHECK_FALSE(ParseLogLine("time=yesterday event=started"));
