metrics_text: control characters of label values are shown as text

Seen: a service named by an entry of the store with a carriage return or another control character in it broke the line of its samples for some readers. Cause: the format's three escapes are applied, and other controls have none. Change: they are shown as text such as \x0d, so that labels stay distinct.

--- a/source/supervisor/context/metrics_text.cc
+++ b/source/supervisor/context/metrics_text.cc
@@ -5,15 +5,24 @@
 
 constexpr std::string_view kPrefix = "wisteriayoke_";
 
+/// The format has no escapes for control characters but the line feed, which
+/// are therefore shown as text such as "\x0d".
 std::string EscapeValue(std::string_view value) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr unsigned char kDelete = 0x7f;
   std::string escaped;
   for (const char c : value) {
+    const auto byte = static_cast<unsigned char>(c);
     if (c == '\n') {
       escaped += "\\n";
-      continue;
+    } else if (byte < ' ' || byte == kDelete) {
+      escaped += "\\\\x";
+      escaped += kDigits[byte >> 4U];
+      escaped += kDigits[byte & 0xfU];
+    } else {
+      if (c == '"' || c == '\\') escaped += '\\';
+      escaped += c;
     }
-    if (c == '"' || c == '\\') escaped += '\\';
-    escaped += c;
   }
   return escaped;
 }
--- a/tests/context/metrics_test.cc
+++ b/tests/context/metrics_test.cc
@@ -51,6 +51,12 @@
         "wisteriayoke_m{a=\"x\\\"y\\\\z\\n\"} 1\n");
 }
 
+// Guards against a name that ends the line of its sample for some readers.
+TEST_CASE("control characters of label values are shown as text") {
+  CHECK(MetricLabel("a", std::string("\r\0\x1b\x7f", 4)) ==
+        R"(a="\\x0d\\x00\\x1b\\x7f")");
+}
+
 TEST_CASE("routes over the bound are counted together") {
   RelayMetrics metrics;
   constexpr std::size_t kMore = 30;
