ctl: a text of others stays in its line and doesn't end the output

Cause: texts of daemons and records were printed as they were. Change: they are quoted as in the log, and JSON is written by the library.

--- a/source/ctl/daemon_commands.cc
+++ b/source/ctl/daemon_commands.cc
@@ -7,6 +7,7 @@
 #include "base/version.h"
 #include "ctl/blocking_http.h"
 #include "supervisor/context/operators_codec.h"
+#include "supervisor/context/quoted_text.h"
 #include "supervisor/context/timeline_merge.h"
 #include "wire/uri_codec.h"
 
@@ -28,9 +29,10 @@
     LastReason reason;
     const auto answer = FetchBlocking(daemon, request, options.timeout, reason);
     if (answer && answer->head.status >= kFirstErrorStatus) {
-      reason.Set(answer->head.status == 404 ? ResultCode::kUnknownChild
-                                            : ResultCode::kConnectionBroken,
-                 daemon.ToString() + " answered " + answer->body);
+      reason.Set(
+          answer->head.status == 404 ? ResultCode::kUnknownChild
+                                     : ResultCode::kConnectionBroken,
+          daemon.ToString() + " answered " + QuoteIfNeeded(answer->body));
     } else if (answer && handle(answer->body, reason)) {
       continue;
     }
@@ -51,27 +53,29 @@
                               : std::to_string(follow.proof_age_us / 1000);
   return std::string("  store ") +
          (follow.follows_store ? "followed" : "through-peers") +
-         " proof_age_ms=" + age + " proof_source=" + follow.proof_source +
+         " proof_age_ms=" + age +
+         " proof_source=" + QuoteIfNeeded(follow.proof_source) +
          " tables_head=" + std::to_string(follow.tables_head) +
          " entries_head=" + std::to_string(follow.entries_head) + "\n";
 }
 
 std::string FormatStatus(const DaemonStatus& status) {
   std::string text =
-      status.name.text() + " " + DescribeReadiness(status) +
-      " data_centre=" + status.data_centre.text() +
+      QuoteIfNeeded(status.name.text()) + " " + DescribeReadiness(status) +
+      " data_centre=" + QuoteIfNeeded(status.data_centre.text()) +
       " tables=" + std::to_string(status.version.number) +
       " requests=" + std::to_string(status.requests_started) +
       " invariants_broken=" + std::to_string(status.invariants_broken) + "\n";
   if (status.follow) text += FormatFollow(*status.follow);
   for (const auto& child : status.children) {
-    text += "  child " + child.path +
+    text += "  child " + QuoteIfNeeded(child.path) +
             (child.running ? " running" : " stopped") +
             " restarts=" + std::to_string(child.restarts) + "\n";
   }
   for (const auto& upstream : status.upstreams) {
-    text += "  upstream " + upstream.pool.text() + "/" + upstream.name.text() +
-            " " + std::string(kUpstreamHealthNames.NameOf(upstream.health)) +
+    text += "  upstream " + QuoteIfNeeded(upstream.pool.text()) + "/" +
+            QuoteIfNeeded(upstream.name.text()) + " " +
+            std::string(kUpstreamHealthNames.NameOf(upstream.health)) +
             " in_flight=" + std::to_string(upstream.in_flight) + "\n";
   }
   return text;
@@ -95,11 +99,11 @@
 std::string FormatEvents(const std::vector<MergedEvent>& events) {
   std::string text;
   for (const auto& [daemon, event] : events) {
-    text += FormatTime(event.time) + " " + daemon.text() + " " +
+    text += FormatTime(event.time) + " " + QuoteIfNeeded(daemon.text()) + " " +
             std::string(kEventKindNames.NameOf(event.kind)) +
             " code=" + std::to_string(static_cast<int>(event.code));
     for (const auto& [name, value] : event.fields) {
-      text += " " + name + "=" + value;
+      text += " " + name + "=" + QuoteIfNeeded(value);
     }
     text += "\n";
   }
@@ -203,15 +207,17 @@
   const std::string own(kVersion);
   std::string text = "wisteriayokectl " + own + "\n";
   std::string json = R"({"wisteriayokectl":")" + own + "\"";
-  CommandResult result = CallDaemons(
-      options, {.target = "/status"},
-      [&](const std::string& body, LastReason& reason) {
-        const auto status = ParseDaemonStatus(body, reason);
-        if (!status) return false;
-        text += status->name.text() + " " + status->release + "\n";
-        json += ",\"" + status->name.text() + "\":\"" + status->release + "\"";
-        return true;
-      });
+  CommandResult result =
+      CallDaemons(options, {.target = "/status"},
+                  [&](const std::string& body, LastReason& reason) {
+                    const auto status = ParseDaemonStatus(body, reason);
+                    if (!status) return false;
+                    const std::string& name = status->name.text();
+                    text += QuoteIfNeeded(name) + " " +
+                            QuoteIfNeeded(status->release) + "\n";
+                    json += "," + Quote(name) + ":" + Quote(status->release);
+                    return true;
+                  });
   result.output = options.json ? json + "}\n" : text;
   return result;
 }
--- a/source/ctl/log_commands.cc
+++ b/source/ctl/log_commands.cc
@@ -50,7 +50,9 @@
   if (options.json) {
     auto rows = nlohmann::json::array();
     for (const auto& line : selected) rows.push_back(line.fields);
-    result.output = rows.dump() + "\n";
+    result.output =
+        rows.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+        "\n";
   } else {
     for (const auto& line : selected) result.output += line.text + "\n";
     result.output += DescribeCodes(selected, request);
--- a/source/ctl/table_commands.cc
+++ b/source/ctl/table_commands.cc
@@ -9,6 +9,7 @@
 #include "ctl/table_diff.h"
 #include "ctl/table_source.h"
 #include "supervisor/context/ini_text.h"
+#include "supervisor/context/quoted_text.h"
 #include "wire/digest.h"
 #include "wire/table_codec.h"
 #include "wire/table_head_codec.h"
@@ -44,8 +45,8 @@
 
 std::string DescribeHead(const TableHead& head) {
   return "version " + std::to_string(head.version.number) + " (hash " +
-         head.version.hash + ", by \"" + head.author + "\" at " + head.time +
-         ")";
+         QuoteIfNeeded(head.version.hash) + ", by " + Quote(head.author) +
+         " at " + QuoteIfNeeded(head.time) + ")";
 }
 
 std::string DescribeCurrent(const FinishEdit& end) {
@@ -195,9 +196,11 @@
     if (options.json) {
       text += (text.empty() ? "[" : ",") + FormatTableHeadRecord(head);
     } else {
-      text += std::to_string(head.version.number) + " " + head.version.hash +
-              " " + head.time + " " + head.author + " edit " +
-              head.edit.text() + "\n";
+      text += std::to_string(head.version.number);
+      for (const auto& word : {head.version.hash, head.time, head.author}) {
+        text += " " + QuoteIfNeeded(word);
+      }
+      text += " edit " + QuoteIfNeeded(head.edit.text()) + "\n";
     }
   }
   return {options.json ? text + "]\n" : text, {}, ""};
--- a/source/supervisor/context/quoted_text.cc
+++ b/source/supervisor/context/quoted_text.cc
@@ -15,12 +15,16 @@
 
 }  // namespace
 
+std::string Quote(std::string_view value) {
+  return Json(value).dump(-1, ' ', true, Json::error_handler_t::replace);
+}
+
 std::string QuoteIfNeeded(std::string_view value) {
   if (!value.empty() &&
       std::none_of(value.begin(), value.end(), MustBeQuoted)) {
     return std::string(value);
   }
-  return Json(value).dump(-1, ' ', true, Json::error_handler_t::replace);
+  return Quote(value);
 }
 
 std::string UnquoteIfQuoted(std::string_view word) {
--- a/source/supervisor/context/quoted_text.h
+++ b/source/supervisor/context/quoted_text.h
@@ -6,9 +6,12 @@
 
 namespace wisteriayoke {
 
-/// Returns `value` as one word of a line: as it is, or as a JSON string in
-/// ASCII if it is empty or has a blank, a quote, "=" or any character that may
-/// not be visible or end the line.
+/// Returns `value` as a JSON string in ASCII, which has no control character.
+std::string Quote(std::string_view value);
+
+/// Returns `value` as one word of a line: as it is, or quoted if it is empty or
+/// has a blank, a quote, "=" or any character that may not be visible or end
+/// the line.
 std::string QuoteIfNeeded(std::string_view value);
 
 /// Returns the value that `word` stands for. One that is no valid JSON string
--- a/tests/system/operators_tool.sh
+++ b/tests/system/operators_tool.sh
@@ -128,8 +128,10 @@
 cut -d' ' -f1 "$out" | sort -c || fail "the time line is not in order"
 run 0 version "${config[@]}"
 expect "$out" "daemon4 "
-run 1 restart no/such "${config[@]}"
-expect "$err" "error 114"
+for child in no/such 'no such?a=b#c' $'no\r\nA: b'; do
+  run 1 restart "$child" "${config[@]}"
+  expect "$err" "error 114"
+done
 run 0 restart tables "${config[@]}"
 
 # One daemon drains and ends; the status still shows the others.
