row_store: a feed that repeats its changes ends in an error

Seen: a store that returns changes up to the version from which the feed asks was called again at once, without an end: the feed of the tables has no pause. Cause: an answer with rows was taken for progress, whatever its versions.

--- a/tests/store_follower/odd_key_test.cc
+++ b/tests/store_follower/odd_key_test.cc
@@ -116,4 +116,28 @@
   CHECK(calls <= 2);
 }
 
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "a feed that repeats its changes ends in an error") {
+  std::string rows;
+  SUBCASE("a row") { rows = R"({"Table":"servers","Key":"i-1","Ver":9})"; }
+  SUBCASE("a row of other use") { rows = R"({"Table":"servers","Ver":9})"; }
+  const FakeServer server(
+      loop, TestPorts::kUpstream,
+      [&](const HttpRequest&,
+          const std::shared_ptr<HttpServerSession>& caller) {
+        caller->Respond({{200, {}}, R"({"Ver":9,"Rows":[)" + rows + "]}"});
+      });
+  const auto client =
+      std::make_shared<RowStore>(loop, LocalEndpoint(TestPorts::kUpstream));
+  for (const std::uint64_t after : {8U, 9U}) {
+    CAPTURE(after);
+    std::optional<RowReply> reply;
+    client->Follow("servers", after, Duration::zero(),
+                   [&](RowReply end) { reply = std::move(end); });
+    RunUntil([&] { return reply.has_value(); });
+    CHECK(reply->code ==
+          (after < 9 ? ResultCode::kOk : ResultCode::kStoreUnreachable));
+  }
+}
+
 }  // namespace wisteriayoke
