http_client_call: early return in the posted failure

Cause: the linter wants braces around a statement on a line of its own. Change: the posted call returns early if the call was closed.

--- a/source/runtime/http_client_call.cc
+++ b/source/runtime/http_client_call.cc
@@ -45,8 +45,8 @@
   if (error) {
     // On a later turn of the loop, as `Start` promises.
     return loop_.Post([self = shared_from_this(), error] {
-      if (!self->closed_)
-        self->Fail(ResultCode::kConnectFailed, error.message());
+      if (self->closed_) return;
+      self->Fail(ResultCode::kConnectFailed, error.message());
     });
   }
   ArmTimer(limits_.connect_timeout);
