ctl: messages stay in their line, and output isn't cut at a zero byte

Seen: an operand with a line feed, such as the path of a file, added a line to the error; a saved log with a zero byte was printed up to it. Cause: texts were printed as they were, and as C strings. Change: control characters of messages are printed as blanks; output is written with its length. Result: system_operators_tool has a check that failed before.

--- a/source/ctl/wisteriayokectl_main.cc
+++ b/source/ctl/wisteriayokectl_main.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdio>
 #include <string>
 #include <string_view>
@@ -7,12 +8,24 @@
 namespace wisteriayoke {
 namespace {
 
+/// Returns `text` with blanks in place of control characters, since it may
+/// quote an operand or a record.
+std::string ToOneLine(std::string text) {
+  constexpr unsigned char kDelete = 0x7f;
+  const auto is_control = [](unsigned char c) {
+    return c < ' ' || c == kDelete;
+  };
+  std::replace_if(text.begin(), text.end(), is_control, ' ');
+  return text;
+}
+
 int ReportError(const LastReason& reason) {
   if (reason.code() == ResultCode::kOk) return 0;
   const ResultCodeInfo& info = DescribeResultCode(reason.code());
   std::fprintf(stderr, "wisteriayokectl: error %d (%s): %s %s\n",
                static_cast<int>(reason.code()), std::string(info.name).c_str(),
-               reason.message().c_str(), std::string(info.remedy).c_str());
+               ToOneLine(reason.message()).c_str(),
+               std::string(info.remedy).c_str());
   return ExitStatusOf(reason.code());
 }
 
@@ -26,9 +39,9 @@
   const auto options = ParseCtlOptions(argc, argv, reason);
   if (!options) return ReportError(reason);
   const CommandResult result = RunCommand(*options);
-  std::fputs(result.output.c_str(), stdout);
+  std::fwrite(result.output.data(), 1, result.output.size(), stdout);
   if (!result.note.empty()) {
-    std::fprintf(stderr, "%s\n", result.note.c_str());
+    std::fprintf(stderr, "%s\n", ToOneLine(result.note).c_str());
   }
   return ReportError(result.reason);
 }
--- a/tests/system/operators_tool.sh
+++ b/tests/system/operators_tool.sh
@@ -128,6 +128,8 @@
 cut -d' ' -f1 "$out" | sort -c || fail "the time line is not in order"
 run 0 version "${config[@]}"
 expect "$out" "daemon4 "
+"$ctl" table check $'no\r\nfile' >"$out" 2>"$err" && fail "a missing file is valid"
+[ "$(wc -l <"$err")" = 1 ] || fail "an operand added a line"
 for child in no/such 'no such?a=b#c' $'no\r\nA: b'; do
   run 1 restart "$child" "${config[@]}"
   expect "$err" "error 114"
