--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -110,6 +110,32 @@
     --config "$cluster_dir/daemon$1.ini"
 }
 
+# Starts daemon N as a relay before the stand-in of the platform's store at $store:
+# start_relay N
+start_relay() {
+  cat >"$cluster_dir/daemon$1.ini" <<CONFIG
+[daemon]
+name = daemon$1
+data_centre = accra-a
+[front]
+interface = relay
+address = $(front_of "$1")
+ready_address = $cluster_net.$1:$((cluster_port + 3))
+[operators]
+address = $(operators_of "$1")
+[peers]
+address = $cluster_net.$1:$((cluster_port + 2))
+seeds = $cluster_net.1:$((cluster_port + 2)),$cluster_net.2:$((cluster_port + 2))
+[platform]
+address = $store
+[relay]
+revocation_ms = 5000
+stop_grace_s = 8
+CONFIG
+  start_process "daemon$1" "$cluster_bin/daemon/wisteriayoked" \
+    --config "$cluster_dir/daemon$1.ini"
+}
+
 # Starts engine N: the first half of the layers if N is odd, the second if even.
 start_engine() {
   local first=0 end=16
--- a/tests/system/relay.sh
+++ b/tests/system/relay.sh
@@ -54,31 +54,6 @@
 address_of_worker() { curl -sf "http://$store/rows/servers/$1" |
   sed 's/.*"Address":"\([^"]*\)".*/\1/'; }
 
-# Starts daemon N as a relay: start_relay N
-start_relay() {
-  cat >"$cluster_dir/daemon$1.ini" <<CONFIG
-[daemon]
-name = daemon$1
-data_centre = accra-a
-[front]
-interface = relay
-address = $(front_of "$1")
-ready_address = $cluster_net.$1:$((cluster_port + 3))
-[operators]
-address = $(operators_of "$1")
-[peers]
-address = $cluster_net.$1:$((cluster_port + 2))
-seeds = $cluster_net.1:$((cluster_port + 2)),$cluster_net.2:$((cluster_port + 2))
-[platform]
-address = $store
-[relay]
-revocation_ms = 5000
-stop_grace_s = 8
-CONFIG
-  start_process "daemon$1" "$cluster_bin/daemon/wisteriayoked" \
-    --config "$cluster_dir/daemon$1.ini"
-}
-
 # Sends a request: send DAEMON ATTEMPT KEY PATH EVENTS [curl arguments...]
 send() {
   curl -sN -m 15 -H 'Host: h.test' -H "Attempt-Id: $2" \
