fleet_codec: an entry with a mistyped optional field is rejected

Seen: by reading; an entry whose layers, kind or start have another type than their own counted as an upstream that holds no layers, and could be planned some. Cause: an optional field of a wrong type was taken for absent.

--- a/tests/platform/store_codecs_test.cc
+++ b/tests/platform/store_codecs_test.cc
@@ -111,6 +111,16 @@
     json[field] = nlohmann::json::array();
     CHECK_FALSE(ParseFleetEntry("i", json.dump(), reason).has_value());
   }
+  // Fields that an entry need not have.
+  for (const char* field : {"Kind", "Layers", "born", "Sequence"}) {
+    auto json = nlohmann::json::parse(kEntry);
+    json.erase(field);
+    CHECK(ParseFleetEntry("i", json.dump(), reason).has_value());
+    json[field] = nullptr;
+    CHECK(ParseFleetEntry("i", json.dump(), reason).has_value());
+    json[field] = true;
+    CHECK_FALSE(ParseFleetEntry("i", json.dump(), reason).has_value());
+  }
   auto json = nlohmann::json::parse(kEntry);
   json["State"] = "resting";
   CHECK_FALSE(ParseFleetEntry("i", json.dump(), reason).has_value());
