--- a/tests/store_follower/odd_key_test.cc
+++ b/tests/store_follower/odd_key_test.cc
@@ -6,7 +6,7 @@
 
 using std::string_literals::operator""s;
 
-/// Endings of a key. Each was sent undecoded as the start of the next page.
+/// Endings of a key, most of which mean something in a target or a head.
 const std::vector<std::string> kOddEndings = {
     " ",    " x",   "#",          "#x",  "&",        "&From=zz", "+",
     "+x",   "%",    "%00",        "%zz", "\r\nA: b", "\0x"s,     "\"",
