uri_codec: targets are escaped byte by byte

Release builds encoded as meant. Cause: Boost.URL's encoder must not be given a set that holds "%", which its assertion checks; a target keeps the escapes that it has. Change: only the bytes that would end the target are given to the encoder.

--- a/source/wire/uri_codec.cc
+++ b/source/wire/uri_codec.cc
@@ -11,14 +11,11 @@
 
 namespace urls = boost::urls;
 
-/// The bytes that a target may hold in a request line.
-struct TargetChars {
-  constexpr bool operator()(char c) const noexcept {
-    constexpr unsigned char kDelete = 0x7f;
-    const auto byte = static_cast<unsigned char>(c);
-    return byte > ' ' && byte != kDelete;
-  }
-};
+/// Returns whether `byte` would end a target in a request line.
+bool EndsTarget(unsigned char byte) {
+  constexpr unsigned char kDelete = 0x7f;
+  return byte <= ' ' || byte == kDelete;
+}
 
 urls::string_view ToUrlText(std::string_view text) {
   return {text.data(), text.size()};
@@ -37,7 +34,17 @@
 }
 
 std::string EncodeTarget(std::string_view target) {
-  return urls::encode(ToUrlText(target), TargetChars());
+  std::string encoded;
+  encoded.reserve(target.size());
+  // By byte, since Boost.URL encodes "%" as well, which begins an escape here.
+  for (const char& byte : target) {
+    if (EndsTarget(static_cast<unsigned char>(byte))) {
+      encoded += PercentEncode({&byte, 1});
+    } else {
+      encoded += byte;
+    }
+  }
+  return encoded;
 }
 
 std::optional<std::string> PercentDecode(std::string_view text) {
