standins: the entry of a silent upstream is removed

Beside eight busy loops it failed in 3 of 50 runs, each time with "the stream is not whole after left1 was killed": daemon2 had taken the placement's lease, daemon1 alone served streams and knew of the loss, and nobody placed left1's layers again within the stream's 12 s. In runs that pass, daemon1 holds the lease. Cause: the platform removes the entry of an upstream after three heartbeats of silence. The stand-ins had neither heartbeats nor removal, so the entry of a killed upstream stood for ever and a placement without traffic of its own couldn't learn of the loss. Which daemon took the lease was left to chance. Change: the layered worker writes its entry every 1.2 s with a lifetime of three heartbeats, and the store drops a row whose lifetime ends. relay.sh starts daemon2 first and waits for its lease, so that each run takes the harder case. The other case, a loss that the placement sees itself while the entry stands, has a test of its own in layer_placement_test.

--- a/source/standins/fake_layered_worker.cc
+++ b/source/standins/fake_layered_worker.cc
@@ -14,6 +14,9 @@
 
 constexpr Duration kLoadTime = std::chrono::milliseconds(100);
 constexpr Duration kRegisterRetry = std::chrono::milliseconds(200);
+constexpr Duration kHeartbeat = std::chrono::milliseconds(1200);
+/// The platform removes the entry of an upstream after three silent heartbeats.
+constexpr std::string_view kEntryLifetime = "?lifetime_ms=3600";
 constexpr std::string_view kRunsTarget = "/runs?";
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
@@ -42,7 +45,12 @@
 FakeLayeredWorker::FakeLayeredWorker(EventLoop& loop,
                                      const StandinOptions& options)
     : loop_(loop), options_(options), started_ms_(ReadWallClockMs()) {
+  if (options_.store) SendHeartbeat();
+}
+
+void FakeLayeredWorker::SendHeartbeat() {
   Register();
+  heartbeat_timer_ = loop_.Schedule(kHeartbeat, [this] { SendHeartbeat(); });
 }
 
 void FakeLayeredWorker::Register() {
@@ -50,7 +58,8 @@
   register_timer_ = loop_.Schedule(Duration::zero(), [this] {
     FetchResponse(loop_, *options_.store,
                   {.method = "PUT",
-                   .target = "/rows/servers/" + options_.name,
+                   .target = "/rows/servers/" + options_.name +
+                             std::string(kEntryLifetime),
                    .body = DescribeEntry()},
                   {}, [this](const FetchResult& result) {
                     if (result.code == ResultCode::kOk) return;
--- a/source/standins/fake_layered_worker.h
+++ b/source/standins/fake_layered_worker.h
@@ -31,6 +31,7 @@
   using Caller = std::shared_ptr<HttpServerSession>;
 
   bool HandleControl(const HttpRequest& request, const Caller& caller);
+  void SendHeartbeat();
   void Register();
   std::string DescribeEntry() const;
   std::string DescribeState() const;
@@ -50,6 +51,7 @@
   std::map<std::string, std::uint64_t> runs_;  ///< Runs by attempt.
   std::vector<std::weak_ptr<FakeLayeredStream>> streams_;
   LoopTimerPtr order_timer_;  ///< Set while an order is executed.
+  LoopTimerPtr heartbeat_timer_;
   LoopTimerPtr register_timer_;
 };
 
--- a/source/standins/fake_row_store.cc
+++ b/source/standins/fake_row_store.cc
@@ -119,11 +119,25 @@
   if (slash == std::string::npos) return caller->Respond({{kNotFound, {}}, ""});
   const std::string table = name.substr(0, slash);
   const std::string key = name.substr(slash + 1);
-  if (request.method == "PUT") Put(table, key, request.body);
-  if (request.method == "DELETE") Drop(table, key);
+  const std::uint64_t lifetime = ReadNumber(target, "lifetime_ms");
+  if (request.method == "PUT" && lifetime > 0) {
+    RenewRow({table, key}, request.body, std::chrono::milliseconds(lifetime));
+  } else if (request.method == "PUT") {
+    Put(table, key, request.body);
+  } else if (request.method == "DELETE") {
+    Drop(table, key);
+  }
   caller->Respond({{kOk, {}}, ValueOf(table, key)});
 }
 
+void FakeRowStore::RenewRow(const RowName& name, const std::string& value,
+                            Duration lifetime) {
+  const auto& [table, key] = name;
+  if (ValueOf(table, key) != value) Put(table, key, value);
+  expiry_timers_[name] =
+      loop_.Schedule(lifetime, [this, name] { Drop(name.first, name.second); });
+}
+
 Json FakeRowStore::List(const std::string& table, std::uint64_t after,
                         bool include_removed) const {
   Json rows = Json::array();
--- a/source/standins/fake_row_store.h
+++ b/source/standins/fake_row_store.h
@@ -39,9 +39,11 @@
 /// conditional writes.
 ///
 /// PUT, GET and DELETE of /rows/TABLE/KEY act as the operator, an upstream or
-/// another writer would; PUT /fault sets the fault that its body names, and PUT
-/// /page-rows the number of rows of a page. GET /calls counts the requests of
-/// the platform's protocol.
+/// another writer would. A PUT with lifetime_ms is a heartbeat: it drops the
+/// row unless another one follows in time, and an unchanged value is no change.
+/// PUT /fault sets the fault that its body names, and PUT /page-rows the number
+/// of rows of a page. GET /calls counts the requests of the platform's
+/// protocol.
 class FakeRowStore {
  public:
   explicit FakeRowStore(EventLoop& loop, const StandinOptions& options = {});
@@ -94,6 +96,8 @@
                      const Caller& caller);
   void HandleRow(const RequestTarget& target, const HttpRequest& request,
                  const Caller& caller);
+  void RenewRow(const RowName& name, const std::string& value,
+                Duration lifetime);
   Json List(const std::string& table, std::uint64_t after,
             bool include_removed) const;
   void Answer(const Caller& caller, int status, const Json& rows,
@@ -106,6 +110,7 @@
 
   EventLoop& loop_;
   std::map<RowName, Row> rows_;
+  std::map<RowName, LoopTimerPtr> expiry_timers_;
   std::uint64_t version_ = 0;
   StoreFault fault_ = StoreFault::kNone;
   int calls_ = 0;
--- a/tests/layer_placement/layer_placement_test.cc
+++ b/tests/layer_placement/layer_placement_test.cc
@@ -12,7 +12,8 @@
 
 constexpr auto kDocument = R"({"Version":1,"Routes":[],"Services":[{"Name":"w",
   "Engine":{"KvTokenBytes":1000,"Layers":8,"LayerMb":10.0,"Models":[{"Name":"m"}],
-  "Kinds":[{"Name":"big","Mb":100.0,"pace":1.0}]}}]})";
+  "Kinds":[{"Name":"big","Mb":100.0,"pace":1.0},
+           {"Name":"small","Mb":60.0,"pace":1.0}]}}]})";
 
 /// One upstream that handles orders like those of the platform: it accepts one
 /// only if the expected sequence matches and no other is being executed.
@@ -52,12 +53,14 @@
     placement->Stop([] {});
   }
 
-  void SetLayers(const LayerRange& layers) {
+  void SetLayers(const LayerRange& layers) { SetEntry("i-1", "big", layers); }
+  void SetEntry(const std::string& name, const std::string& accelerator,
+                const LayerRange& layers) {
     state.relay.fleet.Apply(
-        {.upstream = {.name = UpstreamName("i-1"),
+        {.upstream = {.name = UpstreamName(name),
                       .endpoint = LocalEndpoint(TestPorts::kUpstream),
                       .data_centre = DataCentreName("a"),
-                      .accelerator = "big",
+                      .accelerator = accelerator,
                       .layers = layers},
          .pool = PoolName("w"),
          .started_ms = 1});
@@ -76,6 +79,24 @@
         std::string::npos);
 }
 
+TEST_CASE_FIXTURE(
+    PlacementFixture,
+    "the layers of an ejected upstream are placed again while its "
+    "entry stands") {
+  SetEntry("i-1", "small", {0, 3});
+  SetEntry("i-2", "small", {3, 6});
+  SetEntry("i-3", "small", {5, 8});
+  SetEntry("i-4", "small", {2, 5});
+  bool waited = false;
+  const auto timer =
+      loop.Schedule(std::chrono::seconds(1), [&] { waited = true; });
+  RunUntil([&waited] { return waited; });
+  REQUIRE(orders.empty());
+  REQUIRE(state.upstreams.Eject(UpstreamName("i-1"), loop.Now()));
+  RunUntil([this] { return orders.size() == 1; });
+  CHECK(orders[0]["From"] == 0);
+}
+
 TEST_CASE_FIXTURE(PlacementFixture,
                   "after an order with a wrong sequence the sequence is "
                   "queried and the order repeated") {
--- a/tests/system/relay.sh
+++ b/tests/system/relay.sh
@@ -81,7 +81,11 @@
 start_worker right2 204 writers small
 start_worker booking1 205 booking
 start_worker booking2 206 booking
-for n in $daemons; do start_relay "$n"; done
+# daemon2 places the layers and daemon1 serves the streams, so that the placement
+# learns of a lost upstream from the store alone.
+start_relay 2
+wait_until grep -q event=lease-taken "$cluster_dir/daemon2.log" || fail "daemon2 took no lease"
+for n in 1 3; do start_relay "$n"; done
 
 wait_until is_status 200 1 first k1 /assist/a 3 || fail "no stream"
 is_whole "$cluster_dir/last_body" 3 || fail "the first stream isn't whole"
