base: one test for control characters

Change: five files had the bounds of control characters each for itself; the codec of targets, the check of field values, logs, metrics and the tool's errors now ask IsControlCharacter. No change in behaviour.

--- a/source/ctl/wisteriayokectl_main.cc
+++ b/source/ctl/wisteriayokectl_main.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/control_character.h"
 #include "ctl/run_command.h"
 
 namespace wisteriayoke {
@@ -11,11 +12,7 @@
 /// Returns `text` with blanks in place of control characters, since it may
 /// quote an operand or a record.
 std::string ToOneLine(std::string text) {
-  constexpr unsigned char kDelete = 0x7f;
-  const auto is_control = [](unsigned char c) {
-    return c < ' ' || c == kDelete;
-  };
-  std::replace_if(text.begin(), text.end(), is_control, ' ');
+  std::replace_if(text.begin(), text.end(), IsControlCharacter, ' ');
   return text;
 }
 
--- a/source/supervisor/context/metrics_text.cc
+++ b/source/supervisor/context/metrics_text.cc
@@ -1,5 +1,7 @@
 #include "supervisor/context/metrics_text.h"
 
+#include "base/control_character.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -9,13 +11,12 @@
 /// are therefore shown as text such as "\x0d".
 std::string EscapeValue(std::string_view value) {
   constexpr std::string_view kDigits = "0123456789abcdef";
-  constexpr unsigned char kDelete = 0x7f;
   std::string escaped;
   for (const char c : value) {
     const auto byte = static_cast<unsigned char>(c);
     if (c == '\n') {
       escaped += "\\n";
-    } else if (byte < ' ' || byte == kDelete) {
+    } else if (IsControlCharacter(byte)) {
       escaped += "\\\\x";
       escaped += kDigits[byte >> 4U];
       escaped += kDigits[byte & 0xfU];
--- a/source/supervisor/context/quoted_text.cc
+++ b/source/supervisor/context/quoted_text.cc
@@ -3,14 +3,17 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/control_character.h"
+
 namespace wisteriayoke {
 namespace {
 
 using Json = nlohmann::json;
 
 bool MustBeQuoted(unsigned char c) {
-  constexpr unsigned char kDelete = 0x7f;
-  return c <= ' ' || c >= kDelete || c == '"' || c == '=';
+  constexpr unsigned char kLastAscii = 0x7f;
+  return IsControlCharacter(c) || c > kLastAscii || c == ' ' || c == '"' ||
+         c == '=';
 }
 
 }  // namespace
--- a/source/wire/http_message.cc
+++ b/source/wire/http_message.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <cctype>
 
+#include "base/control_character.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -34,11 +36,8 @@
 }
 
 bool IsFieldValue(std::string_view text) {
-  constexpr unsigned char kDelete = 0x7f;
   if (text.empty() || text.front() == ' ' || text.back() == ' ') return false;
-  return std::all_of(text.begin(), text.end(), [](unsigned char byte) {
-    return byte >= ' ' && byte != kDelete;
-  });
+  return std::none_of(text.begin(), text.end(), IsControlCharacter);
 }
 
 bool IsHopByHop(std::string_view name) {
--- a/source/wire/uri_codec.cc
+++ b/source/wire/uri_codec.cc
@@ -6,6 +6,8 @@
 #include <boost/url/rfc/unreserved_chars.hpp>
 #include <boost/url/url_view.hpp>
 
+#include "base/control_character.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -13,8 +15,7 @@
 
 /// Returns whether `byte` would end a target in a request line.
 bool EndsTarget(unsigned char byte) {
-  constexpr unsigned char kDelete = 0x7f;
-  return byte <= ' ' || byte == kDelete;
+  return byte == ' ' || IsControlCharacter(byte);
 }
 
 urls::string_view ToUrlText(std::string_view text) {
