http_encode: a field value is copied only to be cleaned

Change: each value of each head was copied to look for bytes that would end its field. A view of the value is passed on now, and a copy is made only where such a byte is found. No change in behaviour.

--- a/source/wire/http_encode.cc
+++ b/source/wire/http_encode.cc
@@ -1,5 +1,6 @@
 #include "wire/http_encode.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -38,21 +39,25 @@
          method == http::verb::options;
 }
 
-/// Returns `value` with blanks in place of the bytes that would end the field
-/// or the head (RFC 9110, 5.5).
-std::string CleanFieldValue(std::string value) {
-  constexpr std::string_view kForbidden("\r\n\0", 3);
-  std::size_t at = value.find_first_of(kForbidden);
-  for (; at != std::string::npos; at = value.find_first_of(kForbidden, at)) {
-    value[at] = ' ';
-  }
-  return value;
+/// Returns whether `byte` would end a field or the head (RFC 9110, 5.5).
+bool EndsField(char byte) {
+  return byte == '\r' || byte == '\n' || byte == '\0';
+}
+
+/// Returns `value` with blanks in place of the bytes that would end the field.
+/// The result refers to `value` if it has none, else to `cleaned`.
+std::string_view CleanFieldValue(std::string_view value, std::string& cleaned) {
+  if (std::none_of(value.begin(), value.end(), EndsField)) return value;
+  cleaned = value;
+  std::replace_if(cleaned.begin(), cleaned.end(), EndsField, ' ');
+  return cleaned;
 }
 
 template <typename Message>
 void CopyFields(const HttpFields& fields, Message& message) {
+  std::string cleaned;
   for (const auto& field : fields) {
-    message.insert(field.name, CleanFieldValue(field.value));
+    message.insert(field.name, CleanFieldValue(field.value, cleaned));
   }
 }
 
@@ -66,7 +71,8 @@
   message.target(EncodeTarget(request.target));
   CopyFields(request.fields, message);
   if (message[http::field::host].empty()) {
-    message.set(http::field::host, CleanFieldValue(std::string(host)));
+    std::string cleaned;
+    message.set(http::field::host, CleanFieldValue(host, cleaned));
   }
   message.keep_alive(request.keep_alive);
   // Beast's prepare_payload() throws for a body that the method doesn't allow.
