wire: the readers of JSON members serve the list of instances as well

Change: instance_list_codec had a copy of ReadText, since wire can't include platform. json_fields moves to wire, and the copy goes. No change in behaviour.

--- a/source/wire/instance_list_codec.cc
+++ b/source/wire/instance_list_codec.cc
@@ -1,42 +1,33 @@
 #include "wire/instance_list_codec.h"
 
-#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
+#include "wire/json_fields.h"
 #include "wire/table_codec.h"
 
 namespace wisteriayoke {
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr std::string_view kUpstreamRole = "upstream";
 constexpr std::string_view kDaemonRole = "daemon";
 constexpr std::string_view kLeavingState = "leaving";
 
-/// Returns the string `name` of `json`, or "" if it isn't an object with one.
-std::string ReadText(const Json& json, const char* name) {
-  if (!json.is_object()) return "";
-  const auto found = json.find(name);
-  if (found == json.end() || !found->is_string()) return "";
-  return found->get<std::string>();
-}
-
 void Refuse(std::string why, InstanceList& list) {
   list.refused.push_back(std::move(why));
 }
 
 void AddInstance(const Json& json, InstanceList& list) {
-  const std::string role = ReadText(json, "role");
+  const std::string role = ReadText(json, "role").value_or("");
   if (role == kUpstreamRole) {
-    const std::string name = ReadText(json, "name");
+    const std::string name = ReadText(json, "name").value_or("");
     if (name.empty()) return Refuse("an upstream has no name", list);
     list.upstreams.push_back(
         {UpstreamName(name), ReadText(json, "state") == kLeavingState});
   } else if (role == kDaemonRole) {
     LastReason reason;
-    const auto endpoint = ParseEndpoint(ReadText(json, "address"), reason);
+    const auto endpoint =
+        ParseEndpoint(ReadText(json, "address").value_or(""), reason);
     if (!endpoint) return Refuse("a daemon: " + reason.message(), list);
     list.daemons.push_back(*endpoint);
   } else if (role.empty()) {
--- a/platform/json_fields.h
+++ b/source/wire/json_fields.h
@@ -1,5 +1,5 @@
-#ifndef WISTERIAYOKE_PLATFORM_JSON_FIELDS_H_
-#define WISTERIAYOKE_PLATFORM_JSON_FIELDS_H_
+#ifndef WISTERIAYOKE_WIRE_JSON_FIELDS_H_
+#define WISTERIAYOKE_WIRE_JSON_FIELDS_H_
 
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -60,4 +60,4 @@
 
 }  // namespace wisteriayoke
 
-#endif  // WISTERIAYOKE_PLATFORM_JSON_FIELDS_H_
+#endif  // WISTERIAYOKE_WIRE_JSON_FIELDS_H_
