--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -26,11 +26,12 @@
 }
 
 /// Returns the number of upstreams by pool and health and the requests in
-/// flight by pool.
+/// flight by pool, for the pools of the tables: an entry may name any.
 std::string DescribeUpstreams(const DaemonState& state, TimePoint now) {
   std::map<std::string, std::uint64_t> by_health;
   std::map<std::string, std::uint64_t> in_flight;
   for (const auto& [name, entry] : state.relay.fleet.entries()) {
+    if (state.relay.tables->FindPool(entry.pool) == nullptr) continue;
     const std::string pool = MetricLabel("pool", entry.pool.text());
     const auto health = kUpstreamHealthNames.NameOf(
         state.upstreams.HealthOf(entry.upstream.name, now));
--- a/tests/root/relay_root_test.cc
+++ b/tests/root/relay_root_test.cc
@@ -167,4 +167,23 @@
   CHECK(recorded);
 }
 
+// Guards against metrics that grow with the names in entries of other writers.
+TEST_CASE_FIXTURE(RelayRootFixture,
+                  "metrics name the pools of the tables alone") {
+  const auto add = [this](const std::string& name, const std::string& pool) {
+    store.Put("servers", name,
+              R"({"Service":")" + pool +
+                  R"(","Zone":"a","Slots":6,"State":"ready",
+                  "Address":"127.0.0.1:1"})");
+  };
+  add("i-0", "elsewhere");
+  add("i-2", "s");
+  std::string metrics;
+  while (metrics.find(R"(pool="s",health="healthy"} 2)") == std::string::npos) {
+    metrics =
+        Fetch(TestPorts::kOperators, {.target = "/metrics"}).response.body;
+  }
+  CHECK(metrics.find("elsewhere") == std::string::npos);
+}
+
 }  // namespace wisteriayoke
