store_follower: the log tells when the store has lost its history, and its era

The record of the incident can't tell a 410 from another answer, nor which version of the store a document came with. store-history-lost has the table, the position and the store's era, once in a row; tables-in-force has the store's version of the row. Answers of the store carry their era (Store-Era); nothing decides by it yet.

--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -172,11 +172,13 @@
   RelayState& relay = context_.state.relay;
   relay.metrics.CountStoreCall(kind, reply.code);
   if (reply.code == ResultCode::kObjectMissing) {
+    RecordLostHistory(feed, reply);
     feed.read_whole = true;
     return CallStore(feed);
   }
   if (reply.code != ResultCode::kOk) return HandleFailure(feed, reply);
   RecordReturn(feed);
+  if (!whole) feed.lost_histories = 0;
   fleet_updater_.RecordStoreAnswer();
   feed.answered = context_.loop.BootNow();
   feed.read_whole = false;
@@ -216,6 +218,17 @@
   Schedule(RetryDelay(feed.failures), feed);
 }
 
+/// Records that the store no longer has the changes after this daemon's
+/// position, the first time in a row.
+void StoreFollower::RecordLostHistory(ChangeFeed& feed, const RowReply& reply) {
+  if (++feed.lost_histories > 1) return;
+  context_.state.timeline.Record(
+      LogLevel::kWarning, EventKind::kStoreHistoryLost, reply.code,
+      {{"table", feed.store_table},
+       {"position", std::to_string(MirrorOf(feed).view().position)},
+       {"store_era", reply.era ? std::to_string(*reply.era) : kUnknown}});
+}
+
 void StoreFollower::RecordReturn(ChangeFeed& feed) {
   if (feed.failures == 0) return;
   context_.state.timeline.Record(LogLevel::kInfo, EventKind::kStoreReturned,
@@ -355,6 +368,7 @@
     context_.state.timeline.Record(
         LogLevel::kInfo, EventKind::kTablesInForce, ResultCode::kOk,
         {{"version", std::to_string(applied.version)},
+         {"store_version", std::to_string(row.version)},
          {"routes", std::to_string(applied.routes.size())},
          {"workspaces", std::to_string(applied.workspaces.size())}});
   }
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -40,6 +40,8 @@
     bool last_waited = true;  ///< Whether the last call could wait.
     bool read_whole = false;  ///< Whether the next call reads the whole table.
     unsigned failures = 0;    ///< Consecutive failures.
+    /// Consecutive answers that the store no longer has the changes.
+    unsigned lost_histories = 0;
     std::shared_ptr<HttpClientCall> call;  ///< Open call that may wait.
     BootTime sent;                         ///< When the last call was sent.
     std::optional<BootTime> answered;  ///< When the store last answered one.
@@ -62,6 +64,7 @@
                    const RowReply& reply);
   void Schedule(Duration delay, ChangeFeed& feed);
   void HandleFailure(ChangeFeed& feed, const RowReply& reply);
+  void RecordLostHistory(ChangeFeed& feed, const RowReply& reply);
   void RecordReturn(ChangeFeed& feed);
   void ReplaceOlderCall(ChangeFeed& feed, BootTime sent);
   std::string DescribeCallTime(const ChangeFeed& feed) const;
