standins: the row store returns to an older copy of itself

PUT /copy keeps a copy of the rows and PUT /return goes back to it: later rows are lost, their versions are given out again, a feed from a version that the store doesn't have gets 410, and Store-Era, which is in all answers now, rises by one. Entries with heartbeats expire again after the return.

--- a/source/standins/fake_row_store.cc
+++ b/source/standins/fake_row_store.cc
@@ -57,6 +57,23 @@
   }
 }
 
+void FakeRowStore::KeepCopy() {
+  copied_rows_ = rows_;
+  copied_version_ = version_;
+}
+
+void FakeRowStore::ReturnToCopy() {
+  rows_ = copied_rows_;
+  version_ = copied_version_;
+  ++era_;
+  for (const auto& [name, lifetime] : lifetimes_) {
+    if (rows_.contains(name) && !rows_.at(name).removed) StartExpiry(name);
+  }
+  for (const auto& waiter : std::exchange(waiting_, {})) {
+    waiter.caller->Abort();
+  }
+}
+
 void FakeRowStore::LoseWaiting(const std::string& table) {
   for (auto& waiter : std::exchange(waiting_, {})) {
     if (waiter.table == table) {
@@ -80,12 +97,12 @@
   ++calls_;
   if (fault_ == StoreFault::kSilent) return unanswered_.push_back(caller);
   if (fault_ == StoreFault::kRefusing) {
-    return caller->Respond({{kUnavailable, {}}, ""});
+    return Respond(caller, kUnavailable, "");
   }
   if (target->path == "/-/rows-get") return AnswerGet(*target, caller);
   if (target->path == "/-/rows-feed") return AnswerFeed(*target, caller);
   if (target->path == "/-/rows-tx") return AnswerWrite(request, caller);
-  caller->Respond({{kNotFound, {}}, ""});
+  Respond(caller, kNotFound, "");
 }
 
 bool FakeRowStore::HandleControl(const RequestTarget& target,
@@ -103,6 +120,15 @@
     caller->Respond({{rows ? kOk : kNotFound, {}}, ""});
     return true;
   }
+  if (target.path == "/copy" || target.path == "/return") {
+    if (target.path == "/copy") {
+      KeepCopy();
+    } else {
+      ReturnToCopy();
+    }
+    caller->Respond({{kOk, {}}, ""});
+    return true;
+  }
   if (target.path == "/calls") {
     caller->Respond({{kOk, {}}, std::to_string(calls_)});
     return true;
@@ -134,8 +160,13 @@
                             Duration lifetime) {
   const auto& [table, key] = name;
   if (ValueOf(table, key) != value) Put(table, key, value);
-  expiry_timers_[name] =
-      loop_.Schedule(lifetime, [this, name] { Drop(name.first, name.second); });
+  lifetimes_[name] = lifetime;
+  StartExpiry(name);
+}
+
+void FakeRowStore::StartExpiry(const RowName& name) {
+  expiry_timers_[name] = loop_.Schedule(
+      lifetimes_.at(name), [this, name] { Drop(name.first, name.second); });
 }
 
 Json FakeRowStore::List(const std::string& table, std::uint64_t after,
@@ -161,17 +192,23 @@
   return rows;
 }
 
+void FakeRowStore::Respond(const Caller& caller, int status,
+                           std::string body) const {
+  caller->Respond(
+      {{status, {{"Store-Era", std::to_string(era_)}}}, std::move(body)});
+}
+
 void FakeRowStore::Answer(const Caller& caller, int status, const Json& rows,
                           bool has_more) const {
   const Json body = {{"Rows", rows}, {"HasMore", has_more}, {"Ver", version_}};
-  caller->Respond({{status, {}}, body.dump()});
+  Respond(caller, status, body.dump());
 }
 
 void FakeRowStore::AnswerGet(const RequestTarget& target,
                              const Caller& caller) const {
   const std::string from = ReadParameter(target, "From");
   if (from.size() > kMaxKeyBytes) {
-    return caller->Respond({{kBadRequest, {}}, ""});
+    return Respond(caller, kBadRequest, "");
   }
   Json rows = Json::array();
   for (auto& row : List(ReadParameter(target, "Table"), 0, false)) {
@@ -188,12 +225,11 @@
 
 void FakeRowStore::AnswerFeed(const RequestTarget& target,
                               const Caller& caller) {
-  if (fault_ == StoreFault::kForgetting) {
-    fault_ = StoreFault::kNone;
-    return caller->Respond({{kGone, {}}, ""});
-  }
-  const std::string table = ReadParameter(target, "Table");
   const std::uint64_t after = ReadNumber(target, "After");
+  const bool forgets = fault_ == StoreFault::kForgetting;
+  if (forgets) fault_ = StoreFault::kNone;
+  if (forgets || after > version_) return Respond(caller, kGone, "");
+  const std::string table = ReadParameter(target, "Table");
   const Json rows = List(table, after, true);
   if (!rows.empty()) return Answer(caller, kOk, rows);
   const auto wait = std::chrono::milliseconds(ReadNumber(target, "WaitMs"));
@@ -234,7 +270,7 @@
   LastReason reason;
   const auto page =
       ParseRowPage(Json{{"Rows", body["Writes"]}, {"Ver", 0}}.dump(), reason);
-  if (!page) return caller->Respond({{kNotFound, {}}, reason.message()});
+  if (!page) return Respond(caller, kNotFound, reason.message());
   for (const auto& row : page->rows) {
     rows_[{row.table, row.key}] = {row.value, ++version_, false};
   }
--- a/source/standins/fake_row_store.h
+++ b/source/standins/fake_row_store.h
@@ -42,8 +42,8 @@
 /// another writer would. A PUT with lifetime_ms is a heartbeat: it drops the
 /// row unless another one follows in time, and an unchanged value is no change.
 /// PUT /fault sets the fault that its body names, and PUT /page-rows the number
-/// of rows of a page. GET /calls counts the requests of the platform's
-/// protocol.
+/// of rows of a page. PUT /copy keeps a copy of all rows, and PUT /return goes
+/// back to it. GET /calls counts the requests of the platform's protocol.
 class FakeRowStore {
  public:
   explicit FakeRowStore(EventLoop& loop, const StandinOptions& options = {});
@@ -61,6 +61,13 @@
   std::string ValueOf(const std::string& table, const std::string& key) const;
 
   void set_fault(StoreFault fault);
+  /// Keeps a copy of all rows and of the newest version.
+  void KeepCopy();
+  /// Goes back to the copy: later rows are lost, their versions are given out
+  /// again, a feed from one of them gets 410, and the era rises. Open calls end
+  /// without an answer.
+  void ReturnToCopy();
+
   /// Leaves the calls that wait for changes of `table` without an answer, as if
   /// their connections were lost.
   void LoseWaiting(const std::string& table);
@@ -85,6 +92,8 @@
     bool removed = false;
   };
 
+  using Rows = std::map<RowName, Row>;
+
   struct Waiter {
     Caller caller;
     std::string table;
@@ -98,8 +107,10 @@
                  const Caller& caller);
   void RenewRow(const RowName& name, const std::string& value,
                 Duration lifetime);
+  void StartExpiry(const RowName& name);
   Json List(const std::string& table, std::uint64_t after,
             bool include_removed) const;
+  void Respond(const Caller& caller, int status, std::string body) const;
   void Answer(const Caller& caller, int status, const Json& rows,
               bool has_more = false) const;
   void AnswerGet(const RequestTarget& target, const Caller& caller) const;
@@ -109,9 +120,13 @@
   void AnswerWrite(const HttpRequest& request, const Caller& caller);
 
   EventLoop& loop_;
-  std::map<RowName, Row> rows_;
+  Rows rows_;
+  std::map<RowName, Duration> lifetimes_;  ///< Of rows with heartbeats.
   std::map<RowName, LoopTimerPtr> expiry_timers_;
   std::uint64_t version_ = 0;
+  std::uint64_t era_ = 1;
+  Rows copied_rows_;
+  std::uint64_t copied_version_ = 0;
   StoreFault fault_ = StoreFault::kNone;
   int calls_ = 0;
   std::size_t page_rows_ = 500;  ///< As at the platform.
