store_follower: changes of a later era of the store aren't taken for known ones

Cause: when the store returns, versions go back and are given out again. RowMirror drops a row whose version isn't above the known one, so changes were dropped until the counter had passed the former value. The follower's feed asked for changes after a version that the store didn't have, got 410, read the whole table, dropped it as older, took the answer for a proof that its tables are the newest, and called again at once. Peers that compare versions alone took these proofs over.

Change: a version of the store is its era (Store-Era) and its number, one ordered type, in the mirror, in pages and datagrams between daemons (whose format versions rise) and in proofs. The first changes of an era are the whole table, which also removes the rows that the store lost; an answer to a feed from another era is not applied. A proof of a peer counts within one era only. An answer older than what is known is a failure, retried with the usual delays, and proves nothing.

--- a/source/ctl/saved_log.cc
+++ b/source/ctl/saved_log.cc
@@ -24,8 +24,9 @@
 /// Events that affect all requests of their process.
 constexpr auto kProcessEvents = std::to_array<EventKind>(
     {kStarted, kStopRequested, kEnded, kChildFailed, kReloaded, kTablesInForce,
-     kTablesRefused, kStoreLost, kStoreReturned, kKeysStale, kKeysFresh,
-     kLeaseTaken, kLeaseEnded, kMemberChanged, kMembersChanged});
+     kTablesRefused, kStoreLost, kStoreReturned, kStoreHistoryLost, kStoreReset,
+     kKeysStale, kKeysFresh, kLeaseTaken, kLeaseEnded, kMemberChanged,
+     kMembersChanged});
 /// Events that affect only requests with the named upstream on their paths.
 constexpr auto kUpstreamEvents = std::to_array<EventKind>(
     {kUpstreamChanged, kUpstreamGone, kUpstreamMissing, kUpstreamSuspected,
--- a/source/decisions/row_mirror.cc
+++ b/source/decisions/row_mirror.cc
@@ -7,8 +7,9 @@
 
 std::vector<MirrorRow> RowMirror::Apply(const MirrorChanges& changes) {
   if (!changes.whole && !complete_) return {};
-  const std::uint64_t known_to =
-      changes.whole ? changes.position : changes.head;
+  const bool new_era = changes.head.era() != view_.head.era();
+  if (new_era && !changes.whole) return {};
+  const StoreVersion known_to = changes.whole ? changes.position : changes.head;
   if (complete_ && known_to < view_.head) return {};
   std::vector<MirrorRow> changed;
   for (const auto& row : changes.rows) {
@@ -61,9 +62,9 @@
   }
 }
 
-MirrorChanges RowMirror::ChangesAfter(std::uint64_t head) const {
+MirrorChanges RowMirror::ChangesAfter(StoreVersion head) const {
   MirrorChanges changes{.head = view_.head, .position = view_.position};
-  changes.whole = head < forgotten_ || head == 0;
+  changes.whole = head < forgotten_ || head == StoreVersion();
   for (const auto& [key, row] : rows_) {
     const bool wanted = changes.whole ? !row.removed : row.version > head;
     if (wanted) changes.rows.push_back(row);
--- a/source/decisions/row_mirror.h
+++ b/source/decisions/row_mirror.h
@@ -7,13 +7,15 @@
 #include <string>
 #include <vector>
 
+#include "decisions/store_version.h"
+
 namespace wisteriayoke {
 
 /// One row of a table of the platform's store, or its removal.
 struct MirrorRow {
   std::string key;
   std::string value;
-  std::uint64_t version = 0;  ///< Of the row's last change.
+  StoreVersion version;  ///< Of the row's last change.
   bool removed = false;
 
   friend bool operator==(const MirrorRow&, const MirrorRow&) = default;
@@ -24,9 +26,9 @@
   /// Version of the last change of the table, or a later one. Not less than
   /// the position of a whole table that was read from the store, which doesn't
   /// say when rows were removed.
-  std::uint64_t head = 0;
+  StoreVersion head;
   /// Version of the store up to which there are no further changes.
-  std::uint64_t position = 0;
+  StoreVersion position;
   bool whole = false;  ///< Whether `rows` are all rows of the table.
   std::vector<MirrorRow> rows;
 
@@ -34,10 +36,10 @@
 };
 
 /// Version of the last change of a mirrored table and position up to which its
-/// changes are known; both 0 before the first.
+/// changes are known, both of one era.
 struct MirrorView {
-  std::uint64_t head = 0;
-  std::uint64_t position = 0;
+  StoreVersion head;
+  StoreVersion position;
 
   friend bool operator==(const MirrorView&, const MirrorView&) = default;
 };
@@ -48,6 +50,9 @@
 /// It holds every change up to its head, so that a daemon with a lower head
 /// catches up from any other with the changes after its own. A row is only ever
 /// replaced by a later version of it.
+///
+/// The first changes of a new era of the store must be the whole table: rows
+/// that the store lost when it returned to an older copy are removed then.
 class RowMirror {
  public:
   /// Most removals that are remembered for daemons that catch up. One that is
@@ -55,12 +60,13 @@
   static constexpr std::size_t kMaxRemovals = 2048;
 
   /// Applies `changes` and returns the rows that they changed. They must begin
-  /// at this mirror's head or position, or earlier.
+  /// at this mirror's head or position, or earlier. Has no effect if they are
+  /// of an earlier era, or begin a new one and aren't the whole table.
   std::vector<MirrorRow> Apply(const MirrorChanges& changes);
 
   /// Returns the changes after `head`, or the whole table if removals since
   /// then may have been forgotten.
-  MirrorChanges ChangesAfter(std::uint64_t head) const;
+  MirrorChanges ChangesAfter(StoreVersion head) const;
 
   /// Records that there are no changes between the head and `position`.
   void RecordPosition(const MirrorView& view);
@@ -76,9 +82,9 @@
   void ForgetOldRemovals();
 
   std::map<std::string, MirrorRow> rows_;
-  std::map<std::uint64_t, std::string> removals_;  ///< Keys by version.
+  std::map<StoreVersion, std::string> removals_;  ///< Keys by version.
   /// Changes up to this version may lack removals.
-  std::uint64_t forgotten_ = 0;
+  StoreVersion forgotten_;
   MirrorView view_;
   bool complete_ = false;
 };
--- a/source/standins/fake_row_store.cc
+++ b/source/standins/fake_row_store.cc
@@ -194,8 +194,9 @@
 
 void FakeRowStore::Respond(const Caller& caller, int status,
                            std::string body) const {
-  caller->Respond(
-      {{status, {{"Store-Era", std::to_string(era_)}}}, std::move(body)});
+  HttpFields fields;
+  if (states_era_) fields.push_back({"Store-Era", std::to_string(era_)});
+  caller->Respond({{status, std::move(fields)}, std::move(body)});
 }
 
 void FakeRowStore::Answer(const Caller& caller, int status, const Json& rows,
--- a/source/standins/fake_row_store.h
+++ b/source/standins/fake_row_store.h
@@ -68,6 +68,8 @@
   /// without an answer.
   void ReturnToCopy();
 
+  /// Sets whether answers state the era.
+  void set_states_era(bool states_era) { states_era_ = states_era; }
   /// Leaves the calls that wait for changes of `table` without an answer, as if
   /// their connections were lost.
   void LoseWaiting(const std::string& table);
@@ -125,6 +127,7 @@
   std::map<RowName, LoopTimerPtr> expiry_timers_;
   std::uint64_t version_ = 0;
   std::uint64_t era_ = 1;
+  bool states_era_ = true;
   Rows copied_rows_;
   std::uint64_t copied_version_ = 0;
   StoreFault fault_ = StoreFault::kNone;
--- a/source/supervisor/context/daemon_status.cc
+++ b/source/supervisor/context/daemon_status.cc
@@ -29,8 +29,8 @@
   return {.follows_store = relay.follows_store,
           .proof_age_us = age ? age->count() : -1,
           .proof_source = relay.proof_source,
-          .tables_head = view.tables.head,
-          .entries_head = view.entries.head};
+          .tables_head = view.tables.head.number(),
+          .entries_head = view.entries.head.number()};
 }
 
 }  // namespace
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -113,8 +113,11 @@
                    relay.freshness.AgeAt(context.loop.BootNow())) +
          AgeSample("entries_age_seconds", entries_age) +
          Sample("follows_store", "gauge", relay.follows_store ? 1 : 0) +
-         Sample("tables_head", "gauge", relay.mirrors.tables.view().head) +
-         Sample("entries_head", "gauge", relay.mirrors.entries.view().head) +
+         Sample("tables_head", "gauge",
+                relay.mirrors.tables.view().head.number()) +
+         Sample("entries_head", "gauge",
+                relay.mirrors.entries.view().head.number()) +
+         Sample("store_era", "gauge", relay.mirrors.tables.view().head.era()) +
          DescribePlaces(relay) +
          Sample("peers", "gauge", state.peer_loads.CountPeers()) +
          Sample("suspect_requests", "gauge", state.quarantine.CountSuspects()) +
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -141,13 +141,16 @@
 }
 
 /// Takes over the peer's proof that the tables are up to date, if this daemon's
-/// tables are at least as new as the peer's.
+/// tables are at least as new as the peer's and of the same era of the store.
 void PeerLink::HandleProof(const PeerMessage& message, const Ack& ack) {
   const auto proven =
       proofs_.TakeProof(ack.sequence, ack.proof_age, context_.loop.BootNow());
   RelayState& relay = context_.state.relay;
-  const std::uint64_t head = message.store ? message.store->tables.head : 0;
-  const bool up_to_date = head > 0 && relay.mirrors.tables.view().head >= head;
+  const StoreVersion head =
+      message.store ? message.store->tables.head : StoreVersion();
+  const StoreVersion known = relay.mirrors.tables.view().head;
+  const bool up_to_date =
+      head > StoreVersion() && known >= head && known.era() == head.era();
   if (!proven || !up_to_date || !relay.document_valid) return;
   if (!relay.freshness.RecordProof(*proven)) return;
   relay.proof_source = message.sender.name.text();
--- a/source/supervisor/store_follower/fleet_updater.cc
+++ b/source/supervisor/store_follower/fleet_updater.cc
@@ -57,7 +57,7 @@
        {"accelerator", entry->upstream.accelerator},
        {"layers", std::to_string(entry->upstream.layers.first) + "-" +
                       std::to_string(entry->upstream.layers.end)},
-       {"version", std::to_string(row.version)},
+       {"version", row.version.ToString()},
        {"source", source.name},
        {"entries_age_us", source.age_us}});
 }
@@ -71,7 +71,7 @@
                                  reason.code(),
                                  {{"upstream", row.key},
                                   {"reason", reason.message()},
-                                  {"version", std::to_string(row.version)},
+                                  {"version", row.version.ToString()},
                                   {"source", source.name}});
 }
 
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -46,16 +46,18 @@
   return std::min(delay, kMaxRetryDelay);
 }
 
-/// Converts a page of the store. One of changes follows on `head`. A row of a
-/// whole table that changed while its pages were read counts as of their first
-/// one, so that the feed goes on from there and misses no earlier change.
-MirrorChanges ConvertPage(const RowPage& page, bool whole, std::uint64_t head) {
-  MirrorChanges changes{.head = whole ? page.version : head,
-                        .position = page.version,
-                        .whole = whole};
+/// Converts a page of the store in its era `era`. One of changes follows on
+/// `head`. A row of a whole table that changed while its pages were read counts
+/// as of their first one, so that the feed goes on from there and misses no
+/// earlier change.
+MirrorChanges ConvertPage(const RowPage& page, bool whole, std::uint32_t era,
+                          StoreVersion head) {
+  const StoreVersion position(era, page.version);
+  MirrorChanges changes{
+      .head = whole ? position : head, .position = position, .whole = whole};
   for (const auto& row : page.rows) {
-    const std::uint64_t version =
-        whole ? std::min(row.version, page.version) : row.version;
+    const StoreVersion version(
+        era, whole ? std::min(row.version, page.version) : row.version);
     changes.head = std::max(changes.head, version);
     changes.rows.push_back({row.key, row.value, version, row.removed});
   }
@@ -156,10 +158,11 @@
     // The next page may be sound.
     if (!handled && !self->stopped_) self->Schedule(kMaxRetryDelay, feed);
   };
+  feed.position = mirror.view().position;
   if (whole) {
     store_->ReadTable(feed.store_table, std::move(done));
   } else {
-    feed.call = store_->Follow(feed.store_table, mirror.view().position, wait,
+    feed.call = store_->Follow(feed.store_table, feed.position.number(), wait,
                                std::move(done));
   }
 }
@@ -176,13 +179,30 @@
     feed.read_whole = true;
     return CallStore(feed);
   }
-  if (reply.code != ResultCode::kOk) return HandleFailure(feed, reply);
+  if (reply.code != ResultCode::kOk) {
+    return HandleFailure(feed, reply.code, reply.message);
+  }
+  const std::uint32_t known_era = MirrorOf(feed).view().head.era();
+  const std::uint32_t era = reply.page.era.value_or(known_era);
+  const StoreVersion answered(era, reply.page.version);
+  if (answered < feed.position) {
+    return HandleFailure(feed, ResultCode::kStoreUnreachable,
+                         "the answer is as of version " + answered.ToString() +
+                             ", before the known " + feed.position.ToString());
+  }
+  // Changes after a position of another era aren't those after this mirror's.
+  const bool usable =
+      whole ? era >= known_era : era == known_era && era == feed.position.era();
+  if (!usable) {
+    feed.read_whole = whole || era > known_era;
+    return CallStore(feed);
+  }
   RecordReturn(feed);
   if (!whole) feed.lost_histories = 0;
   fleet_updater_.RecordStoreAnswer();
   feed.answered = context_.loop.BootNow();
   feed.read_whole = false;
-  Apply(feed, ConvertPage(reply.page, whole, MirrorOf(feed).view().head),
+  Apply(feed, ConvertPage(reply.page, whole, era, MirrorOf(feed).view().head),
         kStoreSource);
   ConfirmEntries(feed);
   // An empty answer to a wait proves that nothing changed until its end; any
@@ -206,12 +226,13 @@
       context_.loop.Schedule(delay, [this, &feed] { CheckRole(feed); });
 }
 
-void StoreFollower::HandleFailure(ChangeFeed& feed, const RowReply& reply) {
+void StoreFollower::HandleFailure(ChangeFeed& feed, ResultCode code,
+                                  const std::string& message) {
   if (++feed.failures == 1) {
     context_.state.timeline.Record(
-        LogLevel::kWarning, EventKind::kStoreLost, reply.code,
+        LogLevel::kWarning, EventKind::kStoreLost, code,
         {{"table", feed.store_table},
-         {"reason", reply.message},
+         {"reason", message},
          {"call_us", DescribeCallTime(feed)},
          {"answer_age_us", DescribeAnswerAge(feed)}});
   }
@@ -225,8 +246,9 @@
   context_.state.timeline.Record(
       LogLevel::kWarning, EventKind::kStoreHistoryLost, reply.code,
       {{"table", feed.store_table},
-       {"position", std::to_string(MirrorOf(feed).view().position)},
-       {"store_era", reply.era ? std::to_string(*reply.era) : kUnknown}});
+       {"position", MirrorOf(feed).view().position.ToString()},
+       {"store_era",
+        reply.page.era ? std::to_string(*reply.page.era) : kUnknown}});
 }
 
 void StoreFollower::RecordReturn(ChangeFeed& feed) {
@@ -282,7 +304,7 @@
   for (ChangeFeed* feed : {&tables_, &entries_}) {
     RowMirror& mirror = MirrorOf(*feed);
     const MirrorView& theirs = view.Of(feed->table);
-    const std::uint64_t position = mirror.view().position;
+    const StoreVersion position = mirror.view().position;
     mirror.RecordPosition(theirs);
     if (mirror.view().position > position) ConfirmEntries(*feed);
     if (theirs.head <= mirror.view().head) continue;
@@ -329,7 +351,7 @@
          {"peer", source.ToString()},
          {"reason", answered ? reason.message() : result.message}});
   }
-  const std::uint64_t next = std::exchange(feed.next_head, 0);
+  const StoreVersion next = std::exchange(feed.next_head, {});
   if (next > MirrorOf(feed).view().head) Fetch(feed, feed.next_peer);
 }
 
@@ -337,8 +359,9 @@
 void StoreFollower::Apply(const ChangeFeed& feed, const MirrorChanges& changes,
                           const std::string& source) {
   RowMirror& mirror = MirrorOf(feed);
-  const std::uint64_t before = mirror.view().head;
+  const StoreVersion before = mirror.view().head;
   const std::vector<MirrorRow> rows = mirror.Apply(changes);
+  if (mirror.view().head.era() > before.era()) RecordEra(feed, before, source);
   if (feed.table == MirroredTable::kTables) {
     ApplyTables(rows);
   } else {
@@ -348,6 +371,20 @@
   if (const auto link = peers_()) link->AnnounceStoreView();
 }
 
+/// Records that the store returned to an older copy of itself: up to which
+/// version this daemon knew it, and where the copy is now.
+void StoreFollower::RecordEra(const ChangeFeed& feed, StoreVersion before,
+                              const std::string& source) {
+  if (before == StoreVersion()) return;
+  context_.state.timeline.Record(
+      LogLevel::kWarning, EventKind::kStoreReset, ResultCode::kOk,
+      {{"table", feed.store_table},
+       {"known", before.ToString()},
+       {"head", MirrorOf(feed).view().head.ToString()},
+       {"tables", std::to_string(context_.state.version.number)},
+       {"source", source}});
+}
+
 void StoreFollower::ApplyTables(const std::vector<MirrorRow>& rows) {
   RelayState& relay = context_.state.relay;
   for (const auto& row : rows) {
@@ -368,7 +405,7 @@
     context_.state.timeline.Record(
         LogLevel::kInfo, EventKind::kTablesInForce, ResultCode::kOk,
         {{"version", std::to_string(applied.version)},
-         {"store_version", std::to_string(row.version)},
+         {"store_version", row.version.ToString()},
          {"routes", std::to_string(applied.routes.size())},
          {"workspaces", std::to_string(applied.workspaces.size())}});
   }
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -44,12 +44,13 @@
     unsigned lost_histories = 0;
     std::shared_ptr<HttpClientCall> call;  ///< Open call that may wait.
     BootTime sent;                         ///< When the last call was sent.
+    StoreVersion position;  ///< This daemon's when the last call was sent.
     std::optional<BootTime> answered;  ///< When the store last answered one.
     LoopTimerPtr timer;     ///< Timer of the next call or role check.
     bool fetching = false;  ///< Whether a fetch from a peer is open.
     /// Peer that announced a change while a fetch was open, and its head.
     Endpoint next_peer;
-    std::uint64_t next_head = 0;
+    StoreVersion next_head;
   };
 
   RowMirror& MirrorOf(const ChangeFeed& feed) {
@@ -63,7 +64,8 @@
   void HandleReply(ChangeFeed& feed, bool whole, Duration wait,
                    const RowReply& reply);
   void Schedule(Duration delay, ChangeFeed& feed);
-  void HandleFailure(ChangeFeed& feed, const RowReply& reply);
+  void HandleFailure(ChangeFeed& feed, ResultCode code,
+                     const std::string& message);
   void RecordLostHistory(ChangeFeed& feed, const RowReply& reply);
   void RecordReturn(ChangeFeed& feed);
   void ReplaceOlderCall(ChangeFeed& feed, BootTime sent);
@@ -79,6 +81,8 @@
 
   void Apply(const ChangeFeed& feed, const MirrorChanges& changes,
              const std::string& source);
+  void RecordEra(const ChangeFeed& feed, StoreVersion before,
+                 const std::string& source);
   void ApplyTables(const std::vector<MirrorRow>& rows);
   void ExpireEntries();
   void RecordFreshness();
--- a/source/wire/datagram_codec.cc
+++ b/source/wire/datagram_codec.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::uint16_t kMagic = 0x5759;
-constexpr std::uint8_t kVersion = 4;
+constexpr std::uint8_t kVersion = 5;
 /// Most bytes of a text and most items of a list.
 constexpr std::size_t kMaxLength = std::numeric_limits<std::uint8_t>::max();
 
@@ -93,15 +93,25 @@
                  member.status);
   }
 
-  /// The position is never before the head and rarely far after it.
-  void Serialize(MirrorView& view) {
+  /// The position is of the head's era, never before it and rarely far after.
+  void Serialize(MirrorView& view, std::uint32_t era) {
     constexpr std::uint64_t kMost = std::numeric_limits<std::uint32_t>::max();
-    auto distance = static_cast<std::uint32_t>(
-        std::min(view.position - std::min(view.position, view.head), kMost));
-    SerializeAll(view.head, distance);
-    view.position = view.head + distance;
+    std::uint64_t head = view.head.number();
+    const std::uint64_t position = std::max(head, view.position.number());
+    auto distance =
+        static_cast<std::uint32_t>(std::min(position - head, kMost));
+    SerializeAll(head, distance);
+    view = {StoreVersion(era, head), StoreVersion(era, head + distance)};
+  }
+  /// The tables are of one era except soon after the store's return to a copy.
+  void Serialize(StoreView& view) {
+    std::uint32_t era = view.tables.head.era();
+    std::optional<std::uint32_t> other;
+    if (view.entries.head.era() != era) other = view.entries.head.era();
+    SerializeAll(era, other);
+    Serialize(view.tables, era);
+    Serialize(view.entries, other.value_or(era));
   }
-  void Serialize(StoreView& view) { SerializeAll(view.tables, view.entries); }
 
   void Serialize(Ping& ping) { SerializeAll(ping.sequence, ping.joining); }
   void Serialize(PingRequest& request) {
--- a/source/wire/mirror_codec.cc
+++ b/source/wire/mirror_codec.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint16_t kMagic = 0x574d;
-constexpr std::uint8_t kVersion = 1;
+constexpr std::uint8_t kVersion = 2;
 
 using Output = cereal::PortableBinaryOutputArchive;
 using Input = cereal::PortableBinaryInputArchive;
@@ -28,6 +28,11 @@
     return number;
   }
 
+  StoreVersion ReadVersion() {
+    const auto era = ReadNumber<std::uint32_t>();
+    return {era, ReadNumber<std::uint64_t>()};
+  }
+
   std::uint32_t ReadSize() {
     const auto size = ReadNumber<std::uint32_t>();
     const auto used = static_cast<std::size_t>(stream_.tellg());
@@ -49,6 +54,29 @@
   Input archive_;
 };
 
+template <typename Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  const char* end = text.data() + text.size();
+  Number number = 0;
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return number;
+}
+
+/// Parses a version as `StoreVersion::ToString` formats it.
+std::optional<StoreVersion> ParseVersion(std::string_view text) {
+  const auto dot = text.find('.');
+  if (dot == std::string_view::npos) return std::nullopt;
+  const auto era = ParseNumber<std::uint32_t>(text.substr(0, dot));
+  const auto number = ParseNumber<std::uint64_t>(text.substr(dot + 1));
+  if (!era || !number) return std::nullopt;
+  return StoreVersion(*era, *number);
+}
+
+void WriteVersion(Output& archive, const StoreVersion& version) {
+  archive(version.era(), version.number());
+}
+
 void WriteText(Output& archive, const std::string& text) {
   archive(static_cast<std::uint32_t>(text.size()));
   archive(cereal::binary_data(text.data(), text.size()));
@@ -58,7 +86,7 @@
   MirrorRow row;
   row.key = reader.ReadText();
   row.value = reader.ReadText();
-  row.version = reader.ReadNumber<std::uint64_t>();
+  row.version = reader.ReadVersion();
   row.removed = reader.ReadNumber<std::uint8_t>() != 0;
   return row;
 }
@@ -70,8 +98,8 @@
                             std::to_string(kVersion));
   }
   MirrorChanges changes;
-  changes.head = reader.ReadNumber<std::uint64_t>();
-  changes.position = reader.ReadNumber<std::uint64_t>();
+  changes.head = reader.ReadVersion();
+  changes.position = reader.ReadVersion();
   changes.whole = reader.ReadNumber<std::uint8_t>() != 0;
   const std::uint32_t rows = reader.ReadSize();
   for (std::uint32_t i = 0; i < rows; ++i) {
@@ -86,7 +114,7 @@
 std::string FormatMirrorTarget(const MirrorTarget& wanted) {
   return std::string(kMirrorPrefix) +
          std::string(kMirroredTableNames.NameOf(wanted.table)) + "/" +
-         std::to_string(wanted.after);
+         wanted.after.ToString();
 }
 
 std::optional<MirrorTarget> ParseMirrorTarget(std::string_view target) {
@@ -95,26 +123,24 @@
   const std::size_t slash = target.find('/');
   if (slash == std::string_view::npos) return std::nullopt;
   const auto table = kMirroredTableNames.Find(target.substr(0, slash));
-  target.remove_prefix(slash + 1);
-  std::uint64_t after = 0;
-  const char* end = target.data() + target.size();
-  const auto parsed = std::from_chars(target.data(), end, after);
-  if (!table || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return MirrorTarget{*table, after};
+  const auto after = ParseVersion(target.substr(slash + 1));
+  if (!table || !after) return std::nullopt;
+  return MirrorTarget{*table, *after};
 }
 
 std::string EncodeMirrorPage(const MirrorChanges& changes) {
   std::ostringstream stream;
   Output archive(stream);
-  archive(kMagic, kVersion, changes.head, changes.position,
-          static_cast<std::uint8_t>(changes.whole),
+  archive(kMagic, kVersion);
+  WriteVersion(archive, changes.head);
+  WriteVersion(archive, changes.position);
+  archive(static_cast<std::uint8_t>(changes.whole),
           static_cast<std::uint32_t>(changes.rows.size()));
   for (const auto& row : changes.rows) {
     WriteText(archive, row.key);
     WriteText(archive, row.value);
-    archive(row.version, static_cast<std::uint8_t>(row.removed));
+    WriteVersion(archive, row.version);
+    archive(static_cast<std::uint8_t>(row.removed));
   }
   return stream.str();
 }
--- a/source/wire/mirror_codec.h
+++ b/source/wire/mirror_codec.h
@@ -17,10 +17,10 @@
 /// A request for the changes of a table after a version.
 struct MirrorTarget {
   MirroredTable table = MirroredTable::kTables;
-  std::uint64_t after = 0;
+  StoreVersion after;
 };
 
-/// Returns the request target for `wanted`, such as "/rows/entries/120".
+/// Returns the request target for `wanted`, such as "/rows/entries/2.120".
 std::string FormatMirrorTarget(const MirrorTarget& wanted);
 
 /// Parses a request target, or returns nullopt if it is none.
--- a/tests/decisions/store_follow_test.cc
+++ b/tests/decisions/store_follow_test.cc
@@ -59,7 +59,7 @@
   }
   std::uint64_t newest() const { return versions_.size(); }
   std::uint64_t HeadOf(std::size_t i) const {
-    return daemons_[i].mirror.view().head;
+    return daemons_[i].mirror.view().head.number();
   }
   bool AllowsKeys(std::size_t i) const {
     return daemons_[i].freshness.AllowsKeys(BootNow(i));
@@ -136,13 +136,13 @@
     if (const auto* ack = std::get_if<Ack>(&message.content)) {
       const auto proven =
           daemon.proofs.TakeProof(ack->sequence, ack->proof_age, BootNow(to));
-      const bool usable =
-          theirs.head > 0 && daemon.mirror.view().head >= theirs.head;
+      const bool usable = theirs.head > StoreVersion() &&
+                          daemon.mirror.view().head >= theirs.head;
       if (proven && usable) daemon.freshness.RecordProof(*proven);
     }
     daemon.mirror.RecordPosition(theirs);
     if (theirs.head <= daemon.mirror.view().head) return;
-    const std::uint64_t after = daemon.mirror.view().head;
+    const StoreVersion after = daemon.mirror.view().head;
     group_.Schedule(now() + kFetchDelay, [this, to, from, after] {
       if (!IsUp(to) || !IsUp(from) || !group_.Connected(to, from)) return;
       Apply(to, daemons_[from].mirror.ChangesAfter(after));
@@ -151,7 +151,7 @@
 
   void Apply(std::size_t i, const MirrorChanges& changes) {
     Daemon& daemon = daemons_[i];
-    const std::uint64_t before = daemon.mirror.view().head;
+    const StoreVersion before = daemon.mirror.view().head;
     daemon.mirror.Apply(changes);
     CHECK(daemon.mirror.view().head >= before);
     if (daemon.mirror.view().head > before) group_.Feed(i, AnnounceRequested{});
@@ -178,7 +178,7 @@
     }
     daemon.sent = BootNow(i);
     const bool answered_at_once =
-        !daemon.mirror.complete() || daemon.mirror.view().head < newest();
+        !daemon.mirror.complete() || HeadOf(i) < newest();
     if (answered_at_once) return Answer(i, call);
     const Duration wait = StoreFollowPolicy::ChooseWait(
         kWait, daemon.freshness.AgeAt(BootNow(i)), daemon.last_waited);
@@ -203,10 +203,10 @@
         group_.Schedule(now() + kCheckInterval, [this, i] { CheckRole(i); });
         return;
       }
-      Apply(i, {.head = version,
-                .position = version,
+      Apply(i, {.head = {0, version},
+                .position = {0, version},
                 .whole = true,
-                .rows = {{"document", std::to_string(version), version}}});
+                .rows = {{"document", std::to_string(version), {0, version}}}});
       daemon.freshness.RecordProof(daemon.sent);
       CheckRole(i);
     });
--- a/tests/peers/membership_cost_test.cc
+++ b/tests/peers/membership_cost_test.cc
@@ -56,7 +56,7 @@
   }
   group.set_stamp([](std::size_t, PeerMessage& message) {
     if (CarriesStoreView(message.content)) {
-      message.store = StoreView{{1700, 1800}, {1790, 1800}};
+      message.store = StoreView{{{1, 1700}, {1, 1800}}, {{1, 1790}, {1, 1800}}};
     }
     if (auto* ack = std::get_if<Ack>(&message.content)) {
       ack->proof_age = std::chrono::milliseconds(700);
--- a/tests/peers/peer_link_test.cc
+++ b/tests/peers/peer_link_test.cc
@@ -115,7 +115,8 @@
 
 TEST_CASE_FIXTURE(LinkFixture,
                   "an answer to a ping passes on a proof of the tables") {
-  state.relay.mirrors.tables.Apply({.head = 5, .position = 5, .whole = true});
+  state.relay.mirrors.tables.Apply(
+      {.head = {1, 5}, .position = {1, 5}, .whole = true});
   state.relay.document_valid = true;
   SendPing();
   const auto find_ping = [this]() -> const Ping* {
@@ -124,7 +125,7 @@
     }
     return nullptr;
   };
-  const auto answer = [&](std::uint64_t head) {
+  const auto answer = [&](StoreVersion head) {
     received.clear();
     RunUntil([&] { return find_ping() != nullptr; });
     PeerMessage message{
@@ -138,9 +139,12 @@
     RunUntil([&] { return loop.Now() >= until; });
   };
   // A peer with newer tables proves nothing for this daemon's.
-  answer(6);
+  answer({1, 6});
   CHECK_FALSE(state.relay.freshness.AgeAt(loop.BootNow()).has_value());
-  answer(5);
+  // Nor does one that hasn't seen the store's return to an older copy.
+  answer({0, 5});
+  CHECK_FALSE(state.relay.freshness.AgeAt(loop.BootNow()).has_value());
+  answer({1, 5});
   const auto age = state.relay.freshness.AgeAt(loop.BootNow());
   REQUIRE(age.has_value());
   CHECK(*age >= std::chrono::milliseconds(300));
@@ -152,17 +156,17 @@
   const auto fetch = [this](const std::string& target) {
     return Fetch(TestPorts::kPeers, {.target = target}).response;
   };
-  CHECK(fetch("/rows/entries/0").head.status == 404);
-  state.relay.mirrors.entries.Apply({.head = 5,
-                                     .position = 8,
+  CHECK(fetch("/rows/entries/0.0").head.status == 404);
+  state.relay.mirrors.entries.Apply({.head = {0, 5},
+                                     .position = {0, 8},
                                      .whole = true,
-                                     .rows = {{"a", "v", 5, false}}});
+                                     .rows = {{"a", "v", {0, 5}, false}}});
   LastReason reason;
-  const auto page = ParseMirrorPage(fetch("/rows/entries/0").body, reason);
+  const auto page = ParseMirrorPage(fetch("/rows/entries/0.0").body, reason);
   REQUIRE(page.has_value());
   CHECK(page->rows.size() == 1);
-  CHECK(page->position == 8);
-  CHECK(fetch("/rows/others/0").head.status == 404);
+  CHECK(page->position == StoreVersion(0, 8));
+  CHECK(fetch("/rows/others/0.0").head.status == 404);
 }
 
 }  // namespace wisteriayoke
--- a/tests/store_follower/odd_entry_test.cc
+++ b/tests/store_follower/odd_entry_test.cc
@@ -91,12 +91,12 @@
 
 TEST_CASE("an entry that can't be used hides no other of a peer's page") {
   RowMirror peer;
-  MirrorChanges page{.head = 90, .position = 90, .whole = true};
+  MirrorChanges page{.head = {0, 90}, .position = {0, 90}, .whole = true};
   for (const char* name : {"i-0", "i-10", "i-2"}) {
-    page.rows.push_back({name, MakeEntry("ready"), 7, false});
+    page.rows.push_back({name, MakeEntry("ready"), {0, 7}, false});
   }
   for (const auto& odd : kOddEntries) {
-    page.rows.push_back({odd.key, odd.value, 8, false});
+    page.rows.push_back({odd.key, odd.value, {0, 8}, false});
   }
   peer.Apply(page);
   OddEntryFixture daemon;
@@ -104,7 +104,7 @@
       daemon.loop, TestPorts::kPeers,
       [&peer](const HttpRequest&,
               const std::shared_ptr<HttpServerSession>& caller) {
-        caller->Respond({{200, {}}, EncodeMirrorPage(peer.ChangesAfter(0))});
+        caller->Respond({{200, {}}, EncodeMirrorPage(peer.ChangesAfter({}))});
       });
   daemon.SetBehindFollowers();
   daemon.Start();
--- a/tests/store_follower/store_follower_test.cc
+++ b/tests/store_follower/store_follower_test.cc
@@ -170,10 +170,10 @@
 TEST_CASE_FIXTURE(FollowerFixture,
                   "a daemon behind the followers fetches changes from a peer") {
   RowMirror peer;
-  peer.Apply({.head = 7,
-              .position = 9,
+  peer.Apply({.head = {0, 7},
+              .position = {0, 9},
               .whole = true,
-              .rows = {{"i-1", MakeEntry("ready"), 7, false}}});
+              .rows = {{"i-1", MakeEntry("ready"), {0, 7}, false}}});
   const FakeServer server(
       loop, TestPorts::kPeers,
       [&peer](const HttpRequest& request,
@@ -191,7 +191,9 @@
   CHECK(state.relay.fleet_known);
   CHECK_FALSE(state.relay.follows_store);
   CHECK(state.relay.mirrors.entries.view() == peer.view());
-  peer.Apply({.head = 12, .position = 12, .rows = {{"i-1", "", 12, true}}});
+  peer.Apply({.head = {0, 12},
+              .position = {0, 12},
+              .rows = {{"i-1", "", {0, 12}, true}}});
   state.relay.peer_views.Deliver({.entries = peer.view()}, source);
   RunUntil([this] { return !IsKnown("i-1"); });
   CHECK(store.calls() == 0);
@@ -201,11 +203,11 @@
                   "after an outage of the store entries that peers remove are "
                   "kept for a while") {
   RowMirror peer;
-  peer.Apply({.head = 7,
-              .position = 9,
+  peer.Apply({.head = {0, 7},
+              .position = {0, 9},
               .whole = true,
-              .rows = {{"i-1", MakeEntry("ready"), 7, false},
-                       {"i-2", MakeEntry("ready"), 6, false}}});
+              .rows = {{"i-1", MakeEntry("ready"), {0, 7}, false},
+                       {"i-2", MakeEntry("ready"), {0, 6}, false}}});
   const FakeServer server(
       loop, TestPorts::kPeers,
       [&peer](const HttpRequest& request,
@@ -223,16 +225,24 @@
   deliver();
   RunUntil([this] { return IsKnown("i-1") && IsKnown("i-2"); });
   // In a calm group a removal holds at once.
-  peer.Apply({.head = 12, .position = 12, .rows = {{"i-2", "", 12, true}}});
+  peer.Apply({.head = {0, 12},
+              .position = {0, 12},
+              .rows = {{"i-2", "", {0, 12}, true}}});
   deliver();
-  RunUntil([&] { return state.relay.mirrors.entries.view().head == 12; });
+  RunUntil([&] {
+    return state.relay.mirrors.entries.view().head == StoreVersion(0, 12);
+  });
   CHECK_FALSE(IsKnown("i-2"));
   // Nobody has a proof of the tables any more: the store is out of reach.
   store.set_fault(StoreFault::kSilent);
   state.relay.freshness = Freshness();
-  peer.Apply({.head = 15, .position = 15, .rows = {{"i-1", "", 15, true}}});
+  peer.Apply({.head = {0, 15},
+              .position = {0, 15},
+              .rows = {{"i-1", "", {0, 15}, true}}});
   deliver();
-  RunUntil([&] { return state.relay.mirrors.entries.view().head == 15; });
+  RunUntil([&] {
+    return state.relay.mirrors.entries.view().head == StoreVersion(0, 15);
+  });
   CHECK(IsKnown("i-1"));
   state.relay.freshness.RecordProof(loop.BootNow());
   RunUntil([this] { return !IsKnown("i-1"); });
@@ -244,14 +254,14 @@
   SetBehindFollowers();
   Start();
   const Endpoint source = LocalEndpoint(TestPorts::kPeers);
-  state.relay.peer_views.Deliver({.entries = {4, 4}}, source);
+  state.relay.peer_views.Deliver({.entries = {{0, 4}, {0, 4}}}, source);
   RunUntil([this] { return Count(EventKind::kPeerFetchFailed) == 1; });
   const FakeServer server(
       loop, TestPorts::kPeers,
       [](const HttpRequest&, const std::shared_ptr<HttpServerSession>& caller) {
         caller->Respond({{200, {}}, "nonsense"});
       });
-  state.relay.peer_views.Deliver({.entries = {4, 4}}, source);
+  state.relay.peer_views.Deliver({.entries = {{0, 4}, {0, 4}}}, source);
   RunUntil([this] { return Count(EventKind::kPeerFetchFailed) == 2; });
   CHECK_FALSE(state.relay.fleet_known);
 }
--- a/tests/wire/datagram_codec_test.cc
+++ b/tests/wire/datagram_codec_test.cc
@@ -119,6 +119,18 @@
   CHECK(ParseDatagram(*data, reason)->updates == message.updates);
 }
 
+// Guards against a view of the store whose era is lost on the way to a peer.
+TEST_CASE("a view of the store keeps the eras of its tables") {
+  for (const std::uint32_t era : {0, 1, 2}) {
+    LastReason reason;
+    PeerMessage message = MakeMessage();
+    message.store = StoreView{{{1, 17}, {1, 18}}, {{era, 5}, {era, 90}}};
+    const auto data = EncodeDatagram(message, reason);
+    REQUIRE(data.has_value());
+    CHECK(ParseDatagram(*data, reason)->store == message.store);
+  }
+}
+
 // Guards against a daemon that falls silent for its peers once a caller's id of
 // a request that crashed an upstream is too long.
 TEST_CASE("an update that no datagram holds is left out alone") {
--- a/tests/wire/mirror_codec_test.cc
+++ b/tests/wire/mirror_codec_test.cc
@@ -7,10 +7,11 @@
 
 TEST_CASE("a page of a mirrored table is read as it was written") {
   const MirrorChanges page{
-      .head = 7,
-      .position = 9,
+      .head = {0, 7},
+      .position = {0, 9},
       .whole = true,
-      .rows = {{"a", std::string(100'000, 'x'), 7, false}, {"b", "", 3, true}}};
+      .rows = {{"a", std::string(100'000, 'x'), {0, 7}, false},
+               {"b", "", {0, 3}, true}}};
   LastReason reason;
   const auto read = ParseMirrorPage(EncodeMirrorPage(page), reason);
   REQUIRE_MESSAGE(read.has_value(), reason.message());
@@ -21,8 +22,8 @@
 }
 
 TEST_CASE("a damaged page is refused") {
-  const std::string bytes =
-      EncodeMirrorPage({.head = 7, .rows = {{"a", "value", 7, false}}});
+  const std::string bytes = EncodeMirrorPage(
+      {.head = {0, 7}, .rows = {{"a", "value", {0, 7}, false}}});
   const bool held = rc::check("damaged pages", [&bytes] {
     std::string damaged = bytes;
     const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
@@ -36,15 +37,16 @@
 }
 
 TEST_CASE("targets of mirrored tables are parsed") {
-  const MirrorTarget wanted{MirroredTable::kEntries, 120};
-  CHECK(FormatMirrorTarget(wanted) == "/rows/entries/120");
-  const auto read = ParseMirrorTarget("/rows/entries/120");
+  const MirrorTarget wanted{MirroredTable::kEntries, {2, 120}};
+  CHECK(FormatMirrorTarget(wanted) == "/rows/entries/2.120");
+  const auto read = ParseMirrorTarget("/rows/entries/2.120");
   REQUIRE(read.has_value());
   CHECK(read->table == MirroredTable::kEntries);
-  CHECK(read->after == 120);
+  CHECK(read->after == StoreVersion(2, 120));
   for (const char* target :
-       {"/rows/", "/rows/entries", "/rows/others/1", "/rows/tables/x",
-        "/rows/tables/-1", "/rows/tables/1x", "/tables/1"}) {
+       {"/rows/", "/rows/entries", "/rows/others/2.1", "/rows/tables/x",
+        "/rows/tables/1", "/rows/tables/1.", "/rows/tables/.1",
+        "/rows/tables/1.-1", "/rows/tables/1.1x", "/tables/1.1"}) {
     CHECK_FALSE(ParseMirrorTarget(target).has_value());
   }
 }
