relay: a daemon that lost its links to all upstreams isn't ready

Cause: readiness knew the tables and the store alone. Each request was tried on upstreams in vain, and callers with open connections stayed.

Change: UpstreamReach decides that the links are lost, as opposed to some upstreams having failed: two connections in a row that aren't established raise the suspicion, six probes of others at once settle it, and an answer on a connection begun since clears it; connections from before prove nothing, as they may live on while new ones are refused. Such a daemon says that it isn't ready, closes idle connections, refuses at once with 503 and closes, and probes two upstreams every 300 ms until one answers.

Not enough where most machines of a large zone are cut: the balancer uses all of a zone's daemons once fewer than half are ready.

--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -127,11 +127,15 @@
   }
 }
 
-void HttpServer::Drain(std::function<void()> done) {
-  on_drained_ = std::move(done);
+void HttpServer::CloseIdleSessions() {
   for (const auto& weak : std::vector(sessions_)) {
     if (const auto session = weak.lock()) session->CloseWhenIdle();
   }
+}
+
+void HttpServer::Drain(std::function<void()> done) {
+  on_drained_ = std::move(done);
+  CloseIdleSessions();
   CheckDrained();
 }
 
--- a/source/runtime/http_server.h
+++ b/source/runtime/http_server.h
@@ -29,6 +29,10 @@
   /// which says so in its Connection field.
   void CloseAfterAnswers();
 
+  /// Closes each session that is open now as soon as its current request, if
+  /// any, is answered.
+  void CloseIdleSessions();
+
   /// Closes each session as soon as its current request is answered, and calls
   /// `done` when all are closed.
   void Drain(std::function<void()> done);
--- a/source/supervisor/context/metrics_page.cc
+++ b/source/supervisor/context/metrics_page.cc
@@ -112,6 +112,7 @@
   return AgeSample("tables_age_seconds",
                    relay.freshness.AgeAt(context.loop.BootNow())) +
          AgeSample("entries_age_seconds", entries_age) +
+         Sample("upstreams_unreachable", "gauge", relay.reach.lost() ? 1 : 0) +
          Sample("follows_store", "gauge", relay.follows_store ? 1 : 0) +
          Sample("tables_head", "gauge",
                 relay.mirrors.tables.view().head.number()) +
--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -16,6 +16,7 @@
 #include "decisions/retry_budget.h"
 #include "decisions/segment_quarantine.h"
 #include "decisions/store_view.h"
+#include "decisions/upstream_reach.h"
 #include "decisions/upstream_work.h"
 #include "supervisor/context/peer_view_exchange.h"
 #include "supervisor/context/relay_metrics.h"
@@ -51,6 +52,7 @@
   UpstreamWork work;  ///< Work on the upstreams of these pools.
   LinkBudget links;   ///< Budget of the links between data centres.
   SegmentQuarantine segments;
+  UpstreamReach reach;  ///< Whether the links to all upstreams are lost.
   double max_members_seen = 1;  ///< Most members that were seen at a time.
   RelayMetrics metrics;
 };
--- a/source/supervisor/relay/readiness_server.cc
+++ b/source/supervisor/relay/readiness_server.cc
@@ -41,6 +41,7 @@
 bool ReadinessServer::IsReady() const {
   const DaemonState& state = context_.state;
   return state.relay.tables && state.relay.fleet_known && !state.draining &&
+         !state.relay.reach.lost() &&
          state.relay.freshness.HasMargin(context_.loop.BootNow());
 }
 
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -65,7 +65,7 @@
 
 RelayFrontEnd::RelayFrontEnd(DaemonContext context,
                              const FailureHandler& /*on_failure*/)
-    : context_(context) {}
+    : context_(context), reach_monitor_(context) {}
 
 bool RelayFrontEnd::Start(LastReason& reason) {
   server_ = HttpServer::Create(
@@ -139,6 +139,7 @@
   const RelayState& relay = context_.state.relay;
   if (refusing_) return ResultCode::kDraining;
   if (!relay.tables || !relay.fleet_known) return ResultCode::kNotReady;
+  if (relay.reach.lost()) return ResultCode::kNoUpstream;
   const BootTime now = context_.loop.BootNow();
   // Tables that may be stale may lack a new route or key, so a failed lookup is
   // then only temporary.
@@ -183,6 +184,8 @@
        {"tables_age_us", age ? std::to_string(age->count()) : "unknown"}});
   const bool temporary = DescribeResultCode(code).http_status ==
                          DescribeResultCode(ResultCode::kNotReady).http_status;
+  // The caller's next connection leads to another daemon.
+  if (state.relay.reach.lost()) caller->CloseAfterAnswer();
   caller->Respond(BuildRefusal(fields.attempt_id, code,
                                temporary ? kRetryAfter : Duration::zero()));
 }
@@ -209,6 +212,8 @@
 void RelayFrontEnd::CheckUpstreamsAndMembers() {
   poll_timer_ = context_.loop.Schedule(kUpstreamCheckInterval,
                                        [this] { CheckUpstreamsAndMembers(); });
+  // Callers on open connections would stay with this daemon.
+  if (reach_monitor_.Update()) server_->CloseIdleSessions();
   PollDegraded();
   UpdateMemberCount();
 }
@@ -310,17 +315,18 @@
                               .connect_timeout = kReportTimeout,
                               .idle_timeout = kReportTimeout,
                               .total_timeout = kReportTimeout};
-  FetchResponse(context_.loop, entry->upstream.endpoint, BuildReportRequest(),
-                limits,
-                [weak = weak_from_this(), upstream,
-                 started_ms = entry->started_ms](const FetchResult& result) {
-                  const auto self = weak.lock();
-                  if (!self) return;
-                  if (ReadAnswerFields(result.response.head).leaving) {
-                    RecordLeaving(self->context_, upstream, started_ms);
-                  }
-                  self->HandleReport(upstream, result);
-                });
+  FetchResponse(
+      context_.loop, entry->upstream.endpoint, BuildReportRequest(), limits,
+      [weak = weak_from_this(), upstream, started_ms = entry->started_ms,
+       begun = context_.loop.Now()](const FetchResult& result) {
+        const auto self = weak.lock();
+        if (!self) return;
+        RecordReach(self->context_, upstream, begun, result);
+        if (ReadAnswerFields(result.response.head).leaving) {
+          RecordLeaving(self->context_, upstream, started_ms);
+        }
+        self->HandleReport(upstream, result);
+      });
 }
 
 /// Handles that it is unknown whether `upstream` works. Stalled streams go on
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -10,6 +10,7 @@
 #include "runtime/http_server.h"
 #include "runtime/supervisor.h"
 #include "supervisor/context/daemon_context.h"
+#include "supervisor/relay/reach_monitor.h"
 #include "supervisor/relay/relay_session.h"
 
 namespace wisteriayoke {
@@ -61,6 +62,7 @@
   GossipExchange::Subscription leaving_updates_;
   GossipExchange::Subscription segment_updates_;
   std::vector<std::weak_ptr<RelaySession>> sessions_;
+  ReachMonitor reach_monitor_;
   /// Latest request for an upstream's report.
   struct ReportPoll {
     TimePoint sent_at;
--- a/source/supervisor/relay/relay_session_attempt.cc
+++ b/source/supervisor/relay/relay_session_attempt.cc
@@ -47,6 +47,7 @@
 }
 
 void RelaySession::HandleHead(const CallHead& event) {
+  context_.state.relay.reach.RecordAnswer(attempt_->sent_at());
   answer_.emplace(event.head, request_.is_stream());
   if (!request_.is_stream()) RecordProgress();
   const AnswerFields fields = ReadAnswerFields(event.head);
@@ -79,6 +80,7 @@
 void RelaySession::HandleFailure(const CallFailure& failure) {
   const UpstreamName upstream = attempt_->target().upstream;
   if (!failure.sent) {
+    context_.state.relay.reach.RecordFailure(upstream, attempt_->sent_at());
     context_.state.upstreams.Eject(upstream, context_.loop.Now());
     return RejectAttempt(failure.code, upstream);
   }
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -453,6 +453,14 @@
   CHECK(status() == 503);
   fixture.state.relay.freshness.RecordProof(fixture.loop.BootNow());
   CHECK(status() == 200);
+  for (const char* name : {"i-1", "i-2"}) {
+    fixture.state.relay.reach.RecordFailure(UpstreamName(name), TimePoint{});
+  }
+  fixture.state.relay.reach.Update({UpstreamName("i-1"), UpstreamName("i-2")},
+                                   TimePoint{});
+  CHECK(status() == 503);
+  fixture.state.relay.reach.RecordAnswer(TimePoint{});
+  CHECK(status() == 200);
   fixture.state.draining = true;
   CHECK(status() == 503);
   ready->Stop([] {});
