fleet: a return of the store to an older copy drops no upstream and revives none

When the store returns to an older copy, an entry that the copy lacks was removed at once although its upstream writes it again with its next heartbeat, and one that was draining became ready again as the copy has it (DRAIN).

Change: at the first rows of a later era missing entries are kept for the time that upstreams have to register again after an outage, and those that were draining leave, in their run.

Without the change 'an entry that the store lost ...' fails (not kept until it was written again), as does 'an upstream that was draining ...'. Not covered: an upstream that was gone before the return and is in the copy.

--- a/source/decisions/fleet.cc
+++ b/source/decisions/fleet.cc
@@ -43,6 +43,13 @@
   }
 }
 
+void Fleet::RecordStoreReset(TimePoint now) {
+  store_returned_ = now;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.draining) RecordLeaving(name, entry.started_ms, now);
+  }
+}
+
 /// Returns whether a live upstream's entry may be missing because of an outage.
 bool Fleet::MayHaveExpired(TimePoint now) const {
   return store_lost_ ||
--- a/source/decisions/fleet.h
+++ b/source/decisions/fleet.h
@@ -78,6 +78,11 @@
   /// as this daemon knows; nullopt if it never did.
   void RecordStoreAge(std::optional<Duration> age, TimePoint now);
 
+  /// Records that the store returned to an older copy of itself. Entries that
+  /// it lacks may be written again, as after an outage, and one that was
+  /// draining leaves, although the copy may say that it is ready.
+  void RecordStoreReset(TimePoint now);
+
   /// Removes the upstreams whose entries didn't return in time and returns
   /// their names.
   std::vector<UpstreamName> Expire(TimePoint now);
--- a/source/supervisor/store_follower/fleet_updater.cc
+++ b/source/supervisor/store_follower/fleet_updater.cc
@@ -18,6 +18,10 @@
   RecordStoreAge();
 }
 
+void FleetUpdater::RecordStoreReset() {
+  context_.state.relay.fleet.RecordStoreReset(context_.loop.Now());
+}
+
 void FleetUpdater::Apply(const std::vector<MirrorRow>& rows,
                          const EntriesSource& source) {
   RecordStoreAge();
--- a/source/supervisor/store_follower/fleet_updater.h
+++ b/source/supervisor/store_follower/fleet_updater.h
@@ -26,6 +26,10 @@
   /// Records that the store answers this daemon now.
   void RecordStoreAnswer();
 
+  /// Records that the store returned to an older copy of itself. To be called
+  /// before the rows of that copy are applied.
+  void RecordStoreReset();
+
   /// Applies changed rows of the mirrored table.
   void Apply(const std::vector<MirrorRow>& rows, const EntriesSource& source);
 
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -361,7 +361,8 @@
   RowMirror& mirror = MirrorOf(feed);
   const StoreVersion before = mirror.view().head;
   const std::vector<MirrorRow> rows = mirror.Apply(changes);
-  if (mirror.view().head.era() > before.era()) RecordEra(feed, before, source);
+  if (mirror.view().head.era() > before.era())
+    HandleNewEra(feed, before, source);
   if (feed.table == MirroredTable::kTables) {
     ApplyTables(rows);
   } else {
@@ -371,10 +372,10 @@
   if (const auto link = peers_()) link->AnnounceStoreView();
 }
 
-/// Records that the store returned to an older copy of itself: up to which
-/// version this daemon knew it, and where the copy is now.
-void StoreFollower::RecordEra(const ChangeFeed& feed, StoreVersion before,
-                              const std::string& source) {
+/// Handles that the store returned to an older copy of itself, and logs up to
+/// which version this daemon knew it and where the copy is now.
+void StoreFollower::HandleNewEra(const ChangeFeed& feed, StoreVersion before,
+                                 const std::string& source) {
   if (before == StoreVersion()) return;
   context_.state.timeline.Record(
       LogLevel::kWarning, EventKind::kStoreReset, ResultCode::kOk,
@@ -383,6 +384,7 @@
        {"head", MirrorOf(feed).view().head.ToString()},
        {"tables", std::to_string(context_.state.version.number)},
        {"source", source}});
+  if (feed.table == MirroredTable::kEntries) fleet_updater_.RecordStoreReset();
 }
 
 void StoreFollower::ApplyTables(const std::vector<MirrorRow>& rows) {
--- a/source/supervisor/store_follower/store_follower.h
+++ b/source/supervisor/store_follower/store_follower.h
@@ -81,8 +81,8 @@
 
   void Apply(const ChangeFeed& feed, const MirrorChanges& changes,
              const std::string& source);
-  void RecordEra(const ChangeFeed& feed, StoreVersion before,
-                 const std::string& source);
+  void HandleNewEra(const ChangeFeed& feed, StoreVersion before,
+                    const std::string& source);
   void ApplyTables(const std::vector<MirrorRow>& rows);
   void ExpireEntries();
   void RecordFreshness();
--- a/tests/store_follower/store_return_test.cc
+++ b/tests/store_follower/store_return_test.cc
@@ -11,6 +11,8 @@
 
 /// Bound on the time until a change is in force.
 constexpr Duration kApplyBound = milliseconds(2000);
+/// Time between two writes of an upstream's entry.
+constexpr Duration kHeartbeat = milliseconds(1200);
 /// Many times what a follower needs in that time: one in each wait of 750 ms
 /// and two for each change.
 constexpr int kMostCalls = 20;
@@ -81,13 +83,38 @@
     store.Put("servers", name, MakeEntry("ready"));
   }
   RunUntil([this] { return IsKnown("lost") && IsKnown("again"); });
+  // Until then entries are kept because the daemon has just started.
+  RunFor(Fleet::kReregistrationTime + milliseconds(200));
   store.ReturnToCopy();
+  bool kept = true;
+  const TimePoint again = loop.Now() + kHeartbeat;
+  RunUntil([&] {
+    kept = kept && IsKnown("again");
+    return loop.Now() >= again;
+  });
+  CHECK(kept);
   store.Put("servers", "again", MakeEntry("ready"));
   RunUntil([this] { return !IsKnown("lost"); });
   CHECK(IsKnown("again"));
   CHECK(IsKnown("i-1"));
 }
 
+// Guards against work for an upstream that was leaving before the return.
+TEST_CASE_FIXTURE(ReturnFixture,
+                  "an upstream that was draining isn't used because the copy "
+                  "says that it is ready") {
+  WriteBeforeReturn();
+  const auto is_available = [this] {
+    return !state.relay.fleet.ListAvailable(PoolName("s")).empty();
+  };
+  REQUIRE(is_available());
+  store.Put("servers", "i-1", MakeEntry("draining"));
+  RunUntil([&] { return !is_available(); });
+  store.ReturnToCopy();
+  RunUntil([this] { return IsRecorded(EventKind::kStoreReset, "servers"); });
+  CHECK_FALSE(is_available());
+}
+
 // Guards against a table put together from the pages of two eras.
 TEST_CASE_FIXTURE(ReturnFixture,
                   "a return between the pages of a list loses no entry") {
