relay: a daemon without links to upstreams passes requests on to a peer

Cause: a daemon that reaches no upstream could only refuse, though its peers are a millisecond away and reach them.

Change: such a daemon passes a request as it came, with the time that is left, to a peer's address for peers, and the answer back, streams as they come. The peer's relay handles it like a caller's.

--- a/source/supervisor/context/relay_state.h
+++ b/source/supervisor/context/relay_state.h
@@ -9,6 +9,7 @@
 #include "decisions/fleet.h"
 #include "decisions/freshness.h"
 #include "decisions/link_budget.h"
+#include "decisions/pass_targets.h"
 #include "decisions/place_queue.h"
 #include "decisions/ranked_queue.h"
 #include "decisions/relay_tables.h"
@@ -18,6 +19,7 @@
 #include "decisions/store_view.h"
 #include "decisions/upstream_reach.h"
 #include "decisions/upstream_work.h"
+#include "supervisor/context/passed_request_exchange.h"
 #include "supervisor/context/peer_view_exchange.h"
 #include "supervisor/context/relay_metrics.h"
 
@@ -43,6 +45,8 @@
   std::size_t follow_rank = 0;
   std::size_t group_size = 1;  ///< Present daemons, including this one.
   PeerViewExchange peer_views;
+  PassedRequestExchange passed_requests;  ///< That peers pass on.
+  PassTargets pass_targets;  ///< Peers that take requests of this daemon.
   RetryLimits retry_limits;  ///< This daemon's share of each pool's limits.
   std::map<PoolName, RetryBudget> budgets;
   std::map<PoolName, PlaceQueue> places;          ///< Requests without a place.
--- a/source/supervisor/peers/peer_link.cc
+++ b/source/supervisor/peers/peer_link.cc
@@ -8,8 +8,10 @@
 
 #include "base/overloaded.h"
 #include "supervisor/context/log.h"
+#include "supervisor/context/server_limits.h"
 #include "wire/datagram_codec.h"
 #include "wire/mirror_codec.h"
+#include "wire/passed_request.h"
 #include "wire/store_codec.h"
 
 namespace wisteriayoke {
@@ -19,7 +21,9 @@
 /// Largest in-flight count that a message can encode.
 constexpr std::uint32_t kMaxInFlight =
     std::numeric_limits<std::uint16_t>::max();
+/// Connections of peers that fetch content, and of those that pass requests on.
 constexpr std::size_t kMaxContentConnections = 32;
+constexpr std::size_t kMaxPassedRequests = 512;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 
@@ -68,14 +72,21 @@
       },
       reason);
   if (!udp_) return false;
+  HttpServerLimits limits{.connections = kMaxContentConnections};
+  if (context_.settings.Interface() == FrontInterface::kRelay) {
+    limits = ReadServerLimits(context_.settings);
+    limits.connections = kMaxContentConnections + kMaxPassedRequests;
+  }
+  limits.reserved = true;
   server_ = HttpServer::Create(
-      context_.loop, local,
-      {.connections = kMaxContentConnections, .reserved = true},
+      context_.loop, local, limits,
       [weak = weak_from_this()](
           const HttpRequest& request,
           const std::shared_ptr<HttpServerSession>& session) {
         const auto self = weak.lock();
         if (!self) return session->Abort();
+        const auto& passed = self->context_.state.relay.passed_requests;
+        if (IsPassedOn(request) && passed.Deliver(request, session)) return;
         session->Respond(self->Serve(request));
       },
       [](const LastReason&) {
@@ -204,6 +215,11 @@
 
 void PeerLink::HandleMember(const Member& member) {
   const TimePoint now = context_.loop.Now();
+  std::vector<Endpoint> peers;
+  for (const auto& present : membership_.members().ListPresent()) {
+    peers.push_back(present.endpoint);
+  }
+  context_.state.relay.pass_targets.SetPeers(std::move(peers));
   if (group_.Record(member, now)) ApplyGroup();
   if (!group_.Contains(member.name)) {
     context_.state.peer_loads.Drop(member.name);
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -9,9 +9,11 @@
 #include "supervisor/context/fleet_leaving.h"
 #include "supervisor/context/server_limits.h"
 #include "supervisor/context/suspect_guard.h"
+#include "supervisor/relay/passed_session.h"
 #include "supervisor/relay/place_turns.h"
 #include "supervisor/relay/relay_refusal.h"
 #include "supervisor/relay/segment_guard.h"
+#include "wire/passed_request.h"
 
 namespace wisteriayoke {
 namespace {
@@ -86,6 +88,14 @@
   suspect_updates_ = FollowSuspects(context_);
   leaving_updates_ = FollowLeaving(context_);
   segment_updates_ = FollowSegments(context_);
+  passed_requests_ = context_.state.relay.passed_requests.Subscribe(
+      [weak = weak_from_this()](HttpRequest request, const CallerPtr& caller) {
+        const auto self = weak.lock();
+        if (self && !self->context_.state.draining) {
+          return self->Handle(std::move(request), caller);
+        }
+        caller->Respond({{kStatusPassedInVain, {}}, ""});
+      });
   RelayState& relay = context_.state.relay;
   relay.max_members_seen =
       std::max(relay.max_members_seen, CountListedDaemons(context_.settings));
@@ -115,6 +125,9 @@
 
 void RelayFrontEnd::Handle(HttpRequest request, const CallerPtr& caller) {
   ++context_.state.requests_started;
+  if (context_.state.relay.reach.lost()) {
+    return PassOn(std::move(request), caller);
+  }
   RelayedRequest relayed;
   relayed.fields = ReadCallerFields(request);
   relayed.caller = caller;
@@ -132,6 +145,18 @@
   session->Start();
 }
 
+/// Passes a request on to a peer, as this daemon reaches no upstream. One that
+/// a peer passed on is declined, so that the peer tries another.
+void RelayFrontEnd::PassOn(HttpRequest request, const CallerPtr& caller) {
+  if (IsPassedOn(request)) {
+    return caller->Respond({{kStatusPassedInVain, {}}, ""});
+  }
+  // The caller's next connection leads to another daemon.
+  caller->CloseAfterAnswer();
+  std::make_shared<PassedSession>(context_, std::move(request), caller)
+      ->Start();
+}
+
 /// Finds the route, pool and workspace of `request` in the tables. Returns the
 /// reason why it can't be relayed, or kOk.
 ResultCode RelayFrontEnd::ResolveRequest(const HttpRequest& request,
@@ -139,7 +164,6 @@
   const RelayState& relay = context_.state.relay;
   if (refusing_) return ResultCode::kDraining;
   if (!relay.tables || !relay.fleet_known) return ResultCode::kNotReady;
-  if (relay.reach.lost()) return ResultCode::kNoUpstream;
   const BootTime now = context_.loop.BootNow();
   // Tables that may be stale may lack a new route or key, so a failed lookup is
   // then only temporary.
@@ -184,8 +208,6 @@
        {"tables_age_us", age ? std::to_string(age->count()) : "unknown"}});
   const bool temporary = DescribeResultCode(code).http_status ==
                          DescribeResultCode(ResultCode::kNotReady).http_status;
-  // The caller's next connection leads to another daemon.
-  if (state.relay.reach.lost()) caller->CloseAfterAnswer();
   caller->Respond(BuildRefusal(fields.attempt_id, code,
                                temporary ? kRetryAfter : Duration::zero()));
 }
--- a/source/supervisor/relay/relay_front_end.h
+++ b/source/supervisor/relay/relay_front_end.h
@@ -31,6 +31,7 @@
   using CallerPtr = std::shared_ptr<HttpServerSession>;
 
   void Handle(HttpRequest request, const CallerPtr& caller);
+  void PassOn(HttpRequest request, const CallerPtr& caller);
   ResultCode ResolveRequest(const HttpRequest& request,
                             RelayedRequest& relayed);
   void Refuse(const CallerFields& fields, const CallerPtr& caller,
@@ -61,6 +62,7 @@
   GossipExchange::Subscription suspect_updates_;
   GossipExchange::Subscription leaving_updates_;
   GossipExchange::Subscription segment_updates_;
+  PassedRequestExchange::Subscription passed_requests_;
   std::vector<std::weak_ptr<RelaySession>> sessions_;
   ReachMonitor reach_monitor_;
   /// Latest request for an upstream's report.
--- a/tests/peers/peer_link_test.cc
+++ b/tests/peers/peer_link_test.cc
@@ -5,6 +5,7 @@
 #include "support/daemon_fixture.h"
 #include "wire/datagram_codec.h"
 #include "wire/mirror_codec.h"
+#include "wire/passed_request.h"
 
 namespace wisteriayoke {
 namespace {
@@ -152,6 +153,19 @@
   CHECK(state.relay.proof_source == "d2");
 }
 
+TEST_CASE_FIXTURE(LinkFixture,
+                  "a request that a peer passes on reaches the relay") {
+  const HttpRequest passed{.target = "/rows/entries/0.0",
+                           .fields = {{std::string(kPassedOnField), "1"}}};
+  CHECK(Fetch(TestPorts::kPeers, passed).response.head.status == 404);
+  const auto subscription = state.relay.passed_requests.Subscribe(
+      [](const HttpRequest& request,
+         const std::shared_ptr<HttpServerSession>& caller) {
+        caller->Respond({{200, {}}, request.target});
+      });
+  CHECK(Fetch(TestPorts::kPeers, passed).response.body == "/rows/entries/0.0");
+}
+
 TEST_CASE_FIXTURE(LinkFixture, "mirrored tables are served to peers") {
   const auto fetch = [this](const std::string& target) {
     return Fetch(TestPorts::kPeers, {.target = target}).response;
