layer_placement: a daemon without links to upstreams leaves the lease to others

A holder of the placement's lease that is partitioned from all upstreams renewed it, as it still reached the store, and no layers were ordered until the partition healed. It no longer renews, as while it drains. The test fails without the change (3 calls to the store in two seconds).

--- a/source/supervisor/layer_placement/layer_placement.cc
+++ b/source/supervisor/layer_placement/layer_placement.cc
@@ -80,8 +80,11 @@
 }
 
 void LayerPlacement::TickLease() {
-  // While draining, the lease isn't renewed, so that another daemon takes over.
-  if (!context_.state.draining) FeedLease(LeaseTick{context_.state.rank});
+  // A daemon that drains or can send no orders doesn't renew the lease, so that
+  // another takes over.
+  const bool yields =
+      context_.state.draining || context_.state.relay.reach.lost();
+  if (!yields) FeedLease(LeaseTick{context_.state.rank});
   lease_timer_ =
       context_.loop.Schedule(kLeaseInterval, [this] { TickLease(); });
 }
--- a/tests/layer_placement/layer_placement_test.cc
+++ b/tests/layer_placement/layer_placement_test.cc
@@ -69,6 +69,25 @@
 
 }  // namespace
 
+// Guards against layers that nobody orders because the lease's holder has no
+// link to any upstream.
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "a daemon without a link to any upstream leaves the lease to "
+                  "others") {
+  RunUntil([this] { return orders.size() == 1; });
+  const std::vector<UpstreamName> upstreams{UpstreamName("a"),
+                                            UpstreamName("b")};
+  for (const auto& name : upstreams) {
+    state.relay.reach.RecordFailure(name, loop.Now());
+  }
+  state.relay.reach.Update(upstreams, loop.Now());
+  REQUIRE(state.relay.reach.lost());
+  const int calls = store.calls();
+  const TimePoint end = loop.Now() + std::chrono::seconds(2);
+  RunUntil([&] { return loop.Now() >= end; });
+  CHECK(store.calls() - calls <= 1);
+}
+
 TEST_CASE_FIXTURE(PlacementFixture,
                   "the holder of the lease orders an upstream to load layers") {
   RunUntil([this] { return orders.size() == 1; });
