--- a/tests/platform/relay_fields_test.cc
+++ b/tests/platform/relay_fields_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "wire/passed_request.h"
+
 namespace wisteriayoke {
 namespace {
 
@@ -95,6 +97,21 @@
   CHECK(FindField(fields, "Tenant").empty());
 }
 
+TEST_CASE("the mark of a passed-on request never reaches an upstream") {
+  HttpRequest request = MakeRequest();
+  request.fields.push_back({"Connection", "close"});
+  const HttpRequest passed =
+      BuildPassedRequest(request, std::chrono::milliseconds(700));
+  CHECK(IsPassedOn(passed));
+  CHECK(FindField(passed.fields, "Deadline-Ms") == "700");
+  CHECK(FindField(passed.fields, "Connection").empty());
+  for (const char* name : {"Host", "Attempt-Id", "Authorization"}) {
+    CHECK(FindField(passed.fields, name) == FindField(request.fields, name));
+  }
+  const HttpFields fields = BuildAttemptFields(passed.fields, {});
+  CHECK(FindField(fields, kPassedOnField).empty());
+}
+
 TEST_CASE("an upstream's answer fields are decoded") {
   const AnswerFields good =
       ReadAnswerFields({200, {{"Attempt-Id", "9c41"}, {"Response-Seal", "s"}}});
