--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -361,8 +361,9 @@
   RowMirror& mirror = MirrorOf(feed);
   const StoreVersion before = mirror.view().head;
   const std::vector<MirrorRow> rows = mirror.Apply(changes);
-  if (mirror.view().head.era() > before.era())
+  if (mirror.view().head.era() > before.era()) {
     HandleNewEra(feed, before, source);
+  }
   if (feed.table == MirroredTable::kTables) {
     ApplyTables(rows);
   } else {
--- a/tests/decisions/row_mirror_test.cc
+++ b/tests/decisions/row_mirror_test.cc
@@ -15,8 +15,9 @@
 /// The rows of the table as a daemon has them.
 std::map<std::string, std::string> LiveRows(const RowMirror& mirror) {
   std::map<std::string, std::string> rows;
-  for (const auto& row : mirror.ChangesAfter({}).rows)
+  for (const auto& row : mirror.ChangesAfter({}).rows) {
     rows[row.key] = row.value;
+  }
   return rows;
 }
 
