--- a/source/decisions/pass_targets.h
+++ b/source/decisions/pass_targets.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "base/time_types.h"
