--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,8 +3,6 @@
 # deploy file.
 set -e
 cd "$(dirname "$0")/.."
-cmake -S . -B target -DCMAKE_BUILD_TYPE=RelWithDebInfo \
-  -DWISTERIAYOKE_BUILD_TESTS=OFF >/dev/null
 cmake --build target --target fake_row_store -j8
 mkdir -p target/review-3
 g++ -std=c++20 -O1 -pthread review/standins-3/lab.cc -o target/review-3/lab
--- a/review/standins-3/lab.cc
+++ b/review/standins-3/lab.cc
@@ -12,7 +12,8 @@
 // A worker registers itself in the store, answers with its receipt and logs
 // each run. SIGUSR1 makes it leave without a report of "draining": it removes
 // its entry, says in its answers that it leaves, and serves on for --stay-ms.
-// At each further SIGUSR1 it writes the removal again. Requesters keep their channels open, repeat a failed idempotent
+// At each further SIGUSR1 it writes the removal again. At SIGUSR2 it loses four in
+// ten of its answers for --lossy-ms: it runs the request and resets the channel. Requesters keep their channels open, repeat a failed idempotent
 // request once on a new channel to the next front, and log each attempt.
 //
 // At SIGUSR1 the proxy silences for good, without a reset, the open channels
@@ -217,12 +218,25 @@
   return got == 1;
 }
 
-/// Waits for SIGUSR1, which all other threads block.
-void WaitForLeave() {
+std::atomic<bool> loses_answers{false};
+
+/// Waits for the signals, which all other threads block.
+void WaitForSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGUSR1);
+  sigaddset(&signals, SIGUSR2);
   for (int number = 0; sigwait(&signals, &number) == 0;) {
+    if (number == SIGUSR2) {
+      loses_answers = true;
+      Log("loses answers");
+      std::thread([] {
+        std::this_thread::sleep_for(milliseconds(Number("lossy-ms", 4000)));
+        loses_answers = false;
+        Log("is sound again");
+      }).detach();
+      continue;
+    }
     const bool first = !leaving.exchange(true);
     const bool answered = CallStore("DELETE", "", "");
     Log(std::string(first ? "leaves" : "leaves, written again") +
@@ -249,6 +263,15 @@
   }
 }
 
+/// Returns whether the answer to this request is lost: four in ten.
+bool MustReset() {
+  static std::mutex mutex;
+  static std::mt19937 random{std::random_device{}()};
+  const std::lock_guard<std::mutex> lock(mutex);
+  return loses_answers && random() % 10 < 4;
+}
+
+/// Returns the answer, or "" if the channel is to be reset.
 std::string Work(const Message& request) {
   const std::string id = Field(request.head, "Attempt-Id");
   const std::string line = request.head.substr(0, request.head.find("\r\n"));
@@ -270,11 +293,13 @@
   lock.unlock();
   Log("run " + id + " " + line);
   std::this_thread::sleep_for(milliseconds(Number("work-ms", 60)));
-  Log("end " + id + " " + line);
+  const bool reset = MustReset();
+  Log((reset ? "reset " : "end ") + id + " " + line);
   lock.lock();
   --running;
   lock.unlock();
   slots_free.notify_one();
+  if (reset) return "";
   return Answer("200 OK",
                 about + "Response-Seal: " + Option("name") + "." + id + "\r\n",
                 "answer to " + id + "\n");
@@ -294,6 +319,11 @@
     } else {
       answer = Work(request);
     }
+    if (answer.empty()) {
+      const linger at_once{1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      break;
+    }
     if (!SendAll(fd, answer)) break;
     if (strcasecmp(Field(request.head, "Connection").c_str(), "close") == 0) {
       break;
@@ -307,8 +337,9 @@
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGUSR1);
+  sigaddset(&signals, SIGUSR2);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::thread(WaitForLeave).detach();
+  std::thread(WaitForSignals).detach();
   const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(server, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
