--- a/review/standins-3/lab.cc
+++ b/review/standins-3/lab.cc
@@ -3,6 +3,7 @@
 //
 //   lab worker --listen IP:PORT --store IP:PORT --name ID --service NAME
 //       --zone ZONE --log FILE [--work-ms N] [--slots N]
+//       [--kind KIND --mb MB --layer-mb MB --layers N]
 //   lab callers --fronts IP:PORT[,IP:PORT...] --host HOST --path PATH
 //       --name NAME --log FILE [--key KEY] [--method GET] [--rate PER_S]
 //       [--for-s SECONDS] [--deadline-ms N] [--count CHANNELS] [--unique 1]
@@ -13,7 +14,9 @@
 // each run. SIGUSR1 makes it leave without a report of "draining": it removes
 // its entry, says in its answers that it leaves, and serves on for --stay-ms.
 // At each further SIGUSR1 it writes the removal again. At SIGUSR2 it loses four in
-// ten of its answers for --lossy-ms: it runs the request and resets the channel. Requesters keep their channels open, repeat a failed idempotent
+// ten of its answers for --lossy-ms: it runs the request and resets the channel.
+// With --kind it is a model worker, which takes orders to hold layers and reports
+// them; ordered to hold more than its memory holds, it crashes. It runs no streams. Requesters keep their channels open, repeat a failed idempotent
 // request once on a new channel to the next front, and log each attempt.
 //
 // At SIGUSR1 the proxy silences for good, without a reset, the open channels
@@ -250,15 +253,91 @@
   }
 }
 
+std::mutex layers_mutex;
+long layers_from = 0;
+long layers_to = 0;
+long orders_accepted = 0;
+bool order_in_progress = false;
+
+/// Returns the fields in which a model worker reports its weights.
+std::string DescribeLayers() {
+  if (Option("kind").empty()) return "";
+  const std::lock_guard<std::mutex> lock(layers_mutex);
+  std::string text =
+      "\"Stage\":\"both\",\"Models\":[{\"Name\":\"m0\",\"Version\":1,"
+      "\"Adapters\":[]}],\"Kind\":\"" +
+      Option("kind") + "\",";
+  if (layers_from == layers_to) return text;
+  return text + "\"Layers\":{\"From\":" + std::to_string(layers_from) +
+         ",\"To\":" + std::to_string(layers_to) + ",\"Version\":1},";
+}
+
+std::string Report() {
+  const std::string layers = DescribeLayers();
+  const std::lock_guard<std::mutex> lock(layers_mutex);
+  return "{" + layers + "\"Busy\":" + (order_in_progress ? "true" : "false") +
+         ",\"Sequence\":" + std::to_string(orders_accepted) +
+         ",\"Waiting\":0,\"Running\":0,\"KvUsed\":0,\"KvTotal\":100000,"
+         "\"Handles\":0,\"pace\":1.0,\"Stalled\":[],\"born\":" +
+         std::to_string(born_ms) + "}";
+}
+
+std::string DescribeEntry() {
+  return "{\"Service\":\"" + Option("service") + "\",\"Address\":\"" +
+         Option("listen") + "\",\"Zone\":\"" + Option("zone") +
+         "\",\"Version\":\"v1\",\"Slots\":" + Option("slots", "6") +
+         ",\"State\":\"ready\",\"ColdRemainingMs\":0," + DescribeLayers() +
+         "\"Sequence\":0,\"born\":" + std::to_string(born_ms) + "}";
+}
+
+void Register() { CallStore("PUT", "?lifetime_ms=3600", DescribeEntry()); }
+
+/// Returns the number after `name` in a JSON text, or -1.
+long FindNumber(const std::string& json, const std::string& name) {
+  const std::size_t at = json.find("\"" + name + "\":");
+  return at == std::string::npos
+             ? -1
+             : std::atol(json.c_str() + at + name.size() + 3);
+}
+
+/// Takes an order to hold layers. Returns its status line.
+std::string TakeOrder(const Message& order) {
+  const long from = FindNumber(order.body, "From");
+  const long to = FindNumber(order.body, "To");
+  const long expected = FindNumber(order.body, "Precondition");
+  if (from < 0 || to <= from || Option("kind").empty()) {
+    return "400 Bad Request";
+  }
+  const std::lock_guard<std::mutex> lock(layers_mutex);
+  if (order_in_progress || (expected >= 0 && expected != orders_accepted)) {
+    return "409 Conflict";
+  }
+  Log("ordered " + std::to_string(from) + " " + std::to_string(to));
+  if ((to - from) * Number("layer-mb", 1) > Number("mb", 0)) {
+    Log("crashes: " + std::to_string(to - from) + " layers of " +
+        Option("layer-mb") + " MB in " + Option("mb") + " MB");
+    _exit(1);
+  }
+  ++orders_accepted;
+  order_in_progress = true;
+  std::thread([from, to] {
+    // A tenth of the time to load, as before the first request.
+    std::this_thread::sleep_for(
+        milliseconds(1400 * (to - from) / Number("layers", 80)));
+    {
+      const std::lock_guard<std::mutex> done(layers_mutex);
+      layers_from = from;
+      layers_to = to;
+      order_in_progress = false;
+    }
+    Register();
+  }).detach();
+  return "202 Accepted";
+}
+
 void Heartbeat() {
-  const std::string entry =
-      "{\"Service\":\"" + Option("service") + "\",\"Address\":\"" +
-      Option("listen") + "\",\"Zone\":\"" + Option("zone") +
-      "\",\"Version\":\"v1\",\"Slots\":" + Option("slots", "6") +
-      ",\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":0,\"born\":" +
-      std::to_string(born_ms) + "}";
   while (!leaving) {
-    CallStore("PUT", "?lifetime_ms=3600", entry);
+    Register();
     std::this_thread::sleep_for(milliseconds(1200));
   }
 }
@@ -312,8 +391,14 @@
          1) {
     std::string answer;
     if (request.head.rfind("GET /-/report ", 0) == 0) {
-      answer = Answer("200 OK", "Content-Type: application/json\r\n",
-                      "{\"Sequence\":0,\"Busy\":false,\"pace\":1.0}");
+      answer =
+          Answer("200 OK", "Content-Type: application/json\r\n", Report());
+    } else if (request.head.rfind("POST /-/order ", 0) == 0) {
+      const std::string expected = Field(request.head, "Expect-Instance");
+      answer = Answer(expected.empty() || expected == Option("name")
+                          ? TakeOrder(request)
+                          : "421 Misdirected Request",
+                      "", "");
     } else if (request.head.rfind("GET /health ", 0) == 0) {
       answer = Answer("200 OK", "Instance-Id: " + Option("name") + "\r\n", "");
     } else {
