--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 14 into target/, after the build of the
-# deploy file. Case 15 is a day.
+# Builds the stand-ins of the cases 11 to 15 into target/, after the build of the
+# deploy file.
 set -e
 cd "$(dirname "$0")/.."
 cmake --build target --target fake_row_store -j8
