--- a/review/standins-3/cluster.sh
+++ b/review/standins-3/cluster.sh
@@ -7,7 +7,6 @@
 daemon="${DAEMON:-$root/target/source/daemon/wisteriayoked}"
 row_store="${ROW_STORE:-$root/target/source/standins/fake_row_store}"
 lab="${LAB:-$root/target/review-3/lab}"
-trouble="${TROUBLE:-1}"
 work="$(mktemp -d)"
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
 port=$((RANDOM % 20000 + 12000))
