Relay tables: an empty list of tenants requires keys

Callers with a key that a configuration had taken away, and with keys that none ever held, were served once the operator had removed the last tenant.

Cause: ParseRelaySpec read an absent, an empty and an unreadable list of tenants alike, and ResolveRequest took no workspaces for no keys required, before it looked at the key or at the age of the tables. A stranger's key got 401 before the change and 200 right after it, so that a version that isn't in force and a skipped lookup are ruled out.

RelaySpec::workspaces is now optional: absent if the document has no list.

--- a/source/decisions/relay_tables.cc
+++ b/source/decisions/relay_tables.cc
@@ -17,22 +17,27 @@
                               spec_.routes[b].path_prefix.size();
                      });
   }
-  for (std::size_t i = 0; i < spec_.workspaces.size(); ++i) {
-    for (const auto& key : spec_.workspaces[i].keys) by_key_[key] = i;
+  for (std::size_t i = 0; requires_keys() && i < spec_.workspaces->size();
+       ++i) {
+    for (const auto& key : (*spec_.workspaces)[i].keys) by_key_[key] = i;
   }
+  // Callers without a key would be in the workspace.
+  by_key_.erase("");
   CollectRanks();
 }
 
 void RelayTables::CollectRanks() {
   std::set<std::optional<std::uint32_t>> of_workspaces;
-  for (const auto& workspace : spec_.workspaces) {
-    of_workspaces.insert(workspace.priority);
+  if (requires_keys()) {
+    for (const auto& workspace : *spec_.workspaces) {
+      of_workspaces.insert(workspace.priority);
+    }
   }
   std::map<PoolName, std::set<PriorityPair>> pairs;
   std::set<PoolName> with_unprioritized;
   for (const auto& route : spec_.routes) {
     auto priorities = of_workspaces;
-    if (route.anonymous || priorities.empty()) priorities.insert(std::nullopt);
+    if (route.anonymous || !requires_keys()) priorities.insert(std::nullopt);
     for (const auto& priority : priorities) {
       const auto pair = CombinePriorities(priority, route.priority);
       for (const auto& share : route.pools) {
@@ -76,7 +81,8 @@
 const KeyedWorkspace* RelayTables::FindWorkspaceOfKey(
     const std::string& key) const {
   const auto found = by_key_.find(key);
-  return found == by_key_.end() ? nullptr : &spec_.workspaces[found->second];
+  if (found == by_key_.end()) return nullptr;
+  return &(*spec_.workspaces)[found->second];
 }
 
 const RelayPool* RelayTables::FindPool(const PoolName& name) const {
--- a/source/decisions/relay_tables.h
+++ b/source/decisions/relay_tables.h
@@ -77,7 +77,8 @@
 struct RelaySpec {
   std::uint64_t version = 0;
   std::vector<RelayRoute> routes;
-  std::vector<KeyedWorkspace> workspaces;
+  /// Absent if requests need no keys. An empty list takes all keys away.
+  std::optional<std::vector<KeyedWorkspace>> workspaces;
   std::vector<RelayPool> pools;
   std::uint64_t max_body_bytes = 4 * 1024 * 1024;  ///< Per request.
 };
@@ -91,7 +92,10 @@
   const RelayRoute* FindRoute(std::string_view host,
                               std::string_view path) const;
 
-  /// Returns the workspace that holds `key`, or null.
+  /// Returns whether requests need keys, except on anonymous routes.
+  bool requires_keys() const { return spec_.workspaces.has_value(); }
+
+  /// Returns the workspace that holds `key`, or null. None holds the empty key.
   const KeyedWorkspace* FindWorkspaceOfKey(const std::string& key) const;
 
   /// Returns the pool called `name`, or null.
--- a/source/supervisor/relay/relay_front_end.cc
+++ b/source/supervisor/relay/relay_front_end.cc
@@ -180,10 +180,12 @@
   relayed.route = *route;
   relayed.pool = ChoosePool(*route, context_.state.random());
   relayed.rank = relay.tables->FindRank(relayed.pool, *route, nullptr);
-  if (relay.tables->spec().workspaces.empty()) return ResultCode::kOk;
+  const bool key_required = relay.tables->requires_keys() && !route->anonymous;
   // A key is checked where none is required as well: it may have been revoked.
-  if (route->anonymous && relayed.fields.key.empty()) return ResultCode::kOk;
+  if (!key_required && relayed.fields.key.empty()) return ResultCode::kOk;
+  relayed.needs_fresh_tables = true;
   if (!relay.freshness.AllowsKeys(now)) return ResultCode::kNotReady;
+  if (!relay.tables->requires_keys()) return ResultCode::kOk;
   const KeyedWorkspace* workspace =
       relay.tables->FindWorkspaceOfKey(relayed.fields.key);
   if (workspace == nullptr) {
--- a/source/supervisor/relay/relay_session.cc
+++ b/source/supervisor/relay/relay_session.cc
@@ -54,7 +54,7 @@
 }
 
 bool RelaySession::HasStaleKey() const {
-  return !request_.workspace.empty() &&
+  return request_.needs_fresh_tables &&
          !context_.state.relay.freshness.AllowsKeys(context_.loop.BootNow());
 }
 
--- a/source/supervisor/store_follower/store_follower.cc
+++ b/source/supervisor/store_follower/store_follower.cc
@@ -37,6 +37,7 @@
 constexpr int kStatusOk = 200;
 constexpr auto kStoreSource = "store";
 constexpr auto kUnknown = "unknown";
+constexpr auto kNoKeysRequired = "none required";
 
 Duration RetryDelay(unsigned failures) {
   Duration delay = kFirstRetryDelay;
@@ -410,7 +411,9 @@
         {{"version", std::to_string(applied.version)},
          {"store_version", row.version.ToString()},
          {"routes", std::to_string(applied.routes.size())},
-         {"workspaces", std::to_string(applied.workspaces.size())}});
+         {"workspaces", applied.workspaces
+                            ? std::to_string(applied.workspaces->size())
+                            : kNoKeysRequired}});
   }
 }
 
--- a/tests/platform/store_codecs_test.cc
+++ b/tests/platform/store_codecs_test.cc
@@ -65,8 +65,8 @@
   CHECK(spec->routes[1].anonymous);
   CHECK_FALSE(spec->routes[1].repeatable());
   CHECK(spec->max_body_bytes == 9000);
-  REQUIRE(spec->workspaces.size() == 1);
-  CHECK(spec->workspaces[0].keys.size() == 2);
+  REQUIRE(spec->workspaces.value().size() == 1);
+  CHECK(spec->workspaces.value().at(0).keys.size() == 2);
   REQUIRE(spec->pools.size() == 2);
   CHECK_FALSE(spec->pools[1].model.has_value());
   const LayeredModel& model = spec->pools[0].model.value();
@@ -89,6 +89,31 @@
   CHECK(reason.message().find("r9") != std::string::npos);
 }
 
+// Guards against a list that can't be read and passes for an empty one, which
+// takes away keys, routes or a split, or for an absent one, which opens routes.
+TEST_CASE("a document with a list that can't be read is rejected") {
+  const auto is_accepted = [](const char* list, const nlohmann::json& value) {
+    auto json = nlohmann::json::parse(kDocument);
+    json[nlohmann::json::json_pointer(list)] = value;
+    LastReason reason;
+    return ParseRelaySpec(json.dump(), reason).has_value();
+  };
+  for (const char* list : {"/Tenants", "/Routes", "/Services",
+                           "/Tenants/0/ApiKeys", "/Routes/0/TrafficSplit"}) {
+    CAPTURE(list);
+    for (const char* odd : {"null", "{}", "\"k1\"", "7", "true", "[7]"}) {
+      CAPTURE(odd);
+      CHECK_FALSE(is_accepted(list, nlohmann::json::parse(odd)));
+    }
+  }
+  const auto empty = nlohmann::json::array();
+  CHECK(is_accepted("/Tenants", empty));
+  CHECK(is_accepted("/Tenants/0/ApiKeys", empty));
+  CHECK_FALSE(is_accepted("/Tenants/0/Name", ""));
+  LastReason reason;
+  CHECK_FALSE(ParseRelaySpec(R"({"Version":9})", reason).has_value());
+}
+
 TEST_CASE("an upstream's entry is decoded") {
   LastReason reason;
   const auto entry = ParseFleetEntry("i-7f", kEntry, reason);
@@ -255,7 +280,7 @@
             "}]}",
         reason);
     REQUIRE_MESSAGE(spec.has_value(), reason.message());
-    CHECK(spec->routes[0].priority == spec->workspaces[0].priority);
+    CHECK(spec->routes[0].priority == spec->workspaces.value().at(0).priority);
     return spec->routes[0].priority;
   };
   CHECK(parse("0") == 0);
--- a/tests/relay/caller_key_test.cc
+++ b/tests/relay/caller_key_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "relay/relay_fixture.h"
@@ -21,7 +22,23 @@
 
   /// Puts tables in force in which the workspace has another key.
   void ReplaceKey(const std::string& key) {
-    ChangeSpec([&key](RelaySpec& spec) { spec.workspaces.at(0).keys = {key}; });
+    ChangeSpec([&key](RelaySpec& spec) {
+      spec.workspaces.value().at(0).keys = {key};
+    });
+  }
+
+  /// Puts the document in force with the value `tenants` as its list of
+  /// workspaces, or without that list if `tenants` is empty.
+  void PutTenants(const std::string& tenants) {
+    auto document = nlohmann::json::parse(kRelayDocument);
+    document.erase("Tenants");
+    if (!tenants.empty()) {
+      document["Tenants"] = nlohmann::json::parse(tenants);
+    }
+    LastReason reason;
+    auto spec = ParseRelaySpec(document.dump(), reason);
+    REQUIRE_MESSAGE(spec.has_value(), reason.message());
+    state.relay.tables = std::make_shared<const RelayTables>(std::move(*spec));
   }
 
   std::string WorkspaceSeen() const {
@@ -90,4 +107,39 @@
   CHECK(seen.size() == 1);
 }
 
+// Guards against a list of workspaces that became empty and opens all routes.
+TEST_CASE_FIXTURE(OptionalKeyFixture,
+                  "without the last workspace its key and all others are "
+                  "refused") {
+  PutTenants("[]");
+  for (const char* key : {"k1", "k9", ""})
+    CHECK(StatusOf("/read/1", key) == 401);
+  CHECK(StatusWith("Bearer k1") == 401);
+  CHECK(seen.empty());
+  CHECK(StatusWith("") == 200);
+}
+
+// Guards against a key that no caller can send and every caller without a key
+// holds.
+TEST_CASE_FIXTURE(OptionalKeyFixture, "an empty key admits no one") {
+  PutTenants(R"([{"Name":"volta","ApiKeys":["","k1"]}])");
+  CHECK(StatusOf("/read/1", "") == 401);
+  CHECK(StatusOf("/read/1", "k1") == 200);
+}
+
+// Guards against tables without workspaces that stay in force while a later
+// version takes a key away: the age of the tables wasn't looked at.
+TEST_CASE_FIXTURE(OptionalKeyFixture,
+                  "tables without workspaces take any key while they are "
+                  "fresh, and callers without one always") {
+  PutTenants("");
+  CHECK(StatusOf("/read/1", "k9") == 200);
+  CHECK(WorkspaceSeen().empty());
+  CHECK(StatusOf("/read/1", "") == 200);
+  state.relay.freshness =
+      Freshness({.revocation = std::chrono::milliseconds(1)});
+  CHECK(StatusOf("/read/1", "k9") == 503);
+  CHECK(StatusOf("/read/1", "") == 200);
+}
+
 }  // namespace wisteriayoke
--- a/tests/relay/tables_change_test.cc
+++ b/tests/relay/tables_change_test.cc
@@ -109,7 +109,8 @@
   }
   SUBCASE("the key is replaced") {
     change = [this] {
-      ChangeSpec([](RelaySpec& spec) { spec.workspaces.at(0).keys = {"k2"}; });
+      ChangeSpec(
+          [](RelaySpec& spec) { spec.workspaces.value().at(0).keys = {"k2"}; });
     };
   }
   SUBCASE("streams may no longer be resumed, calls no longer repeated") {
