--- a/source/decisions/quarantine.cc
+++ b/source/decisions/quarantine.cc
@@ -184,8 +184,8 @@
   if (found != suspects_.end()) found->second.last_refused = now;
 }
 
-/// Returns the refused contents of which peers may be told, those that were
-/// refused or crashed upstreams last first.
+/// Returns the refused contents that peers may be told of, in order of the last
+/// refusal or crash, the latest first.
 std::vector<Quarantine::Suspects::const_iterator> Quarantine::ListRepeatable(
     TimePoint now) const {
   std::vector<Suspects::const_iterator> refused;
--- a/source/decisions/quarantine.h
+++ b/source/decisions/quarantine.h
@@ -133,8 +133,8 @@
   void RecordRefusal(const std::string& fingerprint, TimePoint now);
 
   /// Returns the crashes of at most `count` refused contents, to be sent to
-  /// daemons that may not know them: mostly those that were refused or crashed
-  /// upstreams last, the others in turn.
+  /// daemons that may not know them: mostly those that still come, the others
+  /// in turn.
   std::vector<GossipUpdate> RepeatRefused(std::size_t count, TimePoint now);
 
   /// Applies a gossip update of a peer.
--- a/source/supervisor/relay/relayed_request.h
+++ b/source/supervisor/relay/relayed_request.h
@@ -19,8 +19,9 @@
   RelayTablesPtr tables;
   RelayRoute route;
   PoolName pool;
-  WorkspaceName workspace;  ///< Empty if the caller needs no key and sent none.
-  /// Whether the request may start only while the tables are fresh.
+  WorkspaceName workspace;  ///< Holder of the caller's key; empty without one.
+  /// Whether the request may start only while the tables are fresh, since its
+  /// key may have been taken away.
   bool needs_fresh_tables = false;
   /// Among the requests to the pool; none if the tables don't rank it.
   std::optional<RequestRank> rank;
